--- /dev/null
+++ b/internal/configuration/change.go
@@ -0,0 +1,188 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"primrosespring.example/internal/domain"
+)
+
+const (
+	// ObjectKind is the kind of the platform object that holds the
+	// configuration.
+	ObjectKind = "configuration"
+	// ObjectName is the name of that object.
+	ObjectName = "current"
+	// MaxStoredBytes is the platform's limit on an object's size.
+	MaxStoredBytes = 1 << 20
+	// maxRecent bounds the change ids kept for writers whose answer was lost.
+	maxRecent = 256
+)
+
+// Applied records that a change is part of the configuration.
+type Applied struct {
+	ChangeID string `json:"change_id"`
+	Version  uint64 `json:"version"`
+}
+
+// Stored is the form of the configuration in the platform's store.
+type Stored struct {
+	Configuration domain.Configuration `json:"configuration"`
+	// Recent lists the latest changes, oldest first.
+	Recent []Applied `json:"recent"`
+}
+
+// Decode returns the stored form in data, checked.
+func Decode(data []byte) (*Stored, error) {
+	var s Stored
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("decode stored configuration: %w", err)
+	}
+
+	return &s, nil
+}
+
+// Encode returns the stored form as JSON. It refuses one that the store
+// wouldn't take.
+func (s *Stored) Encode() ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode stored configuration: %w", err)
+	}
+
+	if len(data) > MaxStoredBytes {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "encode configuration",
+			"configuration would have %d bytes; at most %d are allowed", len(data), MaxStoredBytes)
+	}
+
+	return data, nil
+}
+
+// AppliedVersion returns the version that the change brought about, if it is
+// among the latest changes.
+func (s *Stored) AppliedVersion(changeID string) (uint64, bool) {
+	for _, a := range s.Recent {
+		if a.ChangeID == changeID {
+			return a.Version, true
+		}
+	}
+
+	return 0, false
+}
+
+// Change is one typed change of an operator; exactly one field besides ID is
+// set.
+type Change struct {
+	ID            string          `json:"id"`
+	CreateService *domain.Service `json:"create_service,omitempty"`
+	UpdateService *domain.Service `json:"update_service,omitempty"`
+	DeleteService *ServiceRef     `json:"delete_service,omitempty"`
+	SetMember     *domain.Member  `json:"set_member,omitempty"`
+	DeleteMember  *MemberRef      `json:"delete_member,omitempty"`
+	DrainSearcher *Drain          `json:"drain_searcher,omitempty"`
+}
+
+// ServiceRef names a service and the version that the change was made against.
+type ServiceRef struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+// MemberRef names a member organisation.
+type MemberRef struct {
+	Name string `json:"name"`
+}
+
+// Drain stops or resumes new work for one searcher.
+type Drain struct {
+	Service  string `json:"service"`
+	Searcher string `json:"searcher"`
+	Draining bool   `json:"draining"`
+}
+
+// Apply returns the stored form after the change. A change that is already
+// part of s leaves it as it is. Errors are domain.Error of fate not run.
+func Apply(s *Stored, c Change) (*Stored, error) {
+	if _, ok := s.AppliedVersion(c.ID); ok {
+		return s, nil
+	}
+
+	next, err := apply(s.Configuration, c)
+	if err != nil {
+		return nil, err
+	}
+
+	next = next.WithVersion(s.Configuration.Version + 1)
+	if err := next.Validate(); err != nil {
+		return nil, err
+	}
+
+	recent := append(append([]Applied(nil), s.Recent...), Applied{ChangeID: c.ID, Version: next.Version})
+	if len(recent) > maxRecent {
+		recent = recent[len(recent)-maxRecent:]
+	}
+
+	return &Stored{Configuration: next, Recent: recent}, nil
+}
+
+func apply(cfg domain.Configuration, c Change) (domain.Configuration, error) {
+	switch {
+	case c.CreateService != nil:
+		if _, ok := cfg.Service(c.CreateService.Name); ok {
+			return cfg, refuse(domain.CodeExists, "service %s already exists", c.CreateService.Name)
+		}
+
+		return cfg.WithService(c.CreateService.WithVersion(1)), nil
+	case c.UpdateService != nil:
+		if err := current(cfg, c.UpdateService.Name, c.UpdateService.Version); err != nil {
+			return cfg, err
+		}
+
+		return cfg.WithService(c.UpdateService.WithVersion(c.UpdateService.Version + 1)), nil
+	case c.DeleteService != nil:
+		if err := current(cfg, c.DeleteService.Name, c.DeleteService.Version); err != nil {
+			return cfg, err
+		}
+
+		return cfg.WithoutService(c.DeleteService.Name), nil
+	case c.SetMember != nil:
+		return cfg.WithMember(*c.SetMember), nil
+	case c.DeleteMember != nil:
+		return cfg.WithoutMember(c.DeleteMember.Name), nil
+	case c.DrainSearcher != nil:
+		return drain(cfg, *c.DrainSearcher)
+	}
+
+	return cfg, refuse(domain.CodeInvalid, "change %s is empty", c.ID)
+}
+
+func drain(cfg domain.Configuration, d Drain) (domain.Configuration, error) {
+	svc, ok := cfg.Service(d.Service)
+	if !ok {
+		return cfg, refuse(domain.CodeNotFound, "service %s doesn't exist", d.Service)
+	}
+
+	next, found := svc.WithDraining(d.Searcher, d.Draining)
+	if !found {
+		return cfg, refuse(domain.CodeNotFound, "service %s has no searcher %s", d.Service, d.Searcher)
+	}
+
+	return cfg.WithService(next.WithVersion(svc.Version + 1)), nil
+}
+
+func current(cfg domain.Configuration, name string, version uint64) error {
+	svc, ok := cfg.Service(name)
+	if !ok {
+		return refuse(domain.CodeNotFound, "service %s doesn't exist", name)
+	}
+
+	if svc.Version != version {
+		return refuse(domain.CodeConflict, "service %s is at version %d, not %d", name, svc.Version, version)
+	}
+
+	return nil
+}
+
+func refuse(code domain.Code, format string, args ...any) error {
+	return domain.Errorf(domain.FateNotRun, code, "apply change", format, args...)
+}
--- /dev/null
+++ b/internal/coverage/coverage.go
@@ -0,0 +1,64 @@
+// Package coverage says what the answers of a query prove, and whether the
+// rules of its service accept them.
+package coverage
+
+import (
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/integrity"
+)
+
+// Missing is a shard that an answer lacks.
+type Missing struct {
+	Shard  uint32
+	Reason domain.Code
+}
+
+// Coverage states which shards an answer includes and which it lacks. Together
+// they are all shards of the partition map, each once.
+type Coverage struct {
+	Shards   uint32
+	Included []uint32
+	Missing  []Missing
+}
+
+// Whole reports whether no shard is missing.
+func (c Coverage) Whole() bool { return len(c.Missing) == 0 }
+
+// Permille returns the share of shards included, in 1/1,000, rounded down.
+func (c Coverage) Permille() uint32 {
+	if c.Shards == 0 {
+		return 0
+	}
+
+	return uint32(len(c.Included)) * domain.Permille / c.Shards
+}
+
+// Accepts reports whether rules allow an answer with this coverage.
+func Accepts(rules domain.Rules, c Coverage) bool {
+	return len(c.Included) > 0 && c.Permille() >= rules.MinCoveragePermille
+}
+
+// Check returns nil if answer is a whole, undamaged answer to request, drawn
+// from the snapshot that the request pinned.
+func Check(request *pb.RunRequest, answer *pb.RunResponse) *domain.Error {
+	mismatch := func(format string, args ...any) *domain.Error {
+		return domain.Errorf(domain.FateUnknown, domain.CodeCorrupt, "check answer", format, args...)
+	}
+
+	switch {
+	case answer.GetQueryId() != request.GetQueryId():
+		return mismatch("answer is for query %q, not %q", answer.GetQueryId(), request.GetQueryId())
+	case answer.GetAttempt() != request.GetAttempt():
+		return mismatch("answer is for attempt %d, not %d", answer.GetAttempt(), request.GetAttempt())
+	case answer.GetShard() != request.GetShard():
+		return mismatch("answer is for shard %d, not %d", answer.GetShard(), request.GetShard())
+	case answer.GetSnapshot().GetIndexVersion() != request.GetSnapshot().GetIndexVersion(),
+		answer.GetSnapshot().GetPartitionMapVersion() != request.GetSnapshot().GetPartitionMapVersion():
+		return mismatch("answer is from snapshot %v, not %v", answer.GetSnapshot(), request.GetSnapshot())
+	case answer.GetChecksum() != integrity.RunChecksum(answer):
+		return mismatch("checksum of the answer doesn't match its content")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/domain/member.go
@@ -0,0 +1,48 @@
+package domain
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Member is a member organisation with its share of capacity.
+type Member struct {
+	Name string `json:"name"`
+	// Weight is the share against other member organisations.
+	Weight uint32 `json:"weight"`
+}
+
+// DefaultMemberWeight is the weight of a member organisation that the
+// configuration doesn't name.
+const DefaultMemberWeight = 1
+
+// Validate reports the first field that can't be accepted.
+func (m Member) Validate() error {
+	if err := CheckName("name", m.Name); err != nil {
+		return err
+	}
+
+	if m.Weight == 0 || m.Weight > MaxMemberWeight {
+		return invalid("weight", "is %d; must be 1 to %d", m.Weight, MaxMemberWeight)
+	}
+
+	return nil
+}
+
+// UnmarshalJSON decodes and checks a member organisation.
+func (m *Member) UnmarshalJSON(data []byte) error {
+	type plain Member
+
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return fmt.Errorf("decode member: %w", err)
+	}
+
+	if err := Member(p).Validate(); err != nil {
+		return err
+	}
+
+	*m = Member(p)
+
+	return nil
+}
--- /dev/null
+++ b/internal/logline/logline.go
@@ -0,0 +1,163 @@
+// Package logline writes zerolog events as one line of key=value pairs each.
+package logline
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	bufferBytes   = 256 << 10
+	flushInterval = 200 * time.Millisecond
+)
+
+// Writer converts zerolog's JSON events to key=value lines and buffers them.
+// It is safe for concurrent use.
+type Writer struct {
+	mu   sync.Mutex // Guards out and line.
+	out  *bufio.Writer
+	line []byte
+	stop chan struct{}
+	done chan struct{}
+}
+
+// New returns a Writer to out that flushes itself; Close stops it.
+func New(out io.Writer) *Writer {
+	w := &Writer{out: bufio.NewWriterSize(out, bufferBytes), stop: make(chan struct{}), done: make(chan struct{})}
+
+	go w.flushLoop()
+
+	return w
+}
+
+// Logger returns a logger that writes to w.
+func (w *Writer) Logger() zerolog.Logger {
+	return zerolog.New(w).With().Timestamp().Logger()
+}
+
+// Write takes one JSON event.
+func (w *Writer) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.line = appendPairs(w.line[:0], bytes.TrimSpace(p))
+	w.line = append(w.line, '\n')
+
+	if _, err := w.out.Write(w.line); err != nil {
+		return 0, err
+	}
+
+	return len(p), nil
+}
+
+// Close flushes what is buffered and stops the flushing.
+func (w *Writer) Close() error {
+	close(w.stop)
+	<-w.done
+
+	return w.flush()
+}
+
+func (w *Writer) flush() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.out.Flush()
+}
+
+func (w *Writer) flushLoop() {
+	defer close(w.done)
+
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			_ = w.flush()
+		case <-w.stop:
+			return
+		}
+	}
+}
+
+// appendPairs appends the members of the flat JSON object p as key=value
+// pairs. A nested value is written as its JSON text.
+func appendPairs(dst, p []byte) []byte {
+	p = bytes.TrimPrefix(p, []byte{'{'})
+	p = bytes.TrimSuffix(p, []byte{'}'})
+
+	for first := true; len(p) > 0; first = false {
+		p = bytes.TrimPrefix(p, []byte{','})
+
+		key, rest := cutValue(p)
+		rest = bytes.TrimPrefix(rest, []byte{':'})
+
+		value, next := cutValue(rest)
+		if !first {
+			dst = append(dst, ' ')
+		}
+
+		dst = append(dst, bytes.Trim(key, `"`)...)
+		dst = append(dst, '=')
+		dst = appendValue(dst, value)
+
+		if len(next) >= len(p) {
+			return dst
+		}
+
+		p = next
+	}
+
+	return dst
+}
+
+// appendValue appends a JSON value; a string loses its quotes if it has no
+// character that needs them.
+func appendValue(dst, v []byte) []byte {
+	if len(v) < 2 || v[0] != '"' {
+		if bytes.ContainsAny(v, " \"") {
+			return strconv.AppendQuote(dst, string(v))
+		}
+
+		return append(dst, v...)
+	}
+
+	if inner := v[1 : len(v)-1]; len(inner) > 0 && !bytes.ContainsAny(inner, " =\\\"") {
+		return append(dst, inner...)
+	}
+
+	return append(dst, v...)
+}
+
+// cutValue splits p after its first JSON value.
+func cutValue(p []byte) (value, rest []byte) {
+	depth := 0
+
+	for i := 0; i < len(p); i++ {
+		switch p[i] {
+		case '"':
+			for i++; i < len(p) && p[i] != '"'; i++ {
+				if p[i] == '\\' {
+					i++
+				}
+			}
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		case ',', ':':
+			if depth == 0 {
+				return p[:i], p[i:]
+			}
+		}
+	}
+
+	return p, nil
+}
