--- /dev/null
+++ b/primrosed/internal/server/container.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"primrosespring.example/internal/configuration"
+	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/routing"
+	"primrosespring.example/internal/snapshot"
+	"primrosespring.example/primrosed/internal/balancer"
+	"primrosespring.example/primrosed/internal/caller"
+	"primrosespring.example/primrosed/internal/operator"
+	"primrosespring.example/primrosed/internal/platform"
+	"primrosespring.example/primrosed/internal/query"
+	"primrosespring.example/primrosed/internal/searcher"
+	"primrosespring.example/primrosed/internal/settings"
+)
+
+// provide registers the constructors of an instance's parts.
+func provide(c *dig.Container, s settings.Settings, logOut io.Writer) error {
+	constructors := []any{
+		func() settings.Settings { return s },
+		func() *logline.Writer { return logline.New(logOut) },
+		newLogger,
+		func() *configuration.Holder { return &configuration.Holder{} },
+		func() *routing.Table { return &routing.Table{} },
+		func() *snapshot.Table { return &snapshot.Table{} },
+		func() *searcher.Pool { return &searcher.Pool{} },
+		func() *balancer.Health { return &balancer.Health{} },
+		func() *platform.Client { return platform.NewClient(s.PlatformAddress) },
+		newRunner,
+		newPoller,
+		newCallerHandler,
+		newOperatorHandler,
+		operator.NewWatcher,
+		newInstance,
+	}
+
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func newLogger(w *logline.Writer, s settings.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return zerolog.Logger{}, err
+	}
+
+	return w.Logger().Level(level).With().Str("instance", s.ID).Logger(), nil
+}
+
+func newRunner(log zerolog.Logger, s settings.Settings, p *searcher.Pool, rt *routing.Table, st *snapshot.Table) *query.Runner {
+	return query.NewRunner(log, s.Instance(), p, rt, st, s.Log.Routing)
+}
+
+func newPoller(log zerolog.Logger, p *searcher.Pool, h *configuration.Holder, st *snapshot.Table) *query.Poller {
+	return query.NewPoller(log, p, h, st)
+}
+
+func newCallerHandler(h *configuration.Holder, r *query.Runner) *caller.Handler {
+	return caller.NewHandler(h, r, r)
+}
+
+func newOperatorHandler(log zerolog.Logger, h *configuration.Holder, p *platform.Client) *operator.Handler {
+	return operator.NewHandler(log, h, operator.NewStoreChanger(p, h))
+}
--- /dev/null
+++ b/primrosed/internal/settings/settings.go
@@ -0,0 +1,135 @@
+// Package settings reads and checks the JSON settings of an entry instance.
+// Unknown fields, bad values and contradictions are refused with the path of
+// the field and the reason.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Settings are what an instance learns at its start.
+type Settings struct {
+	// ID names the instance; it must be unique in the fleet.
+	ID string `json:"id"`
+	// FailureDomain and Region say where the instance runs.
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	// CallerAddress serves callers, OperatorAddress operators, PeerAddress the
+	// other instances, HealthAddress the balancer and DebugAddress metrics and
+	// profiles. Each is an IP address and port.
+	CallerAddress   string `json:"caller_address"`
+	OperatorAddress string `json:"operator_address"`
+	PeerAddress     string `json:"peer_address"`
+	HealthAddress   string `json:"health_address"`
+	DebugAddress    string `json:"debug_address"`
+	// PlatformAddress is the platform's object API.
+	PlatformAddress string `json:"platform_address"`
+	Log             Log    `json:"log"`
+	Stop            Stop   `json:"stop"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level"`
+	// Routing writes a line for each routing decision.
+	Routing bool `json:"routing"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	// BalancerDelayMS is how long the instance goes on taking requests after
+	// it has told the balancer that it isn't ready, in milliseconds.
+	BalancerDelayMS uint32 `json:"balancer_delay_ms"`
+	// MaxWaitMS bounds the wait for open requests, in milliseconds.
+	MaxWaitMS uint32 `json:"max_wait_ms"`
+}
+
+const (
+	defaultLevel         = "info"
+	defaultBalancerDelay = 2000
+	defaultMaxWait       = 70_000
+	maxSettingsBytes     = 64 << 10
+)
+
+// Load reads and checks the settings in file.
+func Load(file string) (Settings, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("open settings: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+
+	data, err := io.ReadAll(io.LimitReader(f, maxSettingsBytes))
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+
+	return Decode(data)
+}
+
+// Decode returns the checked settings in data.
+func Decode(data []byte) (Settings, error) {
+	s := Settings{
+		Log:  Log{Level: defaultLevel, Routing: true},
+		Stop: Stop{BalancerDelayMS: defaultBalancerDelay, MaxWaitMS: defaultMaxWait},
+	}
+
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("decode settings: %w", err)
+	}
+
+	if d.More() {
+		return Settings{}, errors.New("decode settings: more than one JSON value")
+	}
+
+	return s, s.Validate()
+}
+
+// Validate reports the first field that can't be accepted.
+func (s Settings) Validate() error {
+	if err := s.Instance().Validate(); err != nil {
+		return err
+	}
+
+	seen := make(map[string]string)
+
+	for _, a := range []struct{ field, address string }{
+		{"caller_address", s.CallerAddress},
+		{"operator_address", s.OperatorAddress},
+		{"peer_address", s.PeerAddress},
+		{"health_address", s.HealthAddress},
+		{"debug_address", s.DebugAddress},
+		{"platform_address", s.PlatformAddress},
+	} {
+		if err := domain.CheckAddress(a.field, a.address); err != nil {
+			return err
+		}
+
+		if other, ok := seen[a.address]; ok {
+			return &domain.Error{
+				Fate: domain.FateNotRun, Code: domain.CodeInvalid, Step: "check", Field: a.field,
+				Message: "is the same address as " + other,
+			}
+		}
+
+		seen[a.address] = a.field
+	}
+
+	return nil
+}
+
+// Instance returns the instance that these settings describe.
+func (s Settings) Instance() domain.Instance {
+	return domain.Instance{ID: s.ID, PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain, Region: s.Region}
+}
