primrosefake/searcher: run many searchers under one control API

`primrosefake searchers FILE` serves each listed searcher on its own address, with a bounded FIFO queue, load shedding, cold starts, connection limits, lagging status and the faults of answers and connections.

--- a/primrosefake/internal/command/command.go
+++ b/primrosefake/internal/command/command.go
@@ -14,9 +14,6 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
-
-	"primrosespring.example/primrosefake/internal/platform"
-	"primrosespring.example/primrosefake/internal/searcher"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -30,7 +27,7 @@
 	}
 
 	root := &cobra.Command{Use: "primrosefake", Short: "Stand-ins for primrosespring", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(platformCommand(c), searcherCommand(c))
+	root.AddCommand(platformCommand(c), searcherCommand(c), searchersCommand(c))
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -44,67 +41,20 @@
 	return 0
 }
 
-func platformCommand(c *dig.Container) *cobra.Command {
-	var address string
-
-	cmd := &cobra.Command{
-		Use: "platform", Short: "Run the platform's object API", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			return c.Invoke(func(out io.Writer) error { return serve(out, address, platform.NewServer().Handler()) })
-		},
-	}
-	cmd.Flags().StringVar(&address, "address", "127.0.0.1:7000", "IP address and port to listen on")
-
-	return cmd
-}
-
-func searcherCommand(c *dig.Container) *cobra.Command {
-	var (
-		address string
-		o       searcher.Options
-	)
-
-	cmd := &cobra.Command{
-		Use: "searcher", Short: "Run one searcher", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			return c.Invoke(func(out io.Writer) error {
-				s, err := searcher.New(o)
-				if err != nil {
-					return err
-				}
-
-				return serve(out, address, s.Handler())
-			})
-		},
-	}
-	f := cmd.Flags()
-	f.StringVar(&address, "address", "127.0.0.1:7100", "IP address and port to listen on")
-	f.StringVar(&o.ID, "id", "searcher-0", "name of the searcher")
-	f.StringVar(&o.Service, "service", "demo", "service that the searcher holds")
-	f.Uint32Var(&o.Shard, "shard", 0, "shard that the searcher holds")
-	f.IntVar(&o.Slots, "slots", 2, "requests run at once")
-	f.DurationVar(&o.Median, "median", 5*time.Millisecond, "median service time")
-	f.Float64Var(&o.Sigma, "sigma", 0.5, "spread of the log-normal service time")
-	f.Float64Var(&o.StragglerShare, "straggler-share", 0, "share of requests that are slow")
-	f.Float64Var(&o.StragglerFactor, "straggler-factor", 20, "how much slower those are")
-	f.Uint64Var(&o.Seed, "seed", 1, "seed of the service times")
-	f.Uint64Var(&o.IndexVersion, "index-version", 1, "index version held at the start")
-	f.Uint64Var(&o.PartitionMapVersion, "partition-map-version", 1, "partition map version held at the start")
-
-	return cmd
+// untilSignal returns a context that a termination signal ends.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// serve runs an HTTP server, with and without HTTP/2, until a signal ends it.
-func serve(out io.Writer, address string, h http.Handler) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-
+// serve runs an HTTP server, with and without HTTP/2, until ctx ends. It writes
+// a line that names the role and the address once it listens.
+func serve(ctx context.Context, out io.Writer, role, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 
-	_, _ = fmt.Fprintf(out, "event=listening address=%s\n", l.Addr())
+	_, _ = fmt.Fprintf(out, "event=listening role=%s address=%s\n", role, l.Addr())
 
 	var protocols http.Protocols
 
--- /dev/null
+++ b/primrosefake/internal/searcher/group.go
@@ -0,0 +1,276 @@
+package searcher
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"primrosespring.example/internal/domain"
+)
+
+const maxControlBytes = 1 << 20
+
+// Group is the searchers of one process, with one control API.
+type Group struct {
+	endpoints []*Endpoint
+}
+
+// NewGroup returns the searchers of a file. None is listening.
+func NewGroup(list []Options) (*Group, error) {
+	g := &Group{}
+	seen := make(map[string]bool)
+
+	for i, o := range list {
+		s, err := New(o)
+		if err == nil && seen[o.ID] {
+			err = errors.New("id is used twice")
+		}
+
+		if err != nil {
+			return nil, fmt.Errorf("searchers[%d] (%s): %w", i, o.ID, err)
+		}
+
+		seen[o.ID] = true
+
+		g.endpoints = append(g.endpoints, NewEndpoint(s))
+	}
+
+	return g, nil
+}
+
+// Listen opens every address; on an error none stays open.
+func (g *Group) Listen() error {
+	for _, e := range g.endpoints {
+		if err := e.Listen(); err != nil {
+			g.Close()
+
+			return fmt.Errorf("searcher %s: %w", e.options.Load().ID, err)
+		}
+	}
+
+	return nil
+}
+
+// Close closes every address and connection.
+func (g *Group) Close() {
+	for _, e := range g.endpoints {
+		e.Close()
+	}
+}
+
+// Entry names one searcher of a group.
+type Entry struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Service string `json:"service"`
+	Shard   uint32 `json:"shard"`
+}
+
+// Entries lists the searchers.
+func (g *Group) Entries() []Entry { return entries(g.endpoints) }
+
+func entries(endpoints []*Endpoint) []Entry {
+	list := make([]Entry, 0, len(endpoints))
+
+	for _, e := range endpoints {
+		o := e.options.Load()
+		list = append(list, Entry{o.ID, e.Address(), o.Service, o.Shard})
+	}
+
+	return list
+}
+
+// Handler serves the control API. The query parameters id, service and shard
+// select the searchers that a call is about; without any it is about all.
+func (g *Group) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/fake/searchers", g.with(nil, func(es []*Endpoint) any { return entries(es) }))
+	r.Get("/fake/stats", g.with(nil, statsByID))
+	r.Get("/fake/runs", g.with(nil, runsByKey))
+	r.Put("/fake/options", g.with(patchOptions, nil))
+	r.Put("/fake/faults", g.with(putFaults, nil))
+	r.Post("/fake/drain", g.with(startDrain, nil))
+	r.Post("/fake/restart", g.with(restart, nil))
+	r.Post("/fake/hold", g.hold)
+
+	return r
+}
+
+// with returns a handler that decodes the selection, applies apply to it and
+// answers with what show returns. Either may be nil.
+func (g *Group) with(apply func([]byte, []*Endpoint) error, show func([]*Endpoint) any) http.HandlerFunc {
+	if show == nil {
+		show = func(es []*Endpoint) any { return map[string]int{"searchers": len(es)} }
+	}
+
+	return func(w http.ResponseWriter, r *http.Request) {
+		selected, err := g.selected(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+
+			return
+		}
+
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
+		if err == nil && apply != nil {
+			err = apply(body, selected)
+		}
+
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+
+			return
+		}
+
+		w.Header().Set("Content-Type", "application/json")
+
+		_ = json.NewEncoder(w).Encode(show(selected))
+	}
+}
+
+func (g *Group) selected(r *http.Request) ([]*Endpoint, error) {
+	q := r.URL.Query()
+
+	var list []*Endpoint
+
+	for _, e := range g.endpoints {
+		o := e.options.Load()
+		if matches(q.Get("id"), o.ID) && matches(q.Get("service"), o.Service) &&
+			matches(q.Get("shard"), strconv.FormatUint(uint64(o.Shard), 10)) {
+			list = append(list, e)
+		}
+	}
+
+	if len(list) == 0 {
+		return nil, errors.New("no searcher is selected")
+	}
+
+	return list, nil
+}
+
+func matches(wanted, v string) bool { return wanted == "" || wanted == v }
+
+func statsByID(es []*Endpoint) any {
+	m := make(map[string]Stats, len(es))
+	for _, e := range es {
+		m[e.options.Load().ID] = e.Stats()
+	}
+
+	return m
+}
+
+func runsByKey(es []*Endpoint) any {
+	m := make(map[string]int)
+
+	for _, e := range es {
+		e.Server.mu.Lock()
+		for k, n := range e.runs {
+			m[k] += n
+		}
+		e.Server.mu.Unlock()
+	}
+
+	return m
+}
+
+func patchOptions(body []byte, es []*Endpoint) error {
+	patched := make([]Options, len(es))
+
+	for i, e := range es {
+		o, err := e.options.Load().patch(body)
+		if err != nil {
+			return err
+		}
+
+		patched[i] = o
+	}
+
+	for i, e := range es {
+		e.SetOptions(patched[i])
+	}
+
+	return nil
+}
+
+func putFaults(body []byte, es []*Endpoint) error {
+	var f Faults
+	if err := json.Unmarshal(body, &f); err != nil {
+		return err
+	}
+
+	if err := f.validate(); err != nil {
+		return err
+	}
+
+	errs := make([]error, 0, len(es))
+	for _, e := range es {
+		errs = append(errs, e.SetFaults(f))
+	}
+
+	return errors.Join(errs...)
+}
+
+func startDrain(body []byte, es []*Endpoint) error {
+	var d struct {
+		GraceMS float64 `json:"grace_ms"`
+	}
+	if err := unmarshalOptional(body, &d); err != nil {
+		return err
+	}
+
+	for _, e := range es {
+		e.Drain(milliseconds(d.GraceMS))
+	}
+
+	return nil
+}
+
+func restart(_ []byte, es []*Endpoint) error {
+	for _, e := range es {
+		e.Restart()
+	}
+
+	return nil
+}
+
+// hold applies to the searchers selected by id, which may take another shard
+// over, or, without an id, to those of the body's shard.
+func (g *Group) hold(w http.ResponseWriter, r *http.Request) {
+	var h struct {
+		Service   string            `json:"service"`
+		Shard     uint32            `json:"shard"`
+		Snapshots []domain.Snapshot `json:"snapshots"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes)).Decode(&h); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	if q := r.URL.Query(); q.Get("id") == "" {
+		q.Set("service", h.Service)
+		q.Set("shard", strconv.FormatUint(uint64(h.Shard), 10))
+		r.URL.RawQuery = q.Encode()
+	}
+
+	g.with(func(_ []byte, es []*Endpoint) error {
+		for _, e := range es {
+			e.Hold(h.Service, h.Shard, h.Snapshots)
+		}
+
+		return nil
+	}, nil)(w, r)
+}
+
+func unmarshalOptional(body []byte, v any) error {
+	if len(body) == 0 {
+		return nil
+	}
+
+	return json.Unmarshal(body, v)
+}
--- a/primrosefake/internal/searcher/searcher.go
+++ b/primrosefake/internal/searcher/searcher.go
@@ -1,146 +1,355 @@
 // Package searcher is a stand-in for a backend server: it runs requests in a
-// fixed number of slots, with log-normal service times and stragglers, and
-// accepts cancellation and deadlines.
+// fixed number of slots, with log-normal service times and stragglers, accepts
+// cancellation and deadlines, sheds load, drains, starts cold, and fails in the
+// ways that its control API asks for.
 package searcher
 
 import (
 	"context"
 	"errors"
+	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/refusal"
 )
 
-// Options describe one searcher.
-type Options struct {
-	ID                  string
-	Service             string
-	Shard               uint32
-	Slots               int
-	Median              time.Duration
-	Sigma               float64
-	StragglerShare      float64
-	StragglerFactor     float64
-	Seed                uint64
-	IndexVersion        uint64
-	PartitionMapVersion uint64
-}
-
-// Server is one searcher.
+// Server is one searcher. It is safe for concurrent use.
 type Server struct {
-	options Options
-	slots   chan struct{}
-	queued  atomic.Int32
+	options atomic.Pointer[Options]
+	faults  atomic.Pointer[Faults]
+	held    atomic.Pointer[map[position]string]
+	queue   queue
+	counts  counters
+	history history
+
+	mu       sync.Mutex // Guards all below.
+	rand     *rand.Rand
+	warmed   int // Requests begun since the last cold start.
+	runs     map[string]int
+	drain    drain
+	previous *pb.RunResponse
+}
 
-	mu   sync.Mutex // Guards rand.
-	rand *rand.Rand
+// position is a snapshot of one shard.
+type position struct {
+	service  string
+	shard    uint32
+	snapshot domain.Snapshot
+}
+
+type drain struct {
+	began time.Time // Zero when not draining.
+	grace time.Duration
+	// arrivals counts the requests since the drain began; last is when the
+	// latest came.
+	arrivals int
+	last     time.Time
 }
 
 // New returns a searcher.
 func New(o Options) (*Server, error) {
-	if o.Slots < 1 {
-		return nil, errors.New("slots must be at least 1")
+	if err := o.Validate(); err != nil {
+		return nil, err
 	}
 
-	return &Server{
-		options: o, slots: make(chan struct{}, o.Slots),
-		rand: rand.New(rand.NewPCG(o.Seed, uint64(o.Shard))),
-	}, nil
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(o.ID))
+
+	s := &Server{rand: rand.New(rand.NewPCG(o.Seed, h.Sum64())), runs: make(map[string]int)}
+	s.options.Store(&o)
+	s.faults.Store(&Faults{})
+	s.held.Store(&map[position]string{})
+	s.Hold(o.Service, o.Shard, o.Snapshots)
+
+	return s, nil
 }
 
-// Handler serves SearcherService.
-func (s *Server) Handler() http.Handler {
-	r := chi.NewRouter()
-	r.Mount(primrosespringv1connect.NewSearcherServiceHandler(s))
+// Hold replaces the snapshots that the searcher holds of one shard.
+func (s *Server) Hold(service string, shard uint32, snapshots []domain.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	held := maps.Clone(*s.held.Load())
+	maps.DeleteFunc(held, func(p position, _ string) bool { return p.service == service && p.shard == shard })
+
+	for _, v := range snapshots {
+		held[position{service, shard, v}] = HitID(service, shard, v)
+	}
+
+	s.held.Store(&held)
+}
+
+// HitID returns the id of the hit that a searcher answers with; it names the
+// data that the answer is drawn from.
+func HitID(service string, shard uint32, v domain.Snapshot) string {
+	return service + "/" + strconv.FormatUint(uint64(shard), 10) + "@" +
+		strconv.FormatUint(v.PartitionMapVersion, 10) + "." + strconv.FormatUint(v.IndexVersion, 10)
+}
+
+// SetOptions replaces the options; the identity and the snapshots stay.
+func (s *Server) SetOptions(o Options) {
+	old := s.options.Load()
+	o.ID, o.Address, o.Service, o.Shard = old.ID, old.Address, old.Service, old.Shard
+	s.options.Store(&o)
+}
+
+// Drain starts a drain: the searcher says that it is leaving at once and
+// refuses new work after grace. It finishes the work that it has.
+func (s *Server) Drain(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.drain = drain{began: time.Now(), grace: grace}
+}
+
+// Restart ends a drain and makes the searcher cold.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-	return r
+	s.drain = drain{}
+	s.warmed = 0
 }
 
 // Run implements SearcherService.
 func (s *Server) Run(ctx context.Context, req *pb.RunRequest) (*pb.RunResponse, error) {
-	if req.GetSnapshot().GetIndexVersion() != s.options.IndexVersion || req.GetShard() != s.options.Shard {
-		return nil, refusal.ToConnect(domain.Errorf(domain.FateNotRun, domain.CodeSnapshotGone, "run", "snapshot isn't held"))
+	resp, err := s.run(ctx, req)
+	if err != nil {
+		return nil, refusal.ToConnect(err)
 	}
 
-	s.queued.Add(1)
+	return resp, nil
+}
 
-	select {
-	case s.slots <- struct{}{}:
-		s.queued.Add(-1)
-	case <-ctx.Done():
-		s.queued.Add(-1)
+func (s *Server) run(ctx context.Context, req *pb.RunRequest) (*pb.RunResponse, error) {
+	arrived := time.Now()
+	o := s.options.Load()
+
+	if !s.admit(arrived) {
+		s.counts.drainRefusals.Add(1)
 
-		return nil, refusal.ToConnect(domain.Errorf(domain.FateNotRun, domain.CodeCancelled, "run", "cancelled in the queue"))
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeSearcherDraining, "run", "searcher is draining")
 	}
 
-	defer func() { <-s.slots }()
+	if s.hitID(req) == "" {
+		return nil, s.snapshotGone()
+	}
 
-	service := s.serviceTime()
+	left := time.Duration(req.GetTimeoutUs()) * time.Microsecond
+
+	err := s.queue.enter(ctx, limits{slots: o.Slots, queued: o.QueueLimit, shedLate: o.ShedLate, left: left})
+	s.noteLoad(o)
+
+	if err != nil {
+		return nil, s.notRun(err)
+	}
+
+	// The snapshot may have been dropped while the request was queued.
+	hit := s.hitID(req)
+	if hit == "" {
+		s.queue.leave(o.Slots, 0)
+
+		return nil, s.snapshotGone()
+	}
 
-	t := time.NewTimer(service)
+	service, err := s.work(ctx, o, req, arrived)
+	s.queue.leave(s.options.Load().Slots, service)
+	s.noteLoad(o)
+
+	if err != nil {
+		return nil, err
+	}
+
+	return s.answer(ctx, req, hit, service)
+}
+
+// work holds a slot for the service time. It returns the time served, and an
+// error of fate ran if the request was cancelled or its deadline passed.
+func (s *Server) work(ctx context.Context, o *Options, req *pb.RunRequest, arrived time.Time) (time.Duration, error) {
+	service := s.begin(o, req.GetKey())
+	s.counts.runs.Add(1)
+
+	wait, late := service, false
+
+	if us := req.GetTimeoutUs(); us > 0 {
+		if left := time.Until(arrived.Add(time.Duration(us) * time.Microsecond)); left < service {
+			wait, late = max(left, 0), true
+		}
+	}
+
+	t := time.NewTimer(wait)
 	defer t.Stop()
 
 	select {
 	case <-t.C:
 	case <-ctx.Done():
-		return nil, refusal.ToConnect(domain.Errorf(domain.FateRan, domain.CodeCancelled, "run", "cancelled at work"))
+		s.counts.cancelled.Add(1)
+
+		return 0, domain.Errorf(domain.FateRan, domain.CodeCancelled, "run", "cancelled at work")
 	}
 
+	if late {
+		s.counts.expired.Add(1)
+
+		return 0, domain.Errorf(domain.FateRan, domain.CodeDeadline, "run", "deadline passed at work")
+	}
+
+	return service, nil
+}
+
+// answer builds the answer and applies the faults of answers to it.
+func (s *Server) answer(ctx context.Context, req *pb.RunRequest, hit string, service time.Duration) (*pb.RunResponse, error) {
 	resp := &pb.RunResponse{
 		QueryId: req.GetQueryId(), Attempt: req.GetAttempt(), Shard: req.GetShard(), Snapshot: req.GetSnapshot(),
-		Hits: []*pb.Hit{{Id: s.options.Service + "/" + strconv.Itoa(int(req.GetShard())), Score: 1, Body: req.GetQuery()}},
+		Hits: []*pb.Hit{{Id: hit, Score: 1, Body: req.GetQuery()}},
 		Load: s.load(),
 	}
+	if req.GetKey() != "" {
+		resp.Result = req.GetKey() + ":done"
+	}
+
 	resp.Load.ServiceUs = uint64(service.Microseconds())
 	resp.Checksum = integrity.RunChecksum(resp)
 
-	return resp, nil
+	f := s.faults.Load()
+	if *f == (Faults{}) {
+		return resp, nil
+	}
+
+	return s.spoil(ctx, f, resp)
 }
 
-// GetStatus implements SearcherService.
-func (s *Server) GetStatus(context.Context, *pb.GetStatusRequest) (*pb.GetStatusResponse, error) {
-	return &pb.GetStatusResponse{
-		Searcher: s.options.ID, Healthy: true, Load: s.load(),
-		Held: []*pb.HeldSnapshot{{
-			Service: s.options.Service, Shard: s.options.Shard,
-			Snapshot: &pb.Snapshot{IndexVersion: s.options.IndexVersion, PartitionMapVersion: s.options.PartitionMapVersion},
-		}},
-	}, nil
+func (s *Server) spoil(ctx context.Context, f *Faults, resp *pb.RunResponse) (*pb.RunResponse, error) {
+	if s.chance(f.LateShare) {
+		t := time.NewTimer(milliseconds(f.LateMS))
+		defer t.Stop()
+
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, domain.Errorf(domain.FateRan, domain.CodeCancelled, "run", "cancelled while the answer was held back")
+		}
+	}
+
+	if s.chance(f.CrossedShare) {
+		return s.cross(resp), nil
+	}
+
+	if s.chance(f.CorruptShare) {
+		if s.chance(0.5) {
+			resp.Hits[0].Body += "\x01"
+		} else {
+			resp.Hits = nil
+		}
+	}
+
+	return resp, nil
 }
 
-// Ping implements SearcherService.
-func (s *Server) Ping(context.Context, *pb.PingRequest) (*pb.PingResponse, error) {
-	return &pb.PingResponse{}, nil
+// cross returns the answer to an earlier request in place of resp.
+func (s *Server) cross(resp *pb.RunResponse) *pb.RunResponse {
+	s.mu.Lock()
+	other := s.previous
+	s.previous = resp
+	s.mu.Unlock()
+
+	if other != nil && other.GetQueryId() != resp.GetQueryId() {
+		return other
+	}
+
+	forged := &pb.RunResponse{
+		QueryId: "another-" + resp.GetQueryId(), Attempt: resp.GetAttempt() + 1, Shard: resp.GetShard(),
+		Snapshot: resp.GetSnapshot(), Hits: resp.GetHits(), Load: resp.GetLoad(),
+	}
+	forged.Checksum = integrity.RunChecksum(forged)
+
+	return forged
 }
 
-func (s *Server) load() *pb.SearcherLoad {
-	return &pb.SearcherLoad{
-		Slots:   uint32(s.options.Slots),
-		Running: uint32(len(s.slots)),
-		Queued:  uint32(max(s.queued.Load(), 0)),
+// admit counts an arrival and reports whether a drain lets it in.
+func (s *Server) admit(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.drain.began.IsZero() {
+		return true
 	}
+
+	s.drain.arrivals++
+	s.drain.last = now
+
+	return now.Sub(s.drain.began) < s.drain.grace
 }
 
-func (s *Server) serviceTime() time.Duration {
+// begin counts a run of key and draws its service time.
+func (s *Server) begin(o *Options, key string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	t := float64(s.options.Median) * math.Exp(s.options.Sigma*s.rand.NormFloat64())
-	if s.rand.Float64() < s.options.StragglerShare {
-		t *= s.options.StragglerFactor
+	if key != "" {
+		s.runs[key]++
+	}
+
+	t := o.MedianMS * math.Exp(o.Sigma*s.rand.NormFloat64()) * factor(o.SlowFactor)
+	if s.rand.Float64() < o.StragglerShare {
+		t *= factor(o.StragglerFactor)
+	}
+
+	if s.warmed < o.ColdRequests {
+		coldness := 1 - float64(s.warmed)/float64(o.ColdRequests)
+		t *= 1 + (factor(o.ColdFactor)-1)*coldness
+		s.warmed++
 	}
 
-	return time.Duration(t)
+	return milliseconds(t)
+}
+
+func (s *Server) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.rand.Float64() < share
+}
+
+func (s *Server) hitID(req *pb.RunRequest) string {
+	return (*s.held.Load())[position{req.GetService(), req.GetShard(), domain.Snapshot{
+		IndexVersion: req.GetSnapshot().GetIndexVersion(), PartitionMapVersion: req.GetSnapshot().GetPartitionMapVersion(),
+	}}]
+}
+
+func (s *Server) snapshotGone() error {
+	s.counts.snapshotRefusals.Add(1)
+
+	return domain.Errorf(domain.FateNotRun, domain.CodeSnapshotGone, "run", "snapshot isn't held")
+}
+
+// notRun returns the refusal of a request that got no slot.
+func (s *Server) notRun(err error) error {
+	switch {
+	case errors.Is(err, errFull) || errors.Is(err, errLate):
+		s.counts.sheds.Add(1)
+
+		return domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "run", "%s", err)
+	case errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded):
+		s.counts.expired.Add(1)
+
+		return domain.Errorf(domain.FateNotRun, domain.CodeDeadline, "run", "%s", errDeadline)
+	default:
+		s.counts.cancelled.Add(1)
+
+		return domain.Errorf(domain.FateNotRun, domain.CodeCancelled, "run", "cancelled in the queue")
+	}
 }
