--- a/primrosed/internal/operator/changer.go
+++ b/primrosed/internal/operator/changer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
@@ -130,3 +131,10 @@
 		w.holder.Offer(stored)
 	}
 }
+
+// isConflict reports whether err says that the object's version had changed.
+func isConflict(err error) bool {
+	var e *domain.Error
+
+	return errors.As(err, &e) && e.Code == domain.CodeConflict
+}
--- a/primrosed/internal/operator/convert.go
+++ b/primrosed/internal/operator/convert.go
@@ -60,3 +60,21 @@
 
 	return out
 }
+
+func servicesToProto(services []domain.Service) []*pb.Service {
+	out := make([]*pb.Service, len(services))
+	for i, s := range services {
+		out[i] = ServiceToProto(s)
+	}
+
+	return out
+}
+
+func membersToProto(members []domain.Member) []*pb.Member {
+	out := make([]*pb.Member, len(members))
+	for i, m := range members {
+		out[i] = &pb.Member{Name: m.Name, Weight: m.Weight}
+	}
+
+	return out
+}
--- a/primrosed/internal/operator/operator.go
+++ b/primrosed/internal/operator/operator.go
@@ -4,89 +4,151 @@
 
 import (
 	"context"
-	"errors"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/refusal"
 )
 
 // Changer makes changes durable and puts them in force.
 type Changer interface {
+	// Change returns the version that c brought about. The fate of an error
+	// says whether the change may have been made.
 	Change(ctx context.Context, c configuration.Change) (uint64, error)
 }
 
+// Fleet tells what is known of the instances.
+type Fleet interface {
+	Instances() []InstanceStatus
+	// StoreAvailable reports whether the platform's store answered the last
+	// call of this instance.
+	StoreAvailable() bool
+}
+
+// InstanceStatus is what is known of one instance.
+type InstanceStatus struct {
+	Instance             domain.Instance
+	State                string
+	ConfigurationVersion uint64
+}
+
+// Explainer tells how a query of a service would be routed now.
+type Explainer interface {
+	Explain(cfg *domain.Configuration, service *domain.Service) *pb.ExplainResponse
+}
+
 // Handler implements AdminService.
 type Handler struct {
-	primrosespringv1connect.UnimplementedAdminServiceHandler
+	log       zerolog.Logger
+	instance  domain.Instance
+	holder    *configuration.Holder
+	changer   Changer
+	fleet     Fleet
+	explainer Explainer
+}
 
-	log     zerolog.Logger
-	holder  *configuration.Holder
-	changer Changer
+// NewHandler returns the handler of instance.
+func NewHandler(log zerolog.Logger, instance domain.Instance, holder *configuration.Holder,
+	c Changer, f Fleet, e Explainer,
+) *Handler {
+	return &Handler{log: log, instance: instance, holder: holder, changer: c, fleet: f, explainer: e}
 }
 
-// NewHandler returns a handler.
-func NewHandler(log zerolog.Logger, holder *configuration.Holder, c Changer) *Handler {
-	return &Handler{log: log, holder: holder, changer: c}
+// GetConfiguration implements AdminService.
+func (h *Handler) GetConfiguration(context.Context, *pb.GetConfigurationRequest) (*pb.GetConfigurationResponse, error) {
+	cfg := h.holder.Configuration()
+
+	return &pb.GetConfigurationResponse{
+		Version: cfg.Version, Services: servicesToProto(cfg.Services), Members: membersToProto(cfg.Members),
+	}, nil
 }
 
-// CreateService implements AdminService.
-func (h *Handler) CreateService(ctx context.Context, req *pb.CreateServiceRequest) (*pb.CreateServiceResponse, error) {
-	svc := ServiceFromProto(req.GetService())
+// GetService implements AdminService.
+func (h *Handler) GetService(_ context.Context, req *pb.GetServiceRequest) (*pb.GetServiceResponse, error) {
+	cfg := h.holder.Configuration()
 
-	res, err := h.change(ctx, req.GetOptions(), configuration.Change{CreateService: &svc})
+	svc, err := findService(cfg, req.GetName())
 	if err != nil {
-		return nil, err
+		return nil, refusal.ToConnect(err)
 	}
 
-	return &pb.CreateServiceResponse{Result: res}, nil
+	return &pb.GetServiceResponse{Service: ServiceToProto(*svc), ConfigurationVersion: cfg.Version}, nil
 }
 
-// GetConfiguration implements AdminService.
-func (h *Handler) GetConfiguration(context.Context, *pb.GetConfigurationRequest) (*pb.GetConfigurationResponse, error) {
+// ListServices implements AdminService.
+func (h *Handler) ListServices(context.Context, *pb.ListServicesRequest) (*pb.ListServicesResponse, error) {
 	cfg := h.holder.Configuration()
-	resp := &pb.GetConfigurationResponse{Version: cfg.Version}
 
-	for _, s := range cfg.Services {
-		resp.Services = append(resp.Services, ServiceToProto(s))
-	}
+	return &pb.ListServicesResponse{Services: servicesToProto(cfg.Services), ConfigurationVersion: cfg.Version}, nil
+}
 
-	for _, m := range cfg.Members {
-		resp.Members = append(resp.Members, &pb.Member{Name: m.Name, Weight: m.Weight})
-	}
+// ListMembers implements AdminService.
+func (h *Handler) ListMembers(context.Context, *pb.ListMembersRequest) (*pb.ListMembersResponse, error) {
+	cfg := h.holder.Configuration()
 
-	return resp, nil
+	return &pb.ListMembersResponse{Members: membersToProto(cfg.Members), ConfigurationVersion: cfg.Version}, nil
 }
 
-func (h *Handler) change(ctx context.Context, o *pb.ChangeOptions, c configuration.Change) (*pb.ChangeResult, error) {
-	c.ID = o.GetChangeId()
-	if c.ID == "" {
-		return nil, refusal.ToConnect(&domain.Error{
-			Fate: domain.FateNotRun, Code: domain.CodeInvalid, Step: "check change",
-			Field: "options.change_id", Message: "must not be empty",
+// GetStatus implements AdminService.
+func (h *Handler) GetStatus(context.Context, *pb.AdminServiceGetStatusRequest) (*pb.AdminServiceGetStatusResponse, error) {
+	resp := &pb.AdminServiceGetStatusResponse{AnsweredBy: h.instance.ID, StoreAvailable: h.fleet.StoreAvailable()}
+
+	for _, i := range h.fleet.Instances() {
+		resp.Instances = append(resp.Instances, &pb.InstanceStatus{
+			Id: i.Instance.ID, FailureDomain: i.Instance.FailureDomain, Region: i.Instance.Region,
+			PeerAddress: i.Instance.PeerAddress, State: i.State, ConfigurationVersion: i.ConfigurationVersion,
 		})
 	}
 
-	version, err := h.changer.Change(ctx, c)
-	if err != nil {
-		h.log.Info().Str("event", "change_refused").Str("change_id", c.ID).Str("operator", o.GetOperator()).Err(err).Send()
+	return resp, nil
+}
+
+// Explain implements AdminService.
+func (h *Handler) Explain(_ context.Context, req *pb.ExplainRequest) (*pb.ExplainResponse, error) {
+	cfg := h.holder.Configuration()
 
+	svc, err := findService(cfg, req.GetService())
+	if err != nil {
 		return nil, refusal.ToConnect(err)
 	}
 
-	h.log.Info().Str("event", "change_accepted").Str("change_id", c.ID).Str("operator", o.GetOperator()).
-		Uint64("version", version).Send()
+	return h.explainer.Explain(cfg, svc), nil
+}
+
+// WatchConfiguration implements AdminService. It ends when the caller does.
+func (h *Handler) WatchConfiguration(ctx context.Context, _ *pb.WatchConfigurationRequest,
+	stream *connect.ServerStream[pb.WatchConfigurationResponse],
+) error {
+	var sent uint64
+
+	for {
+		changed := h.holder.Changed()
 
-	return &pb.ChangeResult{ConfigurationVersion: version}, nil
+		if v := h.holder.Configuration().Version; v > sent {
+			if err := stream.Send(&pb.WatchConfigurationResponse{Version: v}); err != nil {
+				return err
+			}
+
+			sent = v
+		}
+
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
 }
 
-// isConflict reports whether err says that the object's version had changed.
-func isConflict(err error) bool {
-	var e *domain.Error
+func findService(cfg *domain.Configuration, name string) (*domain.Service, error) {
+	svc, ok := cfg.Service(name)
+	if !ok {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "get service", "service %q doesn't exist", name)
+	}
 
-	return errors.As(err, &e) && e.Code == domain.CodeConflict
+	return svc, nil
 }
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -7,6 +7,7 @@
 	"go.uber.org/dig"
 
 	"primrosespring.example/internal/configuration"
+	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/logline"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/snapshot"
@@ -69,6 +70,24 @@
 	return caller.NewHandler(h, r, r)
 }
 
-func newOperatorHandler(log zerolog.Logger, h *configuration.Holder, p *platform.Client) *operator.Handler {
-	return operator.NewHandler(log, h, operator.NewStoreChanger(p, h))
+func newOperatorHandler(log zerolog.Logger, s settings.Settings, h *configuration.Holder, p *platform.Client,
+	r *query.Runner,
+) *operator.Handler {
+	return operator.NewHandler(log, s.Instance(), h, operator.NewStoreChanger(p, h), soloFleet{s.Instance(), h}, r)
 }
+
+// soloFleet is the fleet of an instance that knows no other.
+type soloFleet struct {
+	instance domain.Instance
+	holder   *configuration.Holder
+}
+
+// Instances implements operator.Fleet.
+func (f soloFleet) Instances() []operator.InstanceStatus {
+	return []operator.InstanceStatus{{
+		Instance: f.instance, State: "alive", ConfigurationVersion: f.holder.Configuration().Version,
+	}}
+}
+
+// StoreAvailable implements operator.Fleet.
+func (f soloFleet) StoreAvailable() bool { return true }
