--- a/primrosefake/internal/command/searchers.go
+++ b/primrosefake/internal/command/searchers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
@@ -12,7 +13,12 @@
 	"primrosespring.example/primrosefake/internal/searcher"
 )
 
-const defaultControlAddress = "127.0.0.1:0"
+const (
+	defaultControlAddress = "127.0.0.1:0"
+	// searcherGCPercent trades memory for CPU: the live heap of the searchers is
+	// small, so the default collects very often.
+	searcherGCPercent = 400
+)
 
 func searchersCommand(c *dig.Container) *cobra.Command {
 	return &cobra.Command{
@@ -37,6 +43,10 @@
 
 // runSearchers serves the searchers and their control API until a signal.
 func runSearchers(out io.Writer, f searcher.File) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(searcherGCPercent)
+	}
+
 	g, err := searcher.NewGroup(f.Searchers)
 	if err != nil {
 		return err
--- a/primrosefake/internal/searcher/endpoint.go
+++ b/primrosefake/internal/searcher/endpoint.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -35,12 +33,9 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 
-	mux := http.NewServeMux()
-	mux.Handle(primrosespringv1connect.NewSearcherServiceHandler(s))
-
 	return &Endpoint{
 		Server: s, address: s.options.Load().Address, conns: make(map[*conn]struct{}),
-		http: &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout},
+		http: &http.Server{Handler: newHandler(s), Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout},
 	}
 }
 
--- /dev/null
+++ b/primrosefake/internal/searcher/endpoint_test.go
@@ -0,0 +1,170 @@
+package searcher
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+)
+
+// pair returns the searcher's and the caller's end of a connection.
+func pair(t *testing.T, e *Endpoint) (*conn, net.Conn) {
+	t.Helper()
+
+	near, far := net.Pipe()
+	c := e.add(near)
+	require.NotNil(t, c)
+	t.Cleanup(func() { _ = c.Close(); _ = far.Close() })
+
+	return c, far
+}
+
+// readOne reads one byte in the background.
+func readOne(c net.Conn) chan byte {
+	got := make(chan byte, 1)
+
+	go func() {
+		b := make([]byte, 1)
+		if n, _ := c.Read(b); n == 1 {
+			got <- b[0]
+		}
+	}()
+
+	return got
+}
+
+// Guards against a limit on connections that is passed, or that a closed or
+// silent connection keeps using up.
+func TestConnectionLimit(t *testing.T) {
+	e := NewEndpoint(newServer(t, func(o *Options) { o.ConnectionLimit = 2 }))
+	a, _ := pair(t, e)
+	pair(t, e)
+	require.Nil(t, e.add(nil))
+	require.NoError(t, a.Close())
+	pair(t, e)
+	e.silence()
+	pair(t, e)
+
+	st := e.Stats()
+	require.Equal(t, []int{1, 2, 4, 1}, []int{st.Connections, st.ConnectionsPeak, st.ConnectionsTotal, st.ConnectionsRefused})
+}
+
+// Guards against a new connection that is served before its set-up time.
+func TestSetupTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEndpoint(newServer(t, func(o *Options) { o.SetupMS = 6 }))
+		begin := time.Now()
+		near, far := pair(t, e)
+		got := readOne(near)
+		_, err := far.Write([]byte{1})
+		require.NoError(t, err)
+		<-got
+		require.Equal(t, 6*time.Millisecond, time.Since(begin))
+	})
+}
+
+// Guards against a silence that touches new connections or that lets something
+// through, and against a freeze that loses what was sent during it.
+func TestSilenceAndFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEndpoint(newServer(t, nil))
+		old, oldFar := pair(t, e)
+		e.silence()
+
+		got, answered := readOne(old), readOne(oldFar)
+		_, err := oldFar.Write([]byte{1})
+		require.NoError(t, err)
+		_, err = old.Write([]byte{2})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Empty(t, got)
+		require.Empty(t, answered)
+
+		near, far := pair(t, e)
+		e.freeze(true)
+
+		got = readOne(near)
+		_, err = far.Write([]byte{3})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Empty(t, got)
+		e.freeze(false)
+		require.EqualValues(t, 3, <-got)
+	})
+}
+
+// Guards against a pooled decoding of Run that differs from Connect's own, and
+// against a refused address that doesn't come back cold.
+func TestServesEveryCodecAndListensAgain(t *testing.T) {
+	e := NewEndpoint(newServer(t, func(o *Options) { o.MedianMS, o.ColdRequests = 0, 1 }))
+	require.NoError(t, e.Listen())
+	t.Cleanup(e.Close)
+
+	var protocols http.Protocols
+
+	protocols.SetUnencryptedHTTP2(true)
+
+	transport := &http.Transport{Protocols: &protocols}
+	t.Cleanup(transport.CloseIdleConnections)
+
+	for _, o := range []connect.ClientOption{connect.WithInterceptors(), connect.WithProtoJSON(), connect.WithGRPC()} {
+		c := primrosespringv1connect.NewSearcherServiceClient(&http.Client{Transport: transport}, "http://"+e.Address(), o)
+		resp, err := c.Run(t.Context(), request("x"))
+		require.NoError(t, err)
+		require.Equal(t, "portal/0@1.1", resp.GetHits()[0].GetId())
+
+		r := request("x")
+		r.Shard = 9
+		_, err = c.Run(t.Context(), r)
+		requireRefusal(t, err, domain.FateNotRun, domain.CodeSnapshotGone)
+
+		require.NoError(t, e.SetFaults(Faults{Refuse: true}))
+		// A request on the closed connection may fail with another code than a new connection does.
+		transport.CloseIdleConnections()
+
+		_, err = c.Run(t.Context(), request("x"))
+		require.Equal(t, connect.CodeUnavailable, connect.CodeOf(err), err)
+		require.NoError(t, e.SetFaults(Faults{}))
+		require.True(t, e.load().GetCold())
+	}
+}
+
+// Guards against a control call that reaches searchers it doesn't select, or
+// that changes something although it is refused.
+func TestControlSelectsSearchers(t *testing.T) {
+	var f File
+
+	require.NoError(t, json.Unmarshal([]byte(`{"defaults": {"slots": 3}, "searchers": [
+		{"id": "a", "service": "portal"}, {"id": "b", "service": "portal", "shard": 1, "slots": 4}]}`), &f))
+
+	g, err := NewGroup(f.Searchers)
+	require.NoError(t, err)
+
+	call := func(method, path, body string) string {
+		w := httptest.NewRecorder()
+		g.Handler().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+
+		return strings.TrimSpace(w.Body.String())
+	}
+	slots := func() []int { return []int{g.endpoints[0].options.Load().Slots, g.endpoints[1].options.Load().Slots} }
+
+	require.Equal(t, []int{3, 4}, slots())
+	require.JSONEq(t, `{"searchers": 1}`, call(http.MethodPut, "/fake/options?shard=1", `{"slots": 5}`))
+	require.Equal(t, "slots must be at least 1", call(http.MethodPut, "/fake/options", `{"slots": 0}`))
+	require.Equal(t, []int{3, 5}, slots())
+	require.Equal(t, "no searcher is selected", call(http.MethodPost, "/fake/drain?service=none", ""))
+	require.JSONEq(t, `{"searchers": 1}`, call(http.MethodPost, "/fake/hold",
+		`{"service": "portal", "shard": 1, "snapshots": [{"index_version": 7, "partition_map_version": 2}]}`))
+	require.Contains(t, *g.endpoints[1].held.Load(), position{"portal", 1, domain.Snapshot{IndexVersion: 7, PartitionMapVersion: 2}})
+	require.Len(t, *g.endpoints[0].held.Load(), 1)
+}
--- /dev/null
+++ b/primrosefake/internal/searcher/searcher_test.go
@@ -0,0 +1,316 @@
+package searcher
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/integrity"
+	"primrosespring.example/internal/refusal"
+)
+
+// fixed returns options of a searcher whose every request takes 10 ms.
+func fixed(change func(*Options)) Options {
+	o := DefaultOptions()
+	o.ID, o.Service, o.Slots, o.MedianMS, o.Sigma = "a", "portal", 1, 10, 0
+
+	if change != nil {
+		change(&o)
+	}
+
+	return o
+}
+
+func newServer(t *testing.T, change func(*Options)) *Server {
+	t.Helper()
+
+	s, err := New(fixed(change))
+	require.NoError(t, err)
+
+	return s
+}
+
+func request(id string) *pb.RunRequest {
+	return &pb.RunRequest{
+		Service: "portal", QueryId: id, Query: "q " + id, Snapshot: &pb.Snapshot{IndexVersion: 1, PartitionMapVersion: 1},
+	}
+}
+
+func requireRefusal(t *testing.T, err error, fate domain.Fate, code domain.Code) {
+	t.Helper()
+	require.Error(t, err)
+
+	e := refusal.FromConnect(err, "", "")
+	require.Equal(t, code, e.Code)
+	require.Equal(t, fate, e.Fate)
+}
+
+// Guards against a queue that isn't FIFO or isn't bounded.
+func TestQueueIsBoundedAndInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, func(o *Options) { o.QueueLimit = 3 })
+		done := make(chan string, 4)
+
+		for i := range 4 {
+			go func() {
+				if _, err := s.Run(t.Context(), request(strconv.Itoa(i))); err == nil {
+					done <- strconv.Itoa(i)
+				}
+			}()
+			synctest.Wait()
+		}
+
+		_, err := s.Run(t.Context(), request("too many"))
+		requireRefusal(t, err, domain.FateNotRun, domain.CodeOverloaded)
+
+		for i := range 4 {
+			require.Equal(t, strconv.Itoa(i), <-done)
+		}
+
+		require.EqualValues(t, 4, s.stats().Runs)
+		require.EqualValues(t, 1, s.stats().Sheds)
+	})
+}
+
+// Guards against a searcher that queues work it can't finish in time although
+// it is told to shed it.
+func TestShedsWhenTheTimeLeftIsTooShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, func(o *Options) { o.ShedLate = true })
+		_, err := s.Run(t.Context(), request("teaches the mean"))
+		require.NoError(t, err)
+
+		go func() { _, _ = s.Run(t.Context(), request("running")) }()
+		synctest.Wait()
+
+		r := request("late")
+		r.TimeoutUs = 15_000
+		_, err = s.Run(t.Context(), r)
+		requireRefusal(t, err, domain.FateNotRun, domain.CodeOverloaded)
+
+		r.TimeoutUs = 25_000
+		_, err = s.Run(t.Context(), r)
+		require.NoError(t, err)
+	})
+}
+
+// Guards against a cancelled request that keeps its slot or its place, and
+// against a false fate of a cancelled request.
+func TestCancellationFreesSlotAndPlaceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		begin := time.Now()
+		run := func() (context.CancelFunc, chan error) {
+			ctx, cancel := context.WithCancel(t.Context())
+			c := make(chan error, 1)
+
+			go func() {
+				_, err := s.Run(ctx, request("x"))
+				c <- err
+			}()
+			synctest.Wait()
+
+			return cancel, c
+		}
+
+		cancelRunning, running := run()
+		cancelQueued, queued := run()
+		_, last := run()
+
+		cancelQueued()
+		requireRefusal(t, <-queued, domain.FateNotRun, domain.CodeCancelled)
+		cancelRunning()
+		requireRefusal(t, <-running, domain.FateRan, domain.CodeCancelled)
+		require.NoError(t, <-last)
+		require.Equal(t, 10*time.Millisecond, time.Since(begin))
+	})
+}
+
+// Guards against deadlines that are ignored and against a false fate then.
+func TestDeadlineIsHonoured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		r := request("short")
+		r.TimeoutUs = 4_000
+
+		_, err := s.Run(t.Context(), r)
+		requireRefusal(t, err, domain.FateRan, domain.CodeDeadline)
+
+		go func() { _, _ = s.Run(t.Context(), request("running")) }()
+		synctest.Wait()
+
+		_, err = s.Run(t.Context(), r)
+		requireRefusal(t, err, domain.FateNotRun, domain.CodeDeadline)
+	})
+}
+
+// Guards against a drain that interrupts work, isn't announced, or doesn't
+// count the new work that still arrives.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+
+		go func() {
+			time.Sleep(5 * time.Millisecond)
+			s.Drain(20 * time.Millisecond)
+		}()
+
+		resp, err := s.Run(t.Context(), request("before"))
+		require.NoError(t, err)
+		require.True(t, resp.GetLoad().GetDraining())
+
+		_, err = s.Run(t.Context(), request("in the grace time"))
+		require.NoError(t, err)
+
+		time.Sleep(10 * time.Millisecond)
+
+		_, err = s.Run(t.Context(), request("after it"))
+		requireRefusal(t, err, domain.FateNotRun, domain.CodeSearcherDraining)
+
+		require.Equal(t, 2, s.stats().NewAfterDrain)
+		require.InDelta(t, 25, s.stats().LastNewAfterDrainMS, 1e-9)
+	})
+}
+
+// Guards against an answer from data that isn't held, also when it is dropped
+// while the request is queued, and against hits that don't name their data.
+func TestSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		resp, err := s.Run(t.Context(), request("x"))
+		require.NoError(t, err)
+		require.Equal(t, "portal/0@1.1", resp.GetHits()[0].GetId())
+		require.Equal(t, "q x", resp.GetHits()[0].GetBody())
+
+		go func() { _, _ = s.Run(t.Context(), request("running")) }()
+		synctest.Wait()
+
+		queued := make(chan error, 1)
+
+		go func() {
+			_, err := s.Run(t.Context(), request("queued"))
+			queued <- err
+		}()
+		synctest.Wait()
+		s.Hold("portal", 0, []domain.Snapshot{{IndexVersion: 2, PartitionMapVersion: 1}})
+		requireRefusal(t, <-queued, domain.FateNotRun, domain.CodeSnapshotGone)
+
+		r := request("y")
+		r.Snapshot.IndexVersion = 2
+		_, err = s.Run(t.Context(), r)
+		require.NoError(t, err)
+	})
+}
+
+// Guards against faults of answers that a correct check wouldn't find, or that
+// a check of the checksum alone would.
+func TestFaultsOfAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		s.faults.Store(&Faults{CorruptShare: 1})
+
+		for range 8 {
+			resp, err := s.Run(t.Context(), request("x"))
+			require.NoError(t, err)
+			require.NotEqual(t, integrity.RunChecksum(resp), resp.GetChecksum())
+		}
+
+		s.faults.Store(&Faults{CrossedShare: 1})
+
+		for i := range 8 {
+			resp, err := s.Run(t.Context(), request(strconv.Itoa(i)))
+			require.NoError(t, err)
+			require.Equal(t, integrity.RunChecksum(resp), resp.GetChecksum())
+			require.NotEqual(t, strconv.Itoa(i), resp.GetQueryId())
+		}
+
+		s.faults.Store(&Faults{LateShare: 1, LateMS: 30})
+
+		begin := time.Now()
+		_, err := s.Run(t.Context(), request("x"))
+		require.NoError(t, err)
+		require.Equal(t, 40*time.Millisecond, time.Since(begin))
+	})
+}
+
+// Guards against a doubled run that isn't counted.
+func TestRunsOfAKeyAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		r := request("x")
+		r.Key = "k"
+
+		for range 2 {
+			resp, err := s.Run(t.Context(), r)
+			require.NoError(t, err)
+			require.Equal(t, "k:done", resp.GetResult())
+		}
+
+		require.Equal(t, map[string]int{"k": 2}, runsByKey([]*Endpoint{{Server: s}}))
+	})
+}
+
+// Guards against a cold start that isn't slow, doesn't end or isn't announced.
+func TestColdStart(t *testing.T) {
+	s := newServer(t, func(o *Options) { o.ColdFactor, o.ColdRequests = 5, 4 })
+
+	for _, want := range []time.Duration{50, 40, 30, 20, 10, 10} {
+		require.Equal(t, want > 10, s.load().GetCold())
+		require.Equal(t, want*time.Millisecond, s.begin(s.options.Load(), ""))
+	}
+
+	require.False(t, s.load().GetCold())
+	s.Restart()
+	require.True(t, s.load().GetCold())
+}
+
+// Guards against service times without the shape that was asked for.
+func TestServiceTimes(t *testing.T) {
+	s := newServer(t, func(o *Options) { o.StragglerShare, o.StragglerFactor, o.SlowFactor = 0.02, 20, 2 })
+	slow := 0
+
+	for range 10_000 {
+		switch d := s.begin(s.options.Load(), ""); d {
+		case 20 * time.Millisecond:
+		case 400 * time.Millisecond:
+			slow++
+		default:
+			require.Fail(t, "unexpected service time", d)
+		}
+	}
+
+	require.InDelta(t, 200, slow, 60)
+}
+
+// Guards against a status that doesn't lag or mislead as asked.
+func TestStatusModes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, func(o *Options) { o.StatusLagMS = 100 })
+		status := func() *pb.GetStatusResponse {
+			r, err := s.GetStatus(t.Context(), &pb.GetStatusRequest{})
+			require.NoError(t, err)
+
+			return r
+		}
+
+		status()
+		time.Sleep(50 * time.Millisecond)
+		s.Drain(0)
+		require.False(t, status().GetLoad().GetDraining())
+		time.Sleep(99 * time.Millisecond)
+		require.False(t, status().GetLoad().GetDraining())
+		time.Sleep(time.Millisecond)
+		require.True(t, status().GetLoad().GetDraining())
+
+		s.SetOptions(fixed(func(o *Options) { o.StatusMode = StatusHealthy }))
+		require.False(t, status().GetLoad().GetDraining())
+		s.SetOptions(fixed(func(o *Options) { o.StatusMode = StatusUnhealthy }))
+		require.False(t, status().GetHealthy())
+	})
+}
