--- /dev/null
+++ b/internal/scenario/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package scenario
+
+const raceEnabled = true
--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"primrosespring.example/internal/domain"
 )
@@ -52,7 +53,37 @@
 	MaxWaitMS uint32 `json:"max_wait_ms"`
 }
 
+func (l Log) validate() error {
+	if !slices.Contains(levels, l.Level) {
+		return invalid("level", "%q must be debug, info, warn or error", l.Level)
+	}
+
+	return nil
+}
+
+func (s Stop) validate() error {
+	if s.MaxWaitMS > maxStopMS {
+		return invalid("max_wait_ms", "is %d; at most %d is allowed", s.MaxWaitMS, maxStopMS)
+	}
+
+	if s.BalancerDelayMS > s.MaxWaitMS {
+		return invalid("balancer_delay_ms", "is %d, which is longer than max_wait_ms (%d)", s.BalancerDelayMS, s.MaxWaitMS)
+	}
+
+	return nil
+}
+
+func invalid(field, format string, args ...any) error {
+	e := domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "check", format, args...)
+	e.Field = field
+
+	return e
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
 const (
+	maxStopMS            = 600_000
 	defaultLevel         = "info"
 	defaultBalancerDelay = 2000
 	defaultMaxWait       = 70_000
@@ -102,6 +133,19 @@
 		return err
 	}
 
+	if err := s.Log.validate(); err != nil {
+		return domain.InField("log", err)
+	}
+
+	if err := s.Stop.validate(); err != nil {
+		return domain.InField("stop", err)
+	}
+
+	return s.validateAddresses()
+}
+
+// validateAddresses checks that each address is usable and taken once.
+func (s Settings) validateAddresses() error {
 	seen := make(map[string]string)
 
 	for _, a := range []struct{ field, address string }{
@@ -117,10 +161,7 @@
 		}
 
 		if other, ok := seen[a.address]; ok {
-			return &domain.Error{
-				Fate: domain.FateNotRun, Code: domain.CodeInvalid, Step: "check", Field: a.field,
-				Message: "is the same address as " + other,
-			}
+			return invalid(a.field, "is the same address as %s", other)
 		}
 
 		seen[a.address] = a.field
