--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -19,18 +19,21 @@
 type Settings struct {
 	// ID names the instance; it must be unique in the fleet.
 	ID string `json:"id"`
-	// FailureDomain and Region say where the instance runs.
+	// FailureDomain is the failure domain that the instance runs in.
 	FailureDomain string `json:"failure_domain"`
-	Region        string `json:"region"`
-	// CallerAddress serves callers, OperatorAddress operators, PeerAddress the
-	// other instances, HealthAddress the balancer and DebugAddress metrics and
-	// profiles. Each is an IP address and port.
-	CallerAddress   string `json:"caller_address"`
+	// Region is the region that the instance runs in.
+	Region string `json:"region"`
+	// CallerAddress serves callers; IP address and port.
+	CallerAddress string `json:"caller_address"`
+	// OperatorAddress serves operators; IP address and port.
 	OperatorAddress string `json:"operator_address"`
-	PeerAddress     string `json:"peer_address"`
-	HealthAddress   string `json:"health_address"`
-	DebugAddress    string `json:"debug_address"`
-	// PlatformAddress is the platform's object API.
+	// PeerAddress serves the other instances; IP address and port.
+	PeerAddress string `json:"peer_address"`
+	// HealthAddress serves the balancer; IP address and port.
+	HealthAddress string `json:"health_address"`
+	// DebugAddress serves metrics and profiles; IP address and port.
+	DebugAddress string `json:"debug_address"`
+	// PlatformAddress is the platform's object API; IP address and port.
 	PlatformAddress string `json:"platform_address"`
 	Log             Log    `json:"log"`
 	Stop            Stop   `json:"stop"`
