--- /dev/null
+++ b/internal/logline/logline_test.go
@@ -0,0 +1,59 @@
+package logline
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLines guards against a line that can't be split into its pairs again.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+
+	w := New(&out)
+	log := w.Logger()
+	log.Info().Str("event", "route").Str("plain", "a-b").Str("space", "two words").Str("quote", `say "x"`).
+		Str("empty", "").Int("n", -3).Bool("b", true).Strs("list", []string{"x", "y,z"}).Str("eq", "a=b").Send()
+	log.Warn().Send()
+	require.NoError(t, w.Close())
+
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Regexp(t, `^level=info event=route plain=a-b space="two words" quote="say \\"x\\"" empty="" n=-3 b=true `+
+		`list="\[\\"x\\",\\"y,z\\"\]" eq="a=b" time=\S+$`, lines[0])
+	require.Regexp(t, `^level=warn time=\S+$`, lines[1])
+}
+
+// FuzzPairs guards against a value that breaks a line in two.
+func FuzzPairs(f *testing.F) {
+	f.Add("value")
+	f.Add("a\nb\\\"{}[]:,= ")
+	f.Fuzz(func(t *testing.T, value string) {
+		data, err := json.Marshal(map[string]string{"key": value})
+		require.NoError(t, err)
+
+		line := appendPairs(nil, data)
+		require.NotContains(t, string(line), "\n")
+		require.True(t, bytes.HasPrefix(line, []byte("key=")))
+	})
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := New(&bytes.Buffer{})
+	log := w.Logger()
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		w.mu.Lock()
+		w.out.Reset(&bytes.Buffer{})
+		w.mu.Unlock()
+		log.Info().Str("event", "route").Str("query_id", "entry-0-56aa6813a7c8-1").Uint32("attempt", 1).
+			Uint32("shard", 3).Str("searcher", "s3").Str("reason", "first").Int64("expected_us", 5000).Send()
+	}
+
+	require.NoError(b, w.Close())
+}
