--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -115,5 +115,5 @@
 // nobody set its fate.
 func TestZeroFateIsUnknown(t *testing.T) {
 	require.Equal(t, "unknown", (&Error{}).Fate.String())
-	require.True(t, errors.Is((&Error{}).WithCause(errors.ErrUnsupported), errors.ErrUnsupported))
+	require.ErrorIs(t, (&Error{}).WithCause(errors.ErrUnsupported), errors.ErrUnsupported)
 }
