primrosefake/workload: describe runs of the load command

The load command, the demo and the bench need one description of services, searchers, instances, delays, load and faults that is checked when it is decoded.

--- /dev/null
+++ b/primrosefake/internal/workload/apply.go
@@ -0,0 +1,131 @@
+package workload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+)
+
+const (
+	applyTimeout  = 60 * time.Second
+	callTimeout   = 5 * time.Second
+	applyInterval = 100 * time.Millisecond
+	operatorName  = "load"
+)
+
+// Apply creates the configuration in dir through the operator's interface of
+// the first instance, and returns when it is in force at every instance.
+func Apply(ctx context.Context, dir string) error {
+	t, _, err := OpenTopology(dir)
+	if err != nil {
+		return err
+	}
+
+	data, err := os.ReadFile(filepath.Join(dir, ConfigurationFile))
+	if err != nil {
+		return fmt.Errorf("open configuration: %w", err)
+	}
+
+	var c Configuration
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("decode configuration: %w", err)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+
+	version, err := create(ctx, adminClient(t.Instances[0]), c)
+	if err != nil {
+		return err
+	}
+
+	for _, i := range t.Instances {
+		if err := waitInForce(ctx, adminClient(i), version); err != nil {
+			return fmt.Errorf("instance %s: %w", i.ID, err)
+		}
+	}
+
+	return nil
+}
+
+func adminClient(i InstanceAddress) primrosespringv1connect.AdminServiceClient {
+	return primrosespringv1connect.NewAdminServiceClient(&http.Client{Timeout: callTimeout}, "http://"+i.Operator)
+}
+
+// create makes every change and returns the configuration version of the last.
+func create(ctx context.Context, client primrosespringv1connect.AdminServiceClient, c Configuration) (uint64, error) {
+	var version uint64
+
+	for _, s := range c.Services {
+		resp, err := client.CreateService(ctx, &pb.CreateServiceRequest{Service: serviceToProto(s), Options: options()})
+		if err != nil {
+			return 0, fmt.Errorf("create service %s: %w", s.Name, err)
+		}
+
+		version = resp.GetResult().GetConfigurationVersion()
+	}
+
+	for _, m := range c.Members {
+		resp, err := client.SetMember(ctx, &pb.SetMemberRequest{Member: &pb.Member{Name: m.Name, Weight: m.Weight}, Options: options()})
+		if err != nil {
+			return 0, fmt.Errorf("set member %s: %w", m.Name, err)
+		}
+
+		version = resp.GetResult().GetConfigurationVersion()
+	}
+
+	return version, nil
+}
+
+func waitInForce(ctx context.Context, client primrosespringv1connect.AdminServiceClient, version uint64) error {
+	for {
+		resp, err := client.GetConfiguration(ctx, &pb.GetConfigurationRequest{})
+		if err == nil && resp.GetVersion() >= version {
+			return nil
+		}
+
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("version %d isn't in force: %w", version, ctx.Err())
+		case <-time.After(applyInterval):
+		}
+	}
+}
+
+func options() *pb.ChangeOptions {
+	return &pb.ChangeOptions{ChangeId: uuid.NewString(), Operator: operatorName}
+}
+
+func serviceToProto(s domain.Service) *pb.Service {
+	out := &pb.Service{
+		Name: s.Name, PartitionMap: &pb.PartitionMap{Version: s.PartitionMap.Version},
+		Rules: &pb.Rules{
+			TimeoutMs: s.Rules.TimeoutMS, MaxAttempts: s.Rules.MaxAttempts, ExtraLoadPermille: s.Rules.ExtraLoadPermille,
+			Hedging: s.Rules.Hedging, MinCoveragePermille: s.Rules.MinCoveragePermille, PartialWaitMs: s.Rules.PartialWaitMS,
+			Repeatable: s.Rules.Repeatable, NonRepeatable: s.Rules.NonRepeatable,
+		},
+	}
+
+	for _, sh := range s.PartitionMap.Shards {
+		shard := &pb.Shard{Number: sh.Number}
+		for _, sr := range sh.Searchers {
+			shard.Searchers = append(shard.Searchers, &pb.Searcher{
+				Id: sr.ID, Address: sr.Address, FailureDomain: sr.FailureDomain, Slots: sr.Slots, Connections: sr.Connections,
+			})
+		}
+
+		out.PartitionMap.Shards = append(out.PartitionMap.Shards, shard)
+	}
+
+	return out
+}
--- /dev/null
+++ b/primrosefake/internal/workload/generate.go
@@ -0,0 +1,239 @@
+package workload
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"primrosespring.example/internal/domain"
+)
+
+const (
+	filePermission      = 0o600
+	directoryPermission = 0o750
+	usPerMS             = 1000.0
+)
+
+// Generate writes the files of every process of a run to dir: the settings of
+// each instance, the searchers, the links of the fault proxy, the
+// configuration to create, and where everything is. It chooses free ports.
+func Generate(w *Workload, dir string) (*Topology, error) {
+	if err := os.MkdirAll(dir, directoryPermission); err != nil {
+		return nil, fmt.Errorf("make directory: %w", err)
+	}
+
+	g := &generator{workload: w, dir: dir, ports: newPorts()}
+	g.generate()
+
+	if g.err != nil {
+		return nil, g.err
+	}
+
+	return &g.topology, g.topology.index(w)
+}
+
+// generator builds the files. After an error it does nothing more.
+type generator struct {
+	workload *Workload
+	dir      string
+	ports    *ports
+	topology Topology
+	links    linksFile
+	err      error
+}
+
+// searchersFile is the file of "primrosefake searchers".
+type searchersFile struct {
+	ControlAddress string         `json:"control_address"`
+	Searchers      []searcherFile `json:"searchers"`
+}
+
+type searcherFile struct {
+	ID              string  `json:"id"`
+	Address         string  `json:"address"`
+	Service         string  `json:"service"`
+	Shard           uint32  `json:"shard"`
+	Slots           uint32  `json:"slots"`
+	MedianMS        float64 `json:"median_ms"`
+	Sigma           float64 `json:"sigma"`
+	StragglerShare  float64 `json:"straggler_share"`
+	StragglerFactor float64 `json:"straggler_factor"`
+	ConnectionLimit uint32  `json:"connection_limit"`
+	SetUpMS         float64 `json:"setup_ms"`
+	Seed            uint64  `json:"seed"`
+}
+
+// instanceFile holds the settings of an instance.
+type instanceFile struct {
+	ID              string `json:"id"`
+	FailureDomain   string `json:"failure_domain"`
+	Region          string `json:"region"`
+	CallerAddress   string `json:"caller_address"`
+	OperatorAddress string `json:"operator_address"`
+	PeerAddress     string `json:"peer_address"`
+	HealthAddress   string `json:"health_address"`
+	DebugAddress    string `json:"debug_address"`
+	PlatformAddress string `json:"platform_address"`
+}
+
+// Configuration is what is created before the load.
+type Configuration struct {
+	Services []domain.Service `json:"services"`
+	Members  []domain.Member  `json:"members"`
+	// Instances are registered with the platform.
+	Instances []domain.Instance `json:"instances"`
+}
+
+func (g *generator) generate() {
+	t := &g.topology
+	t.Platform, t.FaultProxy, t.SearcherControl = g.address(), g.address(), g.address()
+
+	balancer := g.address()
+	t.Balancer = g.link("callers-balancer", balancer, g.workload.Delays.ToClientsUS)
+
+	configuration := Configuration{Services: g.services()}
+	for _, m := range g.workload.Load.Members {
+		configuration.Members = append(configuration.Members, domain.Member{Name: m.Name, Weight: m.Weight})
+	}
+
+	for _, in := range g.workload.Instances {
+		configuration.Instances = append(configuration.Instances, g.instance(in))
+	}
+
+	g.writeBalancer(balancer)
+	g.writeJSON(ConfigurationFile, configuration)
+	g.writeJSON(WorkloadFile, g.workload)
+	g.writeJSON(TopologyFile, t)
+	g.links.ControlAddress = t.FaultProxy
+	g.writeJSON(LinksFile, g.links)
+}
+
+// services chooses the searchers' addresses, writes the searchers file and
+// returns the services to create.
+func (g *generator) services() []domain.Service {
+	file := searchersFile{ControlAddress: g.topology.SearcherControl}
+
+	var out []domain.Service
+
+	for _, s := range g.workload.Services {
+		svc := domain.Service{Name: s.Name, Rules: s.Rules, PartitionMap: domain.PartitionMap{Version: 1}}
+
+		for shard := range s.Shards {
+			sh := domain.Shard{Number: shard}
+
+			for i := range s.SearchersPerShard {
+				a := g.searcher(s, shard, i)
+				g.topology.Searchers = append(g.topology.Searchers, a)
+				file.Searchers = append(file.Searchers, searcherOptions(s, a, g.workload.Seed))
+				sh.Searchers = append(sh.Searchers, domain.Searcher{
+					ID: a.ID, Address: a.Address, FailureDomain: g.failureDomain(shard + i), Slots: s.Slots, Connections: s.Connections,
+				})
+			}
+
+			svc.PartitionMap.Shards = append(svc.PartitionMap.Shards, sh)
+		}
+
+		out = append(out, svc)
+	}
+
+	g.writeJSON(SearchersFile, file)
+
+	return out
+}
+
+func (g *generator) searcher(s Service, shard, i uint32) SearcherAddress {
+	id, listen := SearcherID(s.Name, shard, i), g.address()
+
+	return SearcherAddress{
+		ID: id, Service: s.Name, Shard: shard, Listen: listen, Address: g.link(id, listen, g.meanDelay()),
+	}
+}
+
+func searcherOptions(s Service, a SearcherAddress, seed uint64) searcherFile {
+	return searcherFile{
+		ID: a.ID, Address: a.Listen, Service: a.Service, Shard: a.Shard, Slots: s.Slots,
+		MedianMS: float64(s.MedianUS) / usPerMS, Sigma: s.Sigma,
+		StragglerShare: float64(s.StragglerPermille) / permille, StragglerFactor: s.StragglerFactor,
+		ConnectionLimit: s.Connections, SetUpMS: float64(s.SetUpUS) / usPerMS, Seed: seed,
+	}
+}
+
+// instance writes the settings of an instance and returns its registration.
+func (g *generator) instance(in Instance) domain.Instance {
+	f := instanceFile{
+		ID: in.ID, FailureDomain: in.FailureDomain, Region: g.workload.Region,
+		CallerAddress: g.address(), OperatorAddress: g.address(), PeerAddress: g.address(), HealthAddress: g.address(),
+		DebugAddress: g.address(), PlatformAddress: g.topology.Platform,
+	}
+	g.topology.Instances = append(g.topology.Instances, InstanceAddress{
+		ID: in.ID, Caller: f.CallerAddress, Operator: f.OperatorAddress, Health: f.HealthAddress, Debug: f.DebugAddress,
+	})
+	g.writeJSON(in.ID+".json", f)
+
+	return domain.Instance{ID: in.ID, PeerAddress: f.PeerAddress, FailureDomain: in.FailureDomain, Region: g.workload.Region}
+}
+
+// meanDelay returns the one-way delay of the links to a searcher. All instances
+// dial a searcher by one address, so the link has the mean over the failure
+// domains that they may be in.
+func (g *generator) meanDelay() uint32 {
+	n := uint32(len(g.workload.FailureDomains))
+
+	return g.workload.Delays.BetweenFailureDomainsUS * (n - 1) / n
+}
+
+func (g *generator) failureDomain(i uint32) string {
+	return g.workload.FailureDomains[int(i)%len(g.workload.FailureDomains)]
+}
+
+func (g *generator) address() string {
+	if g.err != nil {
+		return ""
+	}
+
+	var a string
+
+	a, g.err = g.ports.address()
+
+	return a
+}
+
+func (g *generator) writeJSON(name string, v any) {
+	if g.err != nil {
+		return
+	}
+
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		g.err = fmt.Errorf("encode %s: %w", name, err)
+
+		return
+	}
+
+	g.write(name, append(data, '\n'))
+}
+
+func (g *generator) write(name string, data []byte) {
+	if g.err != nil {
+		return
+	}
+
+	if err := os.WriteFile(filepath.Join(g.dir, name), data, filePermission); err != nil {
+		g.err = fmt.Errorf("write %s: %w", name, err)
+	}
+}
+
+// writeBalancer writes what the script that starts the processes needs in
+// plain text: one line for each instance, and the balancer's arguments.
+func (g *generator) writeBalancer(address string) {
+	var lines strings.Builder
+
+	for _, i := range g.topology.Instances {
+		fmt.Fprintf(&lines, "%s %s\n", i.ID, i.Health)
+	}
+
+	g.write(InstancesFile, []byte(lines.String()))
+	g.write(BalancerFile, []byte(address+"\n"))
+}
--- /dev/null
+++ b/primrosefake/internal/workload/workload.go
@@ -0,0 +1,297 @@
+// Package workload describes what a run of the load command does: the services
+// and their searchers, the entry instances, the delays between failure
+// domains, the load and the faults. A workload is a JSON file; several are
+// built in.
+package workload
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Limits on a workload. They keep a run within one machine.
+const (
+	MaxFileBytes     = 1 << 20
+	MaxDurationMS    = 600_000
+	MaxSearchers     = 600
+	MaxInstances     = 64
+	MaxQueriesPerSec = 20_000
+	MaxFaults        = 1000
+	MaxDelayUS       = 1_000_000
+	MaxServiceUS     = 10_000_000
+	maxSlowFactor    = 1000
+	maxSlotsPermille = 10_000
+	permille         = 1000
+)
+
+// Workload is one run. Times are counted from the start of the load.
+type Workload struct {
+	Name string `json:"name"`
+	// Seed determines the arrivals and the choices of the callers.
+	Seed       uint64 `json:"seed"`
+	DurationMS uint32 `json:"duration_ms"`
+	// WarmUpMS is how long the load runs before its answers are counted, in
+	// milliseconds. Answers of the warm-up are checked too.
+	WarmUpMS uint32 `json:"warm_up_ms"`
+	// Region holds every failure domain.
+	Region         string     `json:"region"`
+	FailureDomains []string   `json:"failure_domains"`
+	Instances      []Instance `json:"instances"`
+	Delays         Delays     `json:"delays"`
+	Services       []Service  `json:"services"`
+	Load           Load       `json:"load"`
+	Faults         []Fault    `json:"faults"`
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Delays are the one-way delays of the links, in microseconds.
+type Delays struct {
+	// BetweenFailureDomainsUS applies between two failure domains.
+	BetweenFailureDomainsUS uint32 `json:"between_failure_domains_us"`
+	// ToClientsUS applies between callers and instances.
+	ToClientsUS uint32 `json:"to_clients_us"`
+	// JitterUS is the most that is added to a delay.
+	JitterUS uint32 `json:"jitter_us"`
+}
+
+// Any reports whether any link has a delay.
+func (d Delays) Any() bool {
+	return d.BetweenFailureDomainsUS > 0 || d.ToClientsUS > 0 || d.JitterUS > 0
+}
+
+// Service is a search service with its searchers.
+type Service struct {
+	Name              string `json:"name"`
+	Shards            uint32 `json:"shards"`
+	SearchersPerShard uint32 `json:"searchers_per_shard"`
+	Slots             uint32 `json:"slots"`
+	Connections       uint32 `json:"connections"`
+	// SetUpUS is the time to open a connection, in microseconds.
+	SetUpUS uint32 `json:"set_up_us"`
+	// MedianUS and Sigma describe the log-normal service time.
+	MedianUS uint32  `json:"median_us"`
+	Sigma    float64 `json:"sigma"`
+	// StragglerPermille of the attempts take StragglerFactor times as long.
+	StragglerPermille uint32       `json:"straggler_permille"`
+	StragglerFactor   float64      `json:"straggler_factor"`
+	Rules             domain.Rules `json:"rules"`
+}
+
+// MeanServiceTime returns the mean of the service time, stragglers included.
+func (s Service) MeanServiceTime() time.Duration {
+	mean := float64(s.MedianUS) * math.Exp(s.Sigma*s.Sigma/2)
+	share := float64(s.StragglerPermille) / permille
+	mean *= 1 + share*(s.StragglerFactor-1)
+
+	return time.Duration(mean * float64(time.Microsecond))
+}
+
+// Capacity returns the queries a second at which every slot of a shard is
+// busy.
+func (s Service) Capacity() float64 {
+	return float64(s.SearchersPerShard*s.Slots) / s.MeanServiceTime().Seconds()
+}
+
+// Load is what the callers send. Exactly one of QueriesPerSecond and
+// SlotsPermille is set.
+type Load struct {
+	// QueriesPerSecond is the rate over all services, divided by the weights
+	// of Mix.
+	QueriesPerSecond float64 `json:"queries_per_second,omitempty"`
+	// SlotsPermille is the share of each service's own slots that is kept
+	// busy; a weight in Mix scales it.
+	SlotsPermille uint32 `json:"slots_permille,omitempty"`
+	// TimeoutMS is how long a caller waits, in milliseconds.
+	TimeoutMS uint32 `json:"timeout_ms"`
+	// Connections is how many connections the callers keep open to each
+	// address.
+	Connections uint32   `json:"connections"`
+	Mix         []Part   `json:"mix"`
+	Members     []Member `json:"members"`
+	// RepeatPermille of the requests that must not be repeated are sent again
+	// by the caller after an error or a timeout.
+	RepeatPermille uint32 `json:"repeat_permille"`
+}
+
+// Timeout returns TimeoutMS as a duration.
+func (l Load) Timeout() time.Duration { return time.Duration(l.TimeoutMS) * time.Millisecond }
+
+// Part is the share of one service in the load.
+type Part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+	// NonRepeatablePermille of the requests are sent by Execute.
+	NonRepeatablePermille uint32 `json:"non_repeatable_permille"`
+}
+
+// Member is a member organisation with its share of the load.
+type Member struct {
+	Name string `json:"name"`
+	// Weight is the configured share of capacity.
+	Weight uint32 `json:"weight"`
+	// LoadPermille is the share of the load that it sends.
+	LoadPermille uint32 `json:"load_permille"`
+}
+
+// Kind names a fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	// StragglingSearcher makes one searcher slower by SlowFactor.
+	StragglingSearcher Kind = "straggling_searcher"
+	// LostSearcher makes one searcher refuse connections.
+	LostSearcher Kind = "lost_searcher"
+	// SilentSearcher makes one searcher accept connections and answer nothing.
+	SilentSearcher Kind = "silent_searcher"
+	// SilentConnections makes the open connections of one searcher silent for
+	// good; new ones work.
+	SilentConnections Kind = "silent_connections"
+	// IndexSwitch moves the searchers of a service to IndexVersion.
+	IndexSwitch Kind = "index_switch"
+	// RollingRestart restarts each instance in turn. The load command announces
+	// it; whoever started the processes does it.
+	RollingRestart Kind = "rolling_restart"
+	// StoreOutage makes the platform's store unreachable.
+	StoreOutage Kind = "store_outage"
+)
+
+// Fault is one disturbance. Service, Shard and Searcher name a searcher for
+// the kinds that concern one.
+type Fault struct {
+	Kind Kind   `json:"kind"`
+	AtMS uint32 `json:"at_ms"`
+	// ForMS is how long it lasts; zero lasts to the end of the load.
+	ForMS        uint32  `json:"for_ms,omitempty"`
+	Service      string  `json:"service,omitempty"`
+	Shard        uint32  `json:"shard,omitempty"`
+	Searcher     uint32  `json:"searcher,omitempty"`
+	SlowFactor   float64 `json:"slow_factor,omitempty"`
+	IndexVersion uint64  `json:"index_version,omitempty"`
+}
+
+// SearcherID returns the name of a searcher, which is the same in the
+// configuration, the searchers file and the faults.
+func SearcherID(service string, shard, index uint32) string {
+	return fmt.Sprintf("%s-%d-%d", service, shard, index)
+}
+
+// Service returns the service of that name.
+func (w *Workload) Service(name string) (*Service, bool) {
+	for i := range w.Services {
+		if w.Services[i].Name == name {
+			return &w.Services[i], true
+		}
+	}
+
+	return nil, false
+}
+
+// Rate returns the requests a second that the load sends to part.
+func (w *Workload) Rate(part Part) float64 {
+	if w.Load.SlotsPermille > 0 {
+		s, _ := w.Service(part.Service)
+
+		return part.Weight * s.Capacity() * float64(w.Load.SlotsPermille) / permille
+	}
+
+	var sum float64
+	for _, p := range w.Load.Mix {
+		sum += p.Weight
+	}
+
+	return w.Load.QueriesPerSecond * part.Weight / sum
+}
+
+// Duration returns DurationMS as a duration.
+func (w *Workload) Duration() time.Duration { return time.Duration(w.DurationMS) * time.Millisecond }
+
+// WarmUp returns WarmUpMS as a duration.
+func (w *Workload) WarmUp() time.Duration { return time.Duration(w.WarmUpMS) * time.Millisecond }
+
+// Open returns the built-in workload of that name or, if there is none, the
+// workload in the file of that name.
+func Open(name string) (*Workload, error) {
+	if w, ok := Builtin(name); ok {
+		return w, nil
+	}
+
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("open workload (built in are %s): %w", strings.Join(Names(), ", "), err)
+	}
+	defer func() { _ = f.Close() }()
+
+	data, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read workload: %w", err)
+	}
+
+	w, err := Decode(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+
+	return w, nil
+}
+
+// Decode returns the checked workload in data. An error is a domain.Error that
+// names the offending field and the reason.
+func Decode(data []byte) (*Workload, error) {
+	if len(data) > MaxFileBytes {
+		return nil, invalid("", "has more than %d bytes", MaxFileBytes)
+	}
+
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+
+	var w Workload
+	if err := d.Decode(&w); err != nil {
+		return nil, decodeError(err)
+	}
+
+	if d.More() {
+		return nil, invalid("", "holds more than one JSON value")
+	}
+
+	if err := w.Validate(); err != nil {
+		return nil, err
+	}
+
+	return &w, nil
+}
+
+func decodeError(err error) error {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		return invalid(t.Field, "is a %s; must be of type %s", t.Value, t.Type)
+	}
+
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return invalid(strings.Trim(name, `"`), "is not a known field")
+	}
+
+	return invalid("", "is not valid JSON: %v", err)
+}
+
+// invalid returns the error for a field that can't be accepted.
+func invalid(field, format string, args ...any) error {
+	e := domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "check workload", format, args...)
+	e.Field = field
+
+	return e
+}
