primrosefake/load: send a workload and check every answer

Other packages need the tail latency, the coverage and the extra load of the product beside a baseline. Add `load DIR`: an open loop with Poisson arrivals from the seed, latency counted from the intended arrival, a full check of each answer, counts by the searchers, and a plain client as baseline on the same load and faults.

--- /dev/null
+++ b/primrosefake/internal/load/baseline.go
@@ -0,0 +1,303 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"primrosespring.example/internal/coverage"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+	"primrosespring.example/internal/refusal"
+	"primrosespring.example/primrosefake/internal/workload"
+)
+
+const (
+	statusInterval = 500 * time.Millisecond
+	statusTimeout  = 400 * time.Millisecond
+	// halfDeadline is the part of the time left that the first attempt gets.
+	halfDeadline = 2
+)
+
+// baseline is a plain client: for each shard it asks one searcher at random
+// and, after a failure or half of the deadline, one other.
+type baseline struct {
+	workload *workload.Workload
+	services map[string][][]*backend
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+
+	mu   sync.Mutex // Guards all below.
+	rand *rand.Rand
+	held map[string]domain.Snapshot // By the id of the searcher.
+}
+
+// backend is one searcher with its connection.
+type backend struct {
+	address   workload.SearcherAddress
+	transport *http.Transport
+	rpc       primrosespringv1connect.SearcherServiceClient
+}
+
+func newBaseline(ctx context.Context, w *workload.Workload, t *workload.Topology) *baseline {
+	ctx, stop := context.WithCancel(ctx)
+	b := &baseline{
+		workload: w, services: make(map[string][][]*backend), stop: stop,
+		rand: rand.New(rand.NewPCG(w.Seed, baselineStream)), held: make(map[string]domain.Snapshot),
+	}
+
+	for _, s := range t.Services {
+		shards := make([][]*backend, len(s.Shards))
+
+		for i, searchers := range s.Shards {
+			for _, a := range searchers {
+				tr := newTransport()
+				shards[i] = append(shards[i], &backend{
+					address: a, transport: tr,
+					rpc: primrosespringv1connect.NewSearcherServiceClient(
+						&http.Client{Transport: tr}, "http://"+a.Address, connect.WithReadMaxBytes(maxAnswerBytes)),
+				})
+			}
+		}
+
+		b.services[s.Name] = shards
+	}
+
+	b.done.Go(func() { b.pollStatus(ctx) })
+
+	return b
+}
+
+func (b *baseline) close() {
+	b.stop()
+	b.done.Wait()
+
+	b.each(func(be *backend) { be.transport.CloseIdleConnections() })
+}
+
+func (b *baseline) each(f func(*backend)) {
+	for _, shards := range b.services {
+		for _, searchers := range shards {
+			for _, be := range searchers {
+				f(be)
+			}
+		}
+	}
+}
+
+// pollStatus learns the newest snapshot that each searcher holds.
+func (b *baseline) pollStatus(ctx context.Context) {
+	t := time.NewTicker(statusInterval)
+	defer t.Stop()
+
+	for {
+		pctx, cancel := context.WithTimeout(ctx, statusTimeout)
+
+		var wg sync.WaitGroup
+
+		b.each(func(be *backend) { wg.Go(func() { b.poll(pctx, be) }) })
+		wg.Wait()
+		cancel()
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (b *baseline) poll(ctx context.Context, be *backend) {
+	st, err := be.rpc.GetStatus(ctx, &pb.GetStatusRequest{})
+	if err != nil {
+		return
+	}
+
+	var newest domain.Snapshot
+
+	for _, h := range st.GetHeld() {
+		s := domain.Snapshot{
+			IndexVersion: h.GetSnapshot().GetIndexVersion(), PartitionMapVersion: h.GetSnapshot().GetPartitionMapVersion(),
+		}
+		if h.GetService() == be.address.Service && h.GetShard() == be.address.Shard && s.Newer(newest) {
+			newest = s
+		}
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.held[be.address.ID] = newest
+}
+
+// snapshot returns the newest snapshot that every searcher of the service was
+// last known to hold.
+func (b *baseline) snapshot(service string) domain.Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var oldest domain.Snapshot
+
+	for _, shards := range b.services[service] {
+		for _, be := range shards {
+			s, ok := b.held[be.address.ID]
+			if ok && (oldest == (domain.Snapshot{}) || oldest.Newer(s)) {
+				oldest = s
+			}
+		}
+	}
+
+	return oldest
+}
+
+// order returns the searchers of a shard in random order.
+func (b *baseline) order(service string, shard uint32) []*backend {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	searchers := b.services[service][shard]
+	out := make([]*backend, len(searchers))
+
+	for i, j := range b.rand.Perm(len(searchers)) {
+		out[i] = searchers[j]
+	}
+
+	return out
+}
+
+// part is the outcome of one shard.
+type part struct {
+	hits     []*pb.Hit
+	result   string
+	attempts uint32
+	err      error
+}
+
+func (b *baseline) search(ctx context.Context, _ int, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+
+	snap := b.snapshot(req.GetService())
+	parts := make([]part, len(b.services[req.GetService()]))
+
+	var wg sync.WaitGroup
+
+	for i := range parts {
+		wg.Go(func() {
+			parts[i] = b.shard(ctx, &pb.RunRequest{
+				Service: req.GetService(), QueryId: req.GetRequestId(), Shard: uint32(i), Query: req.GetQuery(),
+				Snapshot: &pb.Snapshot{IndexVersion: snap.IndexVersion, PartitionMapVersion: snap.PartitionMapVersion},
+			})
+		})
+	}
+
+	wg.Wait()
+
+	return b.combine(req, snap, parts)
+}
+
+func (b *baseline) combine(req *pb.SearchRequest, snap domain.Snapshot, parts []part) (*pb.SearchResponse, error) {
+	resp := &pb.SearchResponse{
+		RequestId: req.GetRequestId(), Coverage: &pb.Coverage{Shards: uint32(len(parts))},
+		Snapshot: &pb.Snapshot{IndexVersion: snap.IndexVersion, PartitionMapVersion: snap.PartitionMapVersion},
+	}
+
+	for i, p := range parts {
+		resp.Attempts += p.attempts
+
+		if p.err != nil {
+			resp.Coverage.Missing = append(resp.Coverage.Missing, &pb.MissingShard{Shard: uint32(i), Reason: "failed"})
+
+			continue
+		}
+
+		resp.Coverage.Included = append(resp.Coverage.Included, uint32(i))
+		resp.Results = append(resp.Results, &pb.ShardResult{Shard: uint32(i), Hits: p.hits})
+	}
+
+	s, _ := b.workload.Service(req.GetService())
+
+	c := coverage.Coverage{Shards: uint32(len(parts)), Included: resp.GetCoverage().GetIncluded()}
+	if !coverage.Accepts(s.Rules, c) {
+		return nil, refusal.ToConnect(domain.Errorf(domain.FateRan, domain.CodeCoverage, "search",
+			"%d of %d shards answered", len(c.Included), c.Shards))
+	}
+
+	return resp, nil
+}
+
+// execute sends a request to the shard of its key like any sub-query, with the
+// one retry that may run it twice.
+func (b *baseline) execute(ctx context.Context, n, _ int, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+
+	snap := b.snapshot(req.GetService())
+	p := b.shard(ctx, &pb.RunRequest{
+		Service: req.GetService(), QueryId: strconv.Itoa(n), Key: req.GetKey(), Payload: req.GetPayload(),
+		Shard:    uint32(n % len(b.services[req.GetService()])),
+		Snapshot: &pb.Snapshot{IndexVersion: snap.IndexVersion, PartitionMapVersion: snap.PartitionMapVersion},
+	})
+
+	if p.err != nil {
+		return nil, p.err
+	}
+
+	return &pb.ExecuteResponse{Key: req.GetKey(), Result: p.result}, nil
+}
+
+// shard asks one searcher and, if need be, one other.
+func (b *baseline) shard(ctx context.Context, req *pb.RunRequest) part {
+	order := b.order(req.GetService(), req.GetShard())
+	p := part{err: errors.New("no searcher")}
+
+	for i, be := range order[:min(2, len(order))] {
+		actx, cancel := ctx, context.CancelFunc(func() {})
+		if deadline, ok := ctx.Deadline(); ok && i == 0 {
+			actx, cancel = context.WithTimeout(ctx, time.Until(deadline)/halfDeadline)
+		}
+
+		resp, err := b.attempt(actx, be, req, uint32(i))
+
+		cancel()
+
+		p.attempts++
+		p.err = err
+
+		if err == nil {
+			p.hits, p.result = resp.GetHits(), resp.GetResult()
+
+			break
+		}
+	}
+
+	return p
+}
+
+func (b *baseline) attempt(ctx context.Context, be *backend, req *pb.RunRequest, n uint32) (*pb.RunResponse, error) {
+	r := &pb.RunRequest{
+		Service: req.GetService(), QueryId: req.GetQueryId(), Attempt: n, Shard: req.GetShard(), Snapshot: req.GetSnapshot(),
+		Query: req.GetQuery(), Key: req.GetKey(), Payload: req.GetPayload(),
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.TimeoutUs = uint64(max(time.Until(deadline), 0).Microseconds())
+	}
+
+	resp, err := be.rpc.Run(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+
+	if e := coverage.Check(r, resp); e != nil {
+		return nil, e
+	}
+
+	return resp, nil
+}
--- /dev/null
+++ b/primrosefake/internal/load/callers.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+)
+
+const (
+	dialTimeout    = time.Second
+	maxAnswerBytes = 4 << 20
+)
+
+// system answers requests: the product or the baseline. n is the number of the
+// request and try counts its repetitions.
+type system interface {
+	search(ctx context.Context, n int, req *pb.SearchRequest) (*pb.SearchResponse, error)
+	execute(ctx context.Context, n, try int, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error)
+	close()
+}
+
+// callers send requests to the product over a fixed number of connections to
+// each address.
+type callers struct {
+	transports []*http.Transport
+	// clients are ordered so that consecutive ones have different addresses.
+	clients []primrosespringv1connect.SearchServiceClient
+}
+
+func newCallers(addresses []string, connections uint32) *callers {
+	c := &callers{}
+
+	for range connections {
+		for _, a := range addresses {
+			t := newTransport()
+			c.transports = append(c.transports, t)
+			c.clients = append(c.clients, primrosespringv1connect.NewSearchServiceClient(
+				&http.Client{Transport: t}, "http://"+a, connect.WithReadMaxBytes(maxAnswerBytes)))
+		}
+	}
+
+	return c
+}
+
+// newTransport returns a transport that keeps one connection, HTTP/2 without
+// TLS.
+func newTransport() *http.Transport {
+	var protocols http.Protocols
+
+	protocols.SetUnencryptedHTTP2(true)
+
+	return &http.Transport{Protocols: &protocols, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+}
+
+// search sends a query; an address that refuses the connection is passed over.
+func (c *callers) search(ctx context.Context, n int, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	for i := range c.clients {
+		resp, err := c.clients[(n+i)%len(c.clients)].Search(ctx, req)
+		if err == nil || classify(ctx, err).code != codeUnreachable || i == len(c.clients)-1 {
+			return resp, err
+		}
+	}
+
+	return nil, nil //nolint:nilnil // There is at least one client, so the loop returns.
+}
+
+func (c *callers) execute(ctx context.Context, n, try int, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	for i := range c.clients {
+		resp, err := c.clients[(n+try+i)%len(c.clients)].Execute(ctx, req)
+		if err == nil || classify(ctx, err).code != codeUnreachable || i == len(c.clients)-1 {
+			return resp, err
+		}
+	}
+
+	return nil, nil //nolint:nilnil // There is at least one client, so the loop returns.
+}
+
+func (c *callers) close() {
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/primrosefake/internal/load/run.go
@@ -0,0 +1,384 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosefake/internal/workload"
+)
+
+// Names of the systems under load.
+const (
+	Product  = "product"
+	Baseline = "baseline"
+)
+
+const (
+	// answerGrace is how much longer than its timeout a caller waits for the
+	// refusal that says so.
+	answerGrace   = 250 * time.Millisecond
+	readyTimeout  = 20 * time.Second
+	readyInterval = 50 * time.Millisecond
+	// settleTime lets requests that callers gave up end at the searchers.
+	settleTime = 1500 * time.Millisecond
+	// statusSettleTime lets instances learn the searchers' state after a reset.
+	statusSettleTime = 1500 * time.Millisecond
+	maxRepeats       = 2
+)
+
+// Options say what a run does.
+type Options struct {
+	Workload *workload.Workload
+	Topology *workload.Topology
+	// Systems are run one after another, each on the same load.
+	Systems []string
+	// Direct sends to the instances instead of the balancer.
+	Direct bool
+	// PIDs are the processes whose CPU time is measured.
+	PIDs []int
+	// Log receives one line for each event.
+	Log io.Writer
+}
+
+// Run sends the load to each system and returns the results in that order.
+func Run(ctx context.Context, o Options) ([]*Result, error) {
+	var out []*Result
+
+	for _, name := range o.Systems {
+		p := &phase{options: o, name: name, log: o.Log}
+		p.control = newControl(o.Workload, o.Topology, p.announce)
+
+		r, err := p.run(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+
+		out = append(out, r)
+	}
+
+	return out, nil
+}
+
+// phase is the load on one system.
+type phase struct {
+	options  Options
+	name     string
+	control  *control
+	system   system
+	recorder *recorder
+	start    time.Time
+
+	mu       sync.Mutex // Guards all below.
+	log      io.Writer
+	executes []executed
+}
+
+// executed is a request that must not be repeated, after its last try.
+type executed struct {
+	key  string
+	last *failure
+}
+
+func (p *phase) run(ctx context.Context) (*Result, error) {
+	w := p.options.Workload
+	p.recorder = newRecorder(w)
+
+	if err := p.control.reset(ctx); err != nil {
+		return nil, err
+	}
+
+	p.system = p.newSystem(ctx)
+	defer p.system.close()
+
+	pause(ctx, statusSettleTime)
+
+	if err := p.waitReady(ctx); err != nil {
+		return nil, err
+	}
+
+	pause(ctx, settleTime)
+
+	runsBefore, _, err := p.control.runs(ctx)
+	if err != nil {
+		return nil, err
+	}
+
+	cpuBefore, loadBefore := cpuTime(p.options.PIDs), loadAverage()
+
+	if err := p.send(ctx); err != nil {
+		return nil, err
+	}
+
+	cpu := cpuTime(p.options.PIDs) - cpuBefore
+
+	pause(ctx, settleTime)
+
+	runsAfter, byKey, err := p.control.runs(ctx)
+	if err != nil {
+		return nil, err
+	}
+
+	r := p.recorder.result(w, p.name)
+	r.LoadAverageBefore, r.LoadAverageAfter = loadBefore, loadAverage()
+	r.Counts.SearcherRuns = runsAfter - runsBefore
+	countRuns(&r.Counts, p.executes, byKey)
+
+	if p.name == Product && runsAfter > runsBefore {
+		r.CPUMicrosPerSubQuery = float64(cpu.Microseconds()) / float64(runsAfter-runsBefore)
+	}
+
+	p.event("phase_ended", "queries=%d whole=%d p99_us=%d", r.Counts.Queries, r.Counts.Whole, r.Latency.P99)
+
+	return r, nil
+}
+
+func (p *phase) newSystem(ctx context.Context) system {
+	if p.name == Baseline {
+		return newBaseline(ctx, p.options.Workload, p.options.Topology)
+	}
+
+	addresses := []string{p.options.Topology.Balancer}
+
+	if p.options.Direct || addresses[0] == "" {
+		addresses = nil
+		for _, i := range p.options.Topology.Instances {
+			addresses = append(addresses, i.Caller)
+		}
+	}
+
+	return newCallers(addresses, p.options.Workload.Load.Connections)
+}
+
+// waitReady returns once every service gives a whole answer over each
+// connection.
+func (p *phase) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+
+	connections := 1
+	if c, ok := p.system.(*callers); ok {
+		connections = len(c.clients)
+	}
+
+	for _, s := range p.options.Workload.Services {
+		if !s.Rules.Repeatable {
+			continue
+		}
+
+		for n := range connections {
+			if err := p.waitWhole(ctx, s.Name, n); err != nil {
+				return fmt.Errorf("service %s isn't ready: %w", s.Name, err)
+			}
+		}
+	}
+
+	return nil
+}
+
+func (p *phase) waitWhole(ctx context.Context, service string, n int) error {
+	for {
+		resp, err := p.system.search(ctx, n, &pb.SearchRequest{
+			Service: service, Member: p.options.Workload.Load.Members[0].Name, Query: "ready", RequestId: "ready",
+			TimeoutMs: p.options.Workload.Load.TimeoutMS,
+		})
+		if err == nil && len(resp.GetCoverage().GetMissing()) == 0 {
+			return nil
+		}
+
+		if ctx.Err() != nil {
+			return errors.Join(ctx.Err(), err)
+		}
+
+		pause(ctx, readyInterval)
+	}
+}
+
+// send runs the schedule: each request is sent at its time, however late
+// earlier answers are.
+func (p *phase) send(ctx context.Context) error {
+	schedule := newSchedule(p.options.Workload)
+	p.start = time.Now()
+	p.event("phase_started", "requests=%d", len(schedule))
+
+	fctx, stopFaults := context.WithCancel(ctx)
+	defer stopFaults()
+
+	var faults, requests sync.WaitGroup
+
+	for _, f := range p.options.Workload.Faults {
+		faults.Go(func() { p.fault(fctx, f) })
+	}
+
+	for i := range schedule {
+		a := &schedule[i]
+		pause(ctx, time.Until(p.start.Add(a.at)))
+
+		if ctx.Err() != nil {
+			break
+		}
+
+		p.recorder.dispatched(time.Since(p.start.Add(a.at)))
+
+		if a.execute {
+			requests.Go(func() { p.sendExecute(ctx, a) })
+		} else {
+			requests.Go(func() { p.sendSearch(ctx, a) })
+		}
+	}
+
+	requests.Wait()
+	stopFaults()
+	faults.Wait()
+
+	return ctx.Err()
+}
+
+func (p *phase) sendSearch(ctx context.Context, a *arrival) {
+	timeout := p.options.Workload.Load.Timeout()
+
+	ctx, cancel := context.WithDeadline(ctx, p.start.Add(a.at+timeout+answerGrace))
+	defer cancel()
+
+	id := p.name + "-" + strconv.FormatInt(p.start.UnixNano(), 36) + "-" + strconv.Itoa(a.number)
+	want := expectation{requestID: id, service: a.service.Name, query: "query of " + id, shards: a.service.Shards}
+
+	resp, err := p.system.search(ctx, a.number, &pb.SearchRequest{
+		Service: want.service, Member: a.member, Query: want.query, RequestId: id, TimeoutMs: uint32(timeout.Milliseconds()),
+	})
+
+	e := ended{at: a.at, latency: time.Since(p.start.Add(a.at)), shards: a.service.Shards}
+	if err != nil {
+		e.failure = classify(ctx, err)
+	} else {
+		e.problems = check(want, resp)
+		e.included = uint32(len(resp.GetCoverage().GetIncluded()))
+		e.attempts = resp.GetAttempts()
+	}
+
+	p.recorder.query(e)
+}
+
+// sendExecute sends a request under one key until it is answered, a few times
+// at most, each time to another address or connection.
+func (p *phase) sendExecute(ctx context.Context, a *arrival) {
+	key := a.key(p.start.Add(a.at))
+
+	var last *failure
+
+	try := 0
+
+	for ; try <= maxRepeats; try++ {
+		patience := time.Duration(0)
+		if try == 0 {
+			patience = a.patience
+		}
+
+		last = p.tryExecute(ctx, a, key, try, patience)
+		if last == nil {
+			break
+		}
+
+		// The baseline's callers don't repeat, since nothing would keep the
+		// request from running twice; its own retry is counted.
+		if p.name == Baseline || a.patience == 0 {
+			break
+		}
+	}
+
+	p.recorder.execute(a.at, try > 0, last)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.executes = append(p.executes, executed{key: key, last: last})
+}
+
+func (p *phase) tryExecute(ctx context.Context, a *arrival, key string, try int, patience time.Duration) *failure {
+	timeout := p.options.Workload.Load.Timeout()
+	wait := timeout + answerGrace
+
+	if patience > 0 {
+		wait = patience
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+
+	resp, err := p.system.execute(ctx, a.number, try, &pb.ExecuteRequest{
+		Service: a.service.Name, Member: a.member, Key: key, Payload: "payload of " + key,
+		TimeoutMs: uint32(timeout.Milliseconds()),
+	})
+	if err != nil {
+		return classify(ctx, err)
+	}
+
+	if resp.GetKey() != key || resp.GetResult() != key+":done" {
+		p.recorder.wrong(problem{finding: crossed, detail: fmt.Sprintf("key %s got the result %q", key, resp.GetResult())})
+	}
+
+	return nil
+}
+
+// countRuns compares the callers' answers with the searchers' run counts.
+func countRuns(c *Counts, executes []executed, runs map[string]int) {
+	for _, e := range executes {
+		n := runs[e.key]
+		if n > 1 {
+			c.Doubled++
+		}
+
+		// Only the last answer is final: after an earlier one the caller sent
+		// the key again.
+		if n > 0 && e.last != nil && e.last.fate == domain.FateNotRun {
+			c.FalseNotRun++
+		}
+	}
+}
+
+func (p *phase) fault(ctx context.Context, f workload.Fault) {
+	pause(ctx, time.Until(p.start.Add(time.Duration(f.AtMS)*time.Millisecond)))
+
+	if ctx.Err() != nil {
+		return
+	}
+
+	p.event("fault_began", "kind=%s service=%s shard=%d searcher=%d", f.Kind, f.Service, f.Shard, f.Searcher)
+
+	if err := p.control.begin(ctx, f); err != nil {
+		p.event("fault_failed", "kind=%s error=%q", f.Kind, err)
+	}
+
+	if f.ForMS > 0 {
+		pause(ctx, time.Until(p.start.Add(time.Duration(f.AtMS+f.ForMS)*time.Millisecond)))
+	} else {
+		<-ctx.Done()
+	}
+
+	if err := p.control.end(context.WithoutCancel(ctx), f); err != nil {
+		p.event("fault_failed", "kind=%s error=%q", f.Kind, err)
+	}
+
+	p.event("fault_ended", "kind=%s", f.Kind)
+}
+
+// announce tells whoever started the processes about a fault that only they
+// can bring about.
+func (p *phase) announce(f workload.Fault, begin bool) {
+	if begin {
+		p.event("restart_wanted", "kind=%s", f.Kind)
+	}
+}
+
+func (p *phase) event(name, format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	_, _ = fmt.Fprintf(p.log, "event=%s system=%s %s\n", name, p.name, fmt.Sprintf(format, args...))
+}
