--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,136 @@
+// Package placement decides which live instances do what, by rendezvous
+// hashing: who holds a service's searcher connections, who watches the store,
+// who the overlay neighbours of an instance are and who owns a bucket of
+// claims. Instances that know the same live instances decide the same without
+// talking to each other, and few decisions change when one joins or leaves.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"primrosespring.example/internal/domain"
+)
+
+// WatchersPerFailureDomain is how many instances of each failure domain watch
+// the store: one may fail without a gap.
+const WatchersPerFailureDomain = 2
+
+// Set is an immutable set of live instances. The zero value is empty.
+type Set struct {
+	instances []domain.Instance
+	hashes    []uint64
+	index     map[string]int
+	domains   []string
+}
+
+// NewSet returns the set of the given instances; each id counts once.
+func NewSet(instances []domain.Instance) *Set {
+	sorted := slices.Clone(instances)
+	slices.SortFunc(sorted, func(a, b domain.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	sorted = slices.CompactFunc(sorted, func(a, b domain.Instance) bool { return a.ID == b.ID })
+
+	s := &Set{
+		instances: sorted, hashes: make([]uint64, len(sorted)), index: make(map[string]int, len(sorted)),
+	}
+
+	for i, in := range sorted {
+		s.hashes[i] = xxhash.Sum64String(in.ID)
+		s.index[in.ID] = i
+
+		if !slices.Contains(s.domains, in.FailureDomain) {
+			s.domains = append(s.domains, in.FailureDomain)
+		}
+	}
+
+	slices.Sort(s.domains)
+
+	return s
+}
+
+// Len returns the number of instances.
+func (s *Set) Len() int { return len(s.instances) }
+
+// Instances returns the instances by id. The slice must not be changed.
+func (s *Set) Instances() []domain.Instance { return s.instances }
+
+// Instance returns the instance of that id.
+func (s *Set) Instance(id string) (domain.Instance, bool) {
+	i, ok := s.index[id]
+	if !ok {
+		return domain.Instance{}, false
+	}
+
+	return s.instances[i], true
+}
+
+// Owner returns the instance with the highest rank for key, such as the owner
+// of a bucket of claims. It reports false for an empty set.
+func (s *Set) Owner(key string) (domain.Instance, bool) {
+	if len(s.instances) == 0 {
+		return domain.Instance{}, false
+	}
+
+	return s.instances[s.ranked(key, s.all())[0]], true
+}
+
+// Watchers returns the instances that watch the store.
+func (s *Set) Watchers() []domain.Instance {
+	var out []domain.Instance
+
+	for _, d := range s.domains {
+		members := s.inDomain(s.ranked("watch-store", s.all()), d)
+		for _, i := range members[:min(WatchersPerFailureDomain, len(members))] {
+			out = append(out, s.instances[i])
+		}
+	}
+
+	return out
+}
+
+// IsWatcher reports whether instance id watches the store.
+func (s *Set) IsWatcher(id string) bool {
+	return slices.ContainsFunc(s.Watchers(), func(in domain.Instance) bool { return in.ID == id })
+}
+
+func (s *Set) all() []int {
+	out := make([]int, len(s.instances))
+	for i := range out {
+		out[i] = i
+	}
+
+	return out
+}
+
+func (s *Set) inDomain(indices []int, failureDomain string) []int {
+	var out []int
+
+	for _, i := range indices {
+		if s.instances[i].FailureDomain == failureDomain {
+			out = append(out, i)
+		}
+	}
+
+	return out
+}
+
+// ranked sorts indices by their rank for key, highest first.
+func (s *Set) ranked(key string, indices []int) []int {
+	k := xxhash.Sum64String(key)
+	slices.SortFunc(indices, func(a, b int) int {
+		return cmp.Or(cmp.Compare(mix(k, s.hashes[b]), mix(k, s.hashes[a])), cmp.Compare(a, b))
+	})
+
+	return indices
+}
+
+// mix combines two hashes; it is the finalizer of SplitMix64.
+func mix(key, id uint64) uint64 {
+	x := key ^ (id<<23 | id>>41)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+
+	return x ^ x>>31
+}
