claims: add the records that make a request run at most once

A key must be claimed durably before its request is sent, and whoever reads the record must come to the same decision. Buckets of claims decide on batches of idempotent operations: a claim id that is found after a lost answer gets the decision of the lost write, and nothing changes another claim's record. Old claims go by raising a floor taken from the keys' own times, so that no decision depends on a clock.

--- /dev/null
+++ b/internal/claims/bucket.go
@@ -0,0 +1,247 @@
+package claims
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"unicode/utf8"
+
+	"primrosespring.example/internal/domain"
+)
+
+const (
+	// Buckets is the number of stored objects that claims are spread over. It
+	// can't be changed while claims are kept: a key would look unclaimed in its
+	// new bucket.
+	Buckets = 256
+	// MaxAnswerBytes bounds an answer that is kept with its claim.
+	MaxAnswerBytes = 1 << 10
+	// MaxBucketBytes bounds an encoded bucket. It is half of what the store
+	// takes, since each write sends the whole bucket.
+	MaxBucketBytes = 512 << 10
+	// trimmedBucketBytes is the size that a bucket over its bound is cut to, so
+	// that the floor doesn't rise with each further claim.
+	trimmedBucketBytes = MaxBucketBytes / 4 * 3
+	// MaxClaimIDBytes bounds a claim id.
+	MaxClaimIDBytes = 160
+
+	// ObjectKind is the kind of the stored buckets.
+	ObjectKind = "claims"
+
+	// bucketOverheadBytes bounds what a bucket without claims takes, and
+	// claimOverheadBytes the key and punctuation of a claim.
+	bucketOverheadBytes = 128
+	claimOverheadBytes  = keyTextLength + 4
+	// maxFieldsBytes bounds the encoded fields of a claim without the text in
+	// them, and maxEscape what JSON makes of one byte of text.
+	maxFieldsBytes = 224
+	maxEscape      = 6
+)
+
+// ObjectName returns the name of a bucket's object.
+func ObjectName(bucket uint32) string { return fmt.Sprintf("bucket-%03d", bucket) }
+
+// State is how far a claimed request is known to have come.
+type State string
+
+// The states of a claim. Ran and aborted are final.
+const (
+	StateClaimed State = "claimed"
+	StateRan     State = "ran"
+	StateAborted State = "aborted"
+)
+
+// Claim is the record of one key.
+type Claim struct {
+	State State `json:"state"`
+	// ClaimID is unique for each attempt to claim.
+	ClaimID string `json:"claim_id"`
+	// Digest identifies the request that the key was used for.
+	Digest uint64 `json:"digest"`
+	// Answer is nil unless the request ran and its answer is small.
+	Answer   *string          `json:"answer,omitempty"`
+	Snapshot *domain.Snapshot `json:"snapshot,omitempty"`
+}
+
+// Validate reports the first field that can't be accepted.
+func (c Claim) Validate() error {
+	switch c.State {
+	case StateClaimed, StateRan, StateAborted:
+	default:
+		return corrupt("state", "%q is not a state", c.State)
+	}
+
+	switch {
+	case c.ClaimID == "" || len(c.ClaimID) > MaxClaimIDBytes:
+		return corrupt("claim_id", "has %d bytes; must have 1 to %d", len(c.ClaimID), MaxClaimIDBytes)
+	case c.Answer != nil && c.State != StateRan:
+		return corrupt("answer", "is present in state %s", c.State)
+	case c.Answer != nil && len(*c.Answer) > MaxAnswerBytes:
+		return corrupt("answer", "has %d bytes; at most %d are allowed", len(*c.Answer), MaxAnswerBytes)
+	case c.Snapshot != nil && c.State != StateRan:
+		return corrupt("snapshot", "is present in state %s", c.State)
+	}
+
+	return nil
+}
+
+// Bucket is one stored object of claims. It is immutable; the zero value is
+// the bucket that was never written.
+type Bucket struct {
+	// FloorMS is a time in milliseconds since 1970. Claims of keys before it
+	// were dropped; whether such a key ran isn't known, and it never runs again.
+	FloorMS uint64 `json:"floor_ms"`
+	// ExpiryTerm is the highest term of the expiry lease that wrote this bucket.
+	ExpiryTerm uint64        `json:"expiry_term"`
+	Claims     map[Key]Claim `json:"claims"`
+}
+
+// Decode returns the checked bucket in data. Unknown fields are refused, since
+// the next write would drop them.
+func Decode(data []byte) (Bucket, error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+
+	var b Bucket
+	if err := d.Decode(&b); err != nil {
+		return Bucket{}, corrupt("", "%v", err).WithCause(err)
+	}
+
+	if d.More() {
+		return Bucket{}, corrupt("", "more than one JSON value")
+	}
+
+	return b, b.Validate()
+}
+
+// Validate reports the first claim that can't be accepted.
+func (b Bucket) Validate() error {
+	for k, c := range b.Claims {
+		if err := c.Validate(); err != nil {
+			return domain.InField("claims."+k.String(), err)
+		}
+
+		if k.UnixMilli() < b.FloorMS {
+			return corrupt("claims."+k.String(), "is below the floor %d", b.FloorMS)
+		}
+	}
+
+	return nil
+}
+
+// Encode returns the stored form.
+func (b Bucket) Encode() ([]byte, error) {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return nil, corrupt("", "encode: %v", err).WithCause(err)
+	}
+
+	return data, nil
+}
+
+// withFloor returns a copy without the claims before floor.
+func (b Bucket) withFloor(floor uint64) Bucket {
+	b.FloorMS = max(b.FloorMS, floor)
+	b.Claims = maps.Clone(b.Claims)
+	maps.DeleteFunc(b.Claims, func(k Key, _ Claim) bool { return k.UnixMilli() < b.FloorMS })
+
+	return b
+}
+
+// Expire returns a copy without the claims before cutoffMS, written under term,
+// and whether it differs from b. The floor rises to just above the newest claim
+// dropped and no further, so that a wrong clock can't shut out keys that are
+// newer than every claim. A term below the highest one seen is refused.
+func (b Bucket) Expire(term, cutoffMS uint64) (Bucket, bool, error) {
+	if term < b.ExpiryTerm {
+		return Bucket{}, false, domain.Errorf(domain.FateNotRun, domain.CodeConflict, "expire claims",
+			"term %d has lapsed; the bucket was written under term %d", term, b.ExpiryTerm)
+	}
+
+	floor := b.FloorMS
+
+	for k := range b.Claims {
+		if t := k.UnixMilli(); t < cutoffMS {
+			floor = max(floor, t+1)
+		}
+	}
+
+	if floor == b.FloorMS && term == b.ExpiryTerm {
+		return b, false, nil
+	}
+
+	next := b.withFloor(floor)
+	next.ExpiryTerm = term
+
+	return next, true, nil
+}
+
+// oversized reports whether the encoded bucket may exceed MaxBucketBytes. The
+// exact size is computed only near the bound, since that encodes every claim.
+func (b Bucket) oversized() bool {
+	n := bucketOverheadBytes
+
+	for _, c := range b.Claims {
+		n += claimOverheadBytes + maxFieldsBytes + maxEscape*len(c.ClaimID)
+		if c.Answer != nil {
+			n += maxEscape * len(*c.Answer)
+		}
+	}
+
+	return n > MaxBucketBytes && b.sizeBound() > MaxBucketBytes
+}
+
+// sizeBound returns an upper bound of the encoded size.
+func (b Bucket) sizeBound() int {
+	n := bucketOverheadBytes
+	for _, c := range b.Claims {
+		n += c.encodedBytes()
+	}
+
+	return n
+}
+
+// trimFloor returns the floor at which b is cut to trimmedBucketBytes.
+func (b Bucket) trimFloor() uint64 {
+	keys := slices.SortedFunc(maps.Keys(b.Claims), func(x, y Key) int { return bytes.Compare(x[:], y[:]) })
+	size, floor := b.sizeBound(), b.FloorMS
+
+	for _, k := range keys {
+		if size <= trimmedBucketBytes {
+			break
+		}
+
+		size -= b.Claims[k].encodedBytes()
+		floor = k.UnixMilli() + 1
+	}
+
+	return floor
+}
+
+func (c Claim) encodedBytes() int {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return MaxBucketBytes // Can't happen: every field has a JSON form.
+	}
+
+	return len(data) + claimOverheadBytes
+}
+
+// smallAnswer returns the answer to keep, or nil if it is too large or would
+// be changed by JSON.
+func smallAnswer(answer string) *string {
+	if len(answer) > MaxAnswerBytes || !utf8.ValidString(answer) {
+		return nil
+	}
+
+	return &answer
+}
+
+func corrupt(field, format string, args ...any) *domain.Error {
+	e := domain.Errorf(domain.FateUnknown, domain.CodeInvalid, "decode claims", format, args...)
+	e.Field = field
+
+	return e
+}
--- /dev/null
+++ b/internal/claims/operation.go
@@ -0,0 +1,205 @@
+package claims
+
+import (
+	"maps"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Kind is what an operation does.
+type Kind uint8
+
+// The kinds of operations.
+const (
+	// ClaimKey asks for the right to send the request.
+	ClaimKey Kind = iota
+	// RecordRan notes that the request ran.
+	RecordRan
+	// AbortKey makes sure that the request never runs.
+	AbortKey
+)
+
+// String returns the name used in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case ClaimKey:
+		return "claim"
+	case RecordRan:
+		return "record"
+	case AbortKey:
+		return "abort"
+	}
+
+	return "invalid"
+}
+
+// Operation is a change to one claim. Applying it again has no further effect,
+// however often and however late that happens.
+type Operation struct {
+	Kind    Kind
+	Key     Key
+	ClaimID string
+	Digest  uint64
+	// Answer and Snapshot are those of the run, for RecordRan.
+	Answer   string
+	Snapshot domain.Snapshot
+}
+
+// Outcome is what an operation led to.
+type Outcome uint8
+
+const (
+	// Undecided is the zero value; no operation leads to it.
+	Undecided Outcome = iota
+	// Granted means that the claim is this operation's: its claimer, and nobody
+	// else ever, may send the request.
+	Granted
+	// Held means that another claimer has the claim and no end is recorded.
+	Held
+	// Ran means that the request ran; for RecordRan, that this is recorded.
+	Ran
+	// Aborted means that the request didn't run and never will.
+	Aborted
+	// BelowFloor means that records as old as the key were dropped.
+	BelowFloor
+	// OtherRequest means that the key was used for another request.
+	OtherRequest
+)
+
+// String returns the name used in logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case Granted:
+		return "granted"
+	case Held:
+		return "held"
+	case Ran:
+		return "ran"
+	case Aborted:
+		return "aborted"
+	case BelowFloor:
+		return "below_floor"
+	case OtherRequest:
+		return "other_request"
+	case Undecided:
+	}
+
+	return "undecided"
+}
+
+// Result is the decision on one operation.
+type Result struct {
+	Outcome Outcome
+	// Claim is the record as it is after the operation; it is empty below the
+	// floor.
+	Claim Claim
+}
+
+// Apply merges a batch of operations, in order, into one new bucket. It
+// returns the decisions and whether the new bucket differs from b. A decision
+// holds once the new bucket is stored, or at once if it doesn't differ.
+//
+// After a lost answer the same batch is applied to what is read back: an
+// operation that finds its own claim id there gets the decision that the lost
+// write made.
+func (b Bucket) Apply(ops []Operation) (Bucket, []Result, bool) {
+	next, results, changed := b.apply(ops)
+
+	// The floor rises before the batch is applied again, so that a claim that
+	// the new floor drops isn't granted.
+	for changed && next.oversized() {
+		b = b.withFloor(next.trimFloor())
+		next, results, _ = b.apply(ops)
+	}
+
+	return next, results, changed
+}
+
+func (b Bucket) apply(ops []Operation) (Bucket, []Result, bool) {
+	next := b
+	next.Claims = maps.Clone(b.Claims)
+
+	if next.Claims == nil {
+		next.Claims = make(map[Key]Claim, len(ops))
+	}
+
+	results := make([]Result, len(ops))
+	changed := false
+
+	for i, op := range ops {
+		c, write := Claim{}, false
+
+		results[i].Outcome = BelowFloor
+		if op.Key.UnixMilli() >= b.FloorMS {
+			old, exists := next.Claims[op.Key]
+			results[i].Outcome, c, write = op.decide(old, exists)
+			results[i].Claim = c
+		}
+
+		if write {
+			next.Claims[op.Key] = c
+			changed = true
+		}
+	}
+
+	return next, results, changed
+}
+
+// decide returns the outcome of o for a key with the record old, the record
+// afterwards, and whether that must be written. No record of another claim id
+// is ever changed.
+func (o Operation) decide(old Claim, exists bool) (Outcome, Claim, bool) {
+	if !exists {
+		return o.create()
+	}
+
+	if old.Digest != o.Digest {
+		return OtherRequest, old, false
+	}
+
+	if old.State == StateClaimed && old.ClaimID == o.ClaimID {
+		switch o.Kind {
+		case RecordRan:
+			return Ran, o.ran(), true
+		case AbortKey:
+			return Aborted, o.aborted(), true
+		case ClaimKey:
+			return Granted, old, false
+		}
+	}
+
+	switch old.State {
+	case StateRan:
+		return Ran, old, false
+	case StateAborted:
+		return Aborted, old, false
+	case StateClaimed:
+	}
+
+	return Held, old, false
+}
+
+// create decides for a key without a record. A record of a run is written even
+// then: what was read may be older than the claim, and the conditional write
+// finds that out.
+func (o Operation) create() (Outcome, Claim, bool) {
+	switch o.Kind {
+	case RecordRan:
+		return Ran, o.ran(), true
+	case AbortKey:
+		return Aborted, o.aborted(), true
+	case ClaimKey:
+	}
+
+	return Granted, Claim{State: StateClaimed, ClaimID: o.ClaimID, Digest: o.Digest}, true
+}
+
+func (o Operation) ran() Claim {
+	s := o.Snapshot
+
+	return Claim{State: StateRan, ClaimID: o.ClaimID, Digest: o.Digest, Answer: smallAnswer(o.Answer), Snapshot: &s}
+}
+
+func (o Operation) aborted() Claim {
+	return Claim{State: StateAborted, ClaimID: o.ClaimID, Digest: o.Digest}
+}
