execute: run requests that must not be repeated

Requests of this kind were refused. The executor claims the key, sends one attempt and records its end in the background; only a searcher's typed word that it didn't run the request allows another attempt. A worker expires old claims under a lease. Operations on one bucket share a conditional write.

--- /dev/null
+++ b/primrosed/internal/execute/batcher.go
@@ -0,0 +1,429 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/primrosed/internal/platform"
+)
+
+const (
+	// gatherWait is how long a bucket's first operation waits for others.
+	gatherWait = 2 * time.Millisecond
+	// lazyWait is how long an operation that nobody waits for may be held back
+	// to share a write with a claim.
+	lazyWait = 200 * time.Millisecond
+	// conflictWait bounds the random wait after a lost race for a bucket, for
+	// each race lost in a row.
+	conflictWait = 2 * time.Millisecond
+	// readBackWait bounds the random wait before a lost answer is looked up.
+	readBackWait = 10 * time.Millisecond
+	// maxCachedBytes bounds a bucket that is kept in memory between writes, and
+	// so all of them to 8 MB as they are stored.
+	maxCachedBytes = 32 << 10
+	// maxPending bounds the operations that wait for one bucket.
+	maxPending = 1024
+)
+
+// Store reads and writes the platform's objects.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, kind, name string, version uint64, value []byte) (uint64, error)
+}
+
+// batcher applies operations to buckets. While one write of a bucket is in
+// flight, it gathers the bucket's further operations for the next write.
+type batcher struct {
+	log    zerolog.Logger
+	store  Store
+	jitter func(limit time.Duration) time.Duration
+	queues [claims.Buckets]queue
+}
+
+func newBatcher(log zerolog.Logger, store Store, jitter func(time.Duration) time.Duration) *batcher {
+	b := &batcher{log: log, store: store, jitter: jitter}
+	for i := range b.queues {
+		b.queues[i] = queue{batcher: b, bucket: uint32(i), urgent: make(chan struct{}, 1)}
+	}
+
+	return b
+}
+
+// submit applies op and returns the decision once it is durable. The fate of an
+// error is FateNotRun if the operation wasn't sent to the store and won't be,
+// and FateUnknown if it may have taken or may still take effect. A lazy
+// operation may be held back.
+func (b *batcher) submit(ctx context.Context, op claims.Operation, lazy bool) (claims.Result, error) {
+	q := &b.queues[op.Key.Bucket()]
+	w := &waiting{op: op, lazy: lazy, done: make(chan struct{})}
+	w.deadline, _ = ctx.Deadline()
+
+	if err := q.add(w); err != nil { //nolint:contextcheck // The flush serves several requests, each with its deadline.
+		return claims.Result{}, err
+	}
+
+	select {
+	case <-w.done:
+		return w.result, w.err
+	case <-ctx.Done():
+	}
+
+	if q.remove(w) {
+		return claims.Result{}, claimError(domain.FateNotRun, domain.CodeDeadline, ctx.Err())
+	}
+
+	select {
+	case <-w.done:
+		return w.result, w.err
+	default:
+		return claims.Result{}, claimError(domain.FateUnknown, domain.CodeDeadline, ctx.Err())
+	}
+}
+
+// hurry ends the holding back of lazy operations.
+func (b *batcher) hurry() {
+	for i := range b.queues {
+		b.queues[i].hurry()
+	}
+}
+
+// waiting is an operation until its end. result and err are set before done is
+// closed.
+type waiting struct {
+	op       claims.Operation
+	lazy     bool
+	deadline time.Time // Zero if there is none.
+	done     chan struct{}
+	result   claims.Result
+	err      error
+}
+
+func (w *waiting) finish(r claims.Result, err error) {
+	w.result, w.err = r, err
+	close(w.done)
+}
+
+// queue holds the operations of one bucket. At most one goroutine works on it,
+// and it ends when nothing is left.
+type queue struct {
+	batcher *batcher
+	bucket  uint32
+	// urgent has an element when an operation came that isn't held back.
+	urgent chan struct{}
+
+	mu      sync.Mutex // Guards pending and running.
+	pending []*waiting
+	running bool
+
+	// cached and version are the bucket last written or read; only the working
+	// goroutine uses them. Version 0 means that nothing is cached.
+	cached  claims.Bucket
+	version uint64
+}
+
+func (q *queue) add(w *waiting) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if len(q.pending) >= maxPending {
+		return claimError(domain.FateNotRun, domain.CodeOverloaded, errors.New("too many operations wait for the bucket"))
+	}
+
+	q.pending = append(q.pending, w)
+
+	if !w.lazy {
+		q.hurry()
+	}
+
+	if !q.running {
+		q.running = true
+
+		go q.work()
+	}
+
+	return nil
+}
+
+func (q *queue) hurry() {
+	select {
+	case q.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// remove takes w off the queue and reports whether it was still there.
+func (q *queue) remove(w *waiting) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for i, p := range q.pending {
+		if p == w {
+			q.pending = append(q.pending[:i:i], q.pending[i+1:]...)
+
+			return true
+		}
+	}
+
+	return false
+}
+
+func (q *queue) work() {
+	for {
+		q.gather()
+
+		batch := q.take()
+		if len(batch) == 0 {
+			return
+		}
+
+		metrics.GetOrCreateHistogram("primrosed_claim_batch_size").Update(float64(len(batch)))
+		q.flush(batch)
+	}
+}
+
+// gather waits for operations to share the next write.
+func (q *queue) gather() {
+	held := time.NewTimer(lazyWait)
+	defer held.Stop()
+
+	select {
+	case <-q.urgent:
+		time.Sleep(gatherWait)
+	case <-held.C:
+	}
+}
+
+// take empties the queue. If it was empty, the working goroutine must end.
+func (q *queue) take() []*waiting {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	batch := q.pending
+	q.pending = nil
+	q.running = len(batch) > 0
+
+	return batch
+}
+
+// flush makes the batch durable in one conditional write, or finds out that it
+// already is. After a lost answer it reads back until it knows or until every
+// operation's time is over.
+func (q *queue) flush(batch []*waiting) {
+	ctx, cancel := flushContext(batch)
+	defer cancel()
+
+	f := flushing{queue: q, batch: batch}
+	for !f.try(ctx) {
+	}
+}
+
+// flushContext ends with the last operation that somebody waits for; lazy ones
+// count only in a batch of their own, so that they don't keep claims waiting.
+func flushContext(batch []*waiting) (context.Context, context.CancelFunc) {
+	var last, lastLazy time.Time
+
+	for _, w := range batch {
+		switch {
+		case w.lazy && w.deadline.After(lastLazy):
+			lastLazy = w.deadline
+		case !w.lazy && w.deadline.After(last):
+			last = w.deadline
+		}
+	}
+
+	if last.IsZero() {
+		last = lastLazy
+	}
+
+	if last.IsZero() {
+		return context.WithCancel(context.Background())
+	}
+
+	return context.WithDeadline(context.Background(), last)
+}
+
+// flushing is the state of one flush.
+type flushing struct {
+	queue *queue
+	batch []*waiting
+	// uncertain is set once a write's answer was lost.
+	uncertain bool
+	conflicts int
+}
+
+// try makes one attempt and reports whether the flush is over.
+func (f *flushing) try(ctx context.Context) bool {
+	q := f.queue
+
+	fresh, err := q.load(ctx)
+	if err != nil {
+		return f.failed(ctx, err)
+	}
+
+	next, results, changed := q.cached.Apply(f.operations())
+	if !changed {
+		if !fresh {
+			q.version = 0 // Another instance may have recorded more.
+
+			return false
+		}
+
+		f.finish(results)
+
+		return true
+	}
+
+	data, err := next.Encode()
+	if err != nil {
+		return f.failed(ctx, err)
+	}
+
+	version, err := q.batcher.store.Put(ctx, claims.ObjectKind, claims.ObjectName(q.bucket), q.version, data)
+	if err != nil {
+		return f.failed(ctx, err)
+	}
+
+	q.cached, q.version = next, version
+	if len(data) > maxCachedBytes {
+		q.cached, q.version = claims.Bucket{}, 0
+	}
+
+	f.finish(results)
+
+	return true
+}
+
+// failed decides how to go on after err.
+func (f *flushing) failed(ctx context.Context, err error) bool {
+	f.queue.cached, f.queue.version = claims.Bucket{}, 0
+
+	fate, code := fateOf(err)
+	wait := readBackWait
+
+	switch {
+	case code == domain.CodeConflict && ctx.Err() == nil:
+		f.conflicts++
+		wait = conflictWait * time.Duration(f.conflicts)
+	case fate == domain.FateUnknown:
+		f.uncertain = true
+	}
+
+	if code != domain.CodeConflict {
+		f.queue.failPending(err)
+	}
+
+	if ctx.Err() != nil || (code != domain.CodeConflict && !f.uncertain) {
+		f.fail(err)
+
+		return true
+	}
+
+	f.queue.batcher.log.Debug().Str("event", "claim_write_again").Uint32("bucket", f.queue.bucket).
+		Bool("uncertain", f.uncertain).Str("code", string(code)).Err(err).Send()
+
+	sleep(ctx, f.queue.batcher.jitter(wait))
+
+	return false
+}
+
+func (f *flushing) operations() []claims.Operation {
+	ops := make([]claims.Operation, len(f.batch))
+	for i, w := range f.batch {
+		ops[i] = w.op
+	}
+
+	return ops
+}
+
+func (f *flushing) finish(results []claims.Result) {
+	for i, w := range f.batch {
+		w.finish(results[i], nil)
+	}
+}
+
+func (f *flushing) fail(err error) {
+	fate := domain.FateNotRun
+	if f.uncertain {
+		fate = domain.FateUnknown
+	}
+
+	for _, w := range f.batch {
+		w.finish(claims.Result{}, claimError(fate, domain.CodeStoreUnavailable, err))
+	}
+}
+
+// failPending refuses the claims that wait behind a flush that can't reach the
+// store, so that they needn't wait for its end. They weren't sent.
+func (q *queue) failPending(err error) {
+	q.mu.Lock()
+	pending := q.pending
+	q.pending = nil
+	q.mu.Unlock()
+
+	for _, w := range pending {
+		w.finish(claims.Result{}, claimError(domain.FateNotRun, domain.CodeStoreUnavailable, err))
+	}
+}
+
+// load reads the bucket unless it is cached, and reports whether it was read
+// now.
+func (q *queue) load(ctx context.Context) (bool, error) {
+	if q.version > 0 {
+		return false, nil
+	}
+
+	o, err := q.batcher.store.Get(ctx, claims.ObjectKind, claims.ObjectName(q.bucket))
+	if err != nil {
+		return false, err
+	}
+
+	q.cached, q.version = claims.Bucket{}, o.Version
+	if o.Version == 0 {
+		return true, nil
+	}
+
+	q.cached, err = claims.Decode(o.Value)
+
+	return true, err
+}
+
+// claimError is the error of an operation that didn't come to a decision.
+func claimError(fate domain.Fate, code domain.Code, cause error) error {
+	var e *domain.Error
+	if errors.As(cause, &e) && e.Code == domain.CodeRateLimited {
+		code = e.Code
+	}
+
+	return &domain.Error{
+		Fate: fate, Code: code, Step: "claim key", Peer: "platform",
+		Message: "the key's claim couldn't be settled", Cause: cause,
+	}
+}
+
+// fateOf returns the fate and code of err; an error that isn't a domain.Error
+// has the fate unknown.
+func fateOf(err error) (domain.Fate, domain.Code) {
+	var e *domain.Error
+	if !errors.As(err, &e) {
+		return domain.FateUnknown, domain.CodeInternal
+	}
+
+	return e.Fate, e.Code
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/primrosed/internal/execute/executor.go
@@ -0,0 +1,311 @@
+// Package execute runs requests that must not be repeated: it claims the key in
+// the platform's store, sends one attempt to one searcher of the key's shard,
+// and records how that ended.
+package execute
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	mathrand "math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/routing"
+)
+
+const (
+	// minSendTime is the time left below which no attempt is sent.
+	minSendTime = 2 * time.Millisecond
+	// maxKeyLead is how far a key's time may be ahead of this instance's clock.
+	// Claims of later keys would never expire, and dropping them for their size
+	// would raise the floor above the present.
+	maxKeyLead = 5 * time.Minute
+	nonceBytes = 8
+)
+
+// Searchers sends attempts.
+type Searchers interface {
+	Run(ctx context.Context, sr *domain.Searcher, req *pb.RunRequest) (*pb.RunResponse, error)
+}
+
+// Router chooses the searcher of an attempt.
+type Router interface {
+	Choose(now time.Time, r routing.Request) (routing.Choice, bool)
+	Release(now time.Time, searcher string, outcome routing.Outcome, latency time.Duration, load *routing.Load)
+}
+
+// Snapshots says which snapshot a request is pinned to, and who holds it.
+type Snapshots interface {
+	Choose(service *domain.Service) (domain.Snapshot, bool)
+	Holds(service string, shard uint32, searcher string, s domain.Snapshot) bool
+}
+
+// ForwardFunc sends an operation to the owner of its bucket and returns the
+// owner's decision. The fate of an error is FateNotRun only if the owner didn't
+// apply the operation and won't.
+type ForwardFunc func(ctx context.Context, op claims.Operation) (claims.Result, error)
+
+// Forwarder knows the owners of buckets. Owners save writes; they aren't needed
+// for safety, and two instances that both believe to own a bucket do no harm.
+type Forwarder interface {
+	// Owner reports whether this instance owns the bucket; otherwise forward
+	// reaches the owner.
+	Owner(bucket uint32) (self bool, forward ForwardFunc)
+}
+
+// Local is the Forwarder of an instance that owns every bucket.
+type Local struct{}
+
+// Owner implements Forwarder.
+func (Local) Owner(uint32) (bool, ForwardFunc) { return true, nil }
+
+// Options are what an executor depends on.
+type Options struct {
+	Log       zerolog.Logger
+	Instance  domain.Instance
+	Store     Store
+	Searchers Searchers
+	Router    Router
+	Snapshots Snapshots
+	// Forwarder defaults to Local.
+	Forwarder Forwarder
+	// Jitter returns a random duration from zero up to limit.
+	Jitter func(limit time.Duration) time.Duration
+}
+
+// Executor implements caller.Executor. It is safe for concurrent use.
+type Executor struct {
+	options  Options
+	batcher  *batcher
+	recorder *recorder
+	prefix   string
+	next     atomic.Uint64
+
+	mu      sync.Mutex // Guards open and stopped.
+	open    sync.WaitGroup
+	stopped bool
+}
+
+// New returns an executor; Close ends it.
+func New(o Options) *Executor {
+	if o.Forwarder == nil {
+		o.Forwarder = Local{}
+	}
+
+	if o.Jitter == nil {
+		o.Jitter = func(limit time.Duration) time.Duration { return mathrand.N(limit + 1) }
+	}
+
+	x := &Executor{options: o, prefix: processID(o.Instance.ID) + "-", batcher: newBatcher(o.Log, o.Store, o.Jitter)}
+	x.recorder = newRecorder(o.Log, o.Jitter, x.route)
+
+	return x
+}
+
+// processID returns a name that no other process has, not even a later one of
+// the same instance.
+func processID(instance string) string {
+	var nonce [nonceBytes]byte
+
+	_, _ = rand.Read(nonce[:])
+
+	return instance + "-" + hex.EncodeToString(nonce[:])
+}
+
+// Close refuses new requests, waits for open ones and until their ends are
+// recorded, or until ctx ends.
+func (x *Executor) Close(ctx context.Context) error {
+	x.mu.Lock()
+	x.stopped = true
+	x.mu.Unlock()
+
+	finished := make(chan struct{})
+
+	go func() {
+		x.open.Wait()
+		close(finished)
+	}()
+
+	select {
+	case <-finished:
+	case <-ctx.Done():
+	}
+
+	x.batcher.hurry()
+
+	return x.recorder.close(ctx)
+}
+
+// Apply applies an operation as the owner of its bucket, for another instance.
+func (x *Executor) Apply(ctx context.Context, op claims.Operation) (claims.Result, error) {
+	return x.batcher.submit(ctx, op, op.Kind == claims.RecordRan)
+}
+
+// Execute runs a request at most once, whoever sends its key. Errors are
+// domain.Error. The request goes on to its deadline when the caller leaves, so
+// that its end is known when the key is repeated.
+//
+// The fate of an error speaks of this request. FateNotRun with the code
+// store_unavailable says that this request wasn't sent; it says nothing about
+// an earlier request with the same key.
+func (x *Executor) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	start := time.Now()
+
+	if !x.enter() {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "execute", "the instance is stopping")
+	}
+	defer x.open.Done()
+
+	r, err := x.newRun(cfg, req)
+	if err != nil {
+		x.count(nil, err)
+
+		return nil, err
+	}
+
+	ctx, cancel := withoutCancel(ctx, r.timeout(req))
+	defer cancel()
+
+	resp, err := r.run(ctx)
+	x.count(resp, err)
+
+	if err != nil {
+		return nil, err
+	}
+
+	resp.ElapsedUs = uint64(time.Since(start).Microseconds())
+
+	return resp, nil
+}
+
+func (x *Executor) enter() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if x.stopped {
+		return false
+	}
+
+	x.open.Add(1)
+
+	return true
+}
+
+func (x *Executor) newRun(cfg *domain.Configuration, req *pb.ExecuteRequest) (*run, error) {
+	svc, ok := cfg.Service(req.GetService())
+	if !ok {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "execute", "service %q doesn't exist", req.GetService())
+	}
+
+	if !svc.Rules.NonRepeatable {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "execute",
+			"service %s takes only repeatable requests", svc.Name)
+	}
+
+	key, err := claims.ParseKey(req.GetKey())
+	if err != nil {
+		return nil, err
+	}
+
+	// Another instance's clock may have let the key pass, so the fate is open.
+	if lead := time.Until(time.UnixMilli(int64(key.UnixMilli()))); lead > maxKeyLead {
+		e := domain.Errorf(domain.FateUnknown, domain.CodeInvalid, "check", "the time in the key is %s ahead", lead.Round(time.Second))
+		e.Field = "key"
+
+		return nil, e
+	}
+
+	shard := key.Shard(len(svc.PartitionMap.Shards))
+
+	return &run{
+		executor: x, cfg: cfg, svc: svc, shard: &svc.PartitionMap.Shards[shard],
+		op: claims.Operation{
+			Key: key, ClaimID: x.prefix + strconv.FormatUint(x.next.Add(1), 36),
+			Digest: claims.Digest(svc.Name, req.GetPayload()),
+		},
+		payload: req.GetPayload(),
+	}, nil
+}
+
+// route applies an operation at the owner of its bucket. If the owner doesn't
+// decide, the operation is applied here: it has the same claim id, so that it
+// finds what the owner may have written.
+func (x *Executor) route(ctx context.Context, op claims.Operation, lazy bool) (claims.Result, error) {
+	self, forward := x.options.Forwarder.Owner(op.Key.Bucket())
+	if self {
+		return x.batcher.submit(ctx, op, lazy)
+	}
+
+	result, ferr := forward(ctx, op)
+	if ferr == nil {
+		return result, nil
+	}
+
+	x.options.Log.Warn().Str("event", "claim_forward_failed").Str("key", op.Key.String()).Err(ferr).Send()
+
+	result, err := x.batcher.submit(ctx, op, lazy)
+	if err == nil {
+		return result, nil
+	}
+
+	if fate, _ := fateOf(ferr); fate != domain.FateNotRun {
+		return claims.Result{}, claimError(domain.FateUnknown, domain.CodeStoreUnavailable, err)
+	}
+
+	return claims.Result{}, err
+}
+
+func (x *Executor) count(resp *pb.ExecuteResponse, err error) {
+	outcome := "ran"
+
+	switch fate, code := fateOf(err); {
+	case err != nil:
+		outcome = fateLabel(fate) + `",code="` + string(code)
+	case resp.GetReplayed():
+		outcome = "replayed"
+	}
+
+	metrics.GetOrCreateCounter(`primrosed_executions_total{outcome="` + outcome + `"}`).Inc()
+}
+
+func fateLabel(f domain.Fate) string {
+	switch f {
+	case domain.FateNotRun:
+		return "not_run"
+	case domain.FateRan:
+		return "ran_earlier"
+	case domain.FateUnknown:
+	}
+
+	return "unknown"
+}
+
+// withoutCancel returns a context with the deadline of ctx, at most timeout
+// from now, that doesn't end when ctx is cancelled.
+func withoutCancel(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
+func asError(err error) *domain.Error {
+	var e *domain.Error
+	if errors.As(err, &e) {
+		return e
+	}
+
+	return domain.Errorf(domain.FateUnknown, domain.CodeInternal, "execute", "%v", err).WithCause(err)
+}
--- /dev/null
+++ b/primrosed/internal/execute/expiry.go
@@ -0,0 +1,213 @@
+package execute
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/lease"
+)
+
+const (
+	// Retention is how long claims are kept at least, by the time in their keys,
+	// unless a bucket reaches its size bound.
+	Retention = 24 * time.Hour
+	// expiryStep is the time between two buckets: at most four calls a second.
+	expiryStep = 500 * time.Millisecond
+	// walkInterval is the time between two walks over all buckets.
+	walkInterval = 10 * time.Minute
+	// expiryDuty is the name of the lease.
+	expiryDuty = "claim-expiry"
+)
+
+// Expirer drops old claims while it holds the lease for that. Every bucket it
+// visits is marked with its term, so that a predecessor that was paused can't
+// change the bucket any more.
+type Expirer struct {
+	log    zerolog.Logger
+	store  Store
+	jitter func(limit time.Duration) time.Duration
+	keeper *lease.Keeper
+	// next is the bucket to visit at due.
+	next uint32
+	due  time.Time
+}
+
+// NewExpirer returns a worker that isn't running. Jitter returns a random
+// duration from zero up to limit.
+func NewExpirer(log zerolog.Logger, instance domain.Instance, store Store, jitter func(limit time.Duration) time.Duration) *Expirer {
+	return &Expirer{log: log, store: store, jitter: jitter, keeper: lease.NewKeeper(processID(instance.ID))}
+}
+
+// Run works until ctx ends and then gives up the lease.
+func (e *Expirer) Run(ctx context.Context) {
+	// Instances that start together don't read the lease together.
+	observe := time.Now().Add(e.jitter(lease.ObserveInterval))
+
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !now.Before(observe) {
+			observe = now.Add(e.observe(ctx))
+		}
+
+		if !now.Before(e.due) {
+			e.visit(ctx)
+		}
+
+		wake := observe
+		if _, held := e.keeper.Term(time.Now()); held && e.due.Before(wake) {
+			wake = e.due
+		}
+
+		sleep(ctx, max(time.Until(wake), time.Millisecond))
+	}
+
+	e.release(context.WithoutCancel(ctx))
+}
+
+// observe reads the lease, takes or renews it if that is due, and returns the
+// time until the next observation.
+func (e *Expirer) observe(ctx context.Context) time.Duration {
+	o, err := e.store.Get(ctx, lease.ObjectKind, expiryDuty)
+	if err != nil {
+		return e.leaseFailed("read lease", err)
+	}
+
+	var stored lease.Lease
+	if o.Version > 0 {
+		if stored, err = lease.Decode(o.Value); err != nil {
+			return e.leaseFailed("read lease", err)
+		}
+	}
+
+	start := time.Now()
+
+	next, write := e.keeper.Decide(start, stored)
+	if !write {
+		return lease.ObserveInterval
+	}
+
+	if err := e.put(ctx, o.Version, next); err != nil {
+		return e.leaseFailed("write lease", err)
+	}
+
+	if next.Term != stored.Term {
+		e.next, e.due = 0, start
+		e.log.Info().Str("event", "lease_taken").Str("duty", expiryDuty).Uint64("term", next.Term).Send()
+	}
+
+	e.keeper.Written(start, next)
+
+	return lease.RenewInterval
+}
+
+func (e *Expirer) put(ctx context.Context, version uint64, l lease.Lease) error {
+	data, err := l.Encode()
+	if err != nil {
+		return err
+	}
+
+	_, err = e.store.Put(ctx, lease.ObjectKind, expiryDuty, version, data)
+
+	return err
+}
+
+func (e *Expirer) leaseFailed(step string, err error) time.Duration {
+	e.log.Warn().Str("event", "lease_failed").Str("duty", expiryDuty).Str("step", step).Err(err).Send()
+
+	return lease.RenewInterval/2 + e.jitter(lease.RenewInterval/2)
+}
+
+// visit expires the next bucket if the lease is held.
+func (e *Expirer) visit(ctx context.Context) {
+	term, held := e.keeper.Term(time.Now())
+	if !held {
+		return
+	}
+
+	e.due = time.Now().Add(expiryStep)
+
+	err := e.expire(ctx, e.next, term)
+	_, code := fateOf(err)
+
+	switch {
+	case err == nil:
+		e.next++
+	case code == domain.CodeConflict:
+		// A claim was written meanwhile, or the term has lapsed; the next visit
+		// reads the bucket and the lease again.
+		e.log.Info().Str("event", "expiry_conflict").Uint32("bucket", e.next).Uint64("term", term).Err(err).Send()
+	default:
+		e.log.Warn().Str("event", "expiry_failed").Uint32("bucket", e.next).Uint64("term", term).Err(err).Send()
+
+		e.due = time.Now().Add(expiryStep + e.jitter(lease.RenewInterval))
+	}
+
+	if e.next >= claims.Buckets {
+		e.next, e.due = 0, time.Now().Add(walkInterval)
+		e.log.Info().Str("event", "expiry_walked").Uint64("term", term).Send()
+	}
+}
+
+func (e *Expirer) expire(ctx context.Context, bucket uint32, term uint64) error {
+	name := claims.ObjectName(bucket)
+
+	o, err := e.store.Get(ctx, claims.ObjectKind, name)
+	if err != nil {
+		return err
+	}
+
+	var b claims.Bucket
+	if o.Version > 0 {
+		if b, err = claims.Decode(o.Value); err != nil {
+			return err
+		}
+	}
+
+	next, changed, err := b.Expire(term, uint64(max(time.Now().Add(-Retention).UnixMilli(), 0)))
+	if err != nil || !changed {
+		return err
+	}
+
+	data, err := next.Encode()
+	if err != nil {
+		return err
+	}
+
+	if _, err := e.store.Put(ctx, claims.ObjectKind, name, o.Version, data); err != nil {
+		return err
+	}
+
+	dropped := len(b.Claims) - len(next.Claims)
+	metrics.GetOrCreateCounter("primrosed_claims_expired_total").Add(dropped)
+	e.log.Info().Str("event", "bucket_expired").Uint32("bucket", bucket).Uint64("term", term).
+		Int("dropped", dropped).Uint64("floor_ms", next.FloorMS).Send()
+
+	return nil
+}
+
+// release gives up the lease, so that a successor needn't wait for its lapse.
+func (e *Expirer) release(ctx context.Context) {
+	l, held := e.keeper.Release(time.Now())
+	if !held {
+		return
+	}
+
+	o, err := e.store.Get(ctx, lease.ObjectKind, expiryDuty)
+	if err != nil {
+		return
+	}
+
+	stored, err := lease.Decode(o.Value)
+	if err != nil || stored.Term != l.Term || stored.Holder == "" {
+		return
+	}
+
+	if err := e.put(ctx, o.Version, l); err == nil {
+		e.log.Info().Str("event", "lease_released").Str("duty", expiryDuty).Uint64("term", l.Term).Send()
+	}
+}
--- /dev/null
+++ b/primrosed/internal/execute/recorder.go
@@ -0,0 +1,148 @@
+package execute
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/claims"
+)
+
+const (
+	// recordLimit is how long a record is tried to be written. After it the
+	// key stays claimed, and a repeated key is answered as unknown.
+	recordLimit = 2 * time.Minute
+	// recordTry bounds one attempt.
+	recordTry     = 5 * time.Second
+	minRecordWait = 50 * time.Millisecond
+	maxRecordWait = 5 * time.Second
+	// maxRecords bounds the records that aren't written yet. Each may hold an
+	// answer; one that doesn't fit is dropped, and its key stays claimed.
+	maxRecords = 4096
+)
+
+// recorder writes, in the background, how claimed requests ended.
+type recorder struct {
+	log    zerolog.Logger
+	apply  func(ctx context.Context, op claims.Operation, lazy bool) (claims.Result, error)
+	jitter func(limit time.Duration) time.Duration
+	ctx    context.Context //nolint:containedctx // The life of the background work.
+	cancel context.CancelFunc
+
+	mu      sync.Mutex // Guards open, closing and the closing of idle.
+	open    int
+	closing bool
+	idle    chan struct{} // Closed when closing and nothing is open.
+	once    sync.Once     // Closes idle.
+}
+
+func newRecorder(log zerolog.Logger, jitter func(time.Duration) time.Duration,
+	apply func(context.Context, claims.Operation, bool) (claims.Result, error),
+) *recorder {
+	ctx, cancel := context.WithCancel(context.Background())
+
+	return &recorder{log: log, apply: apply, jitter: jitter, ctx: ctx, cancel: cancel, idle: make(chan struct{})}
+}
+
+// add writes op as soon as the store allows. It doesn't wait.
+func (r *recorder) add(op claims.Operation) {
+	r.mu.Lock()
+	full := r.open >= maxRecords
+
+	if !full {
+		r.open++
+	}
+	r.mu.Unlock()
+
+	if full {
+		r.dropped(op, nil)
+
+		return
+	}
+
+	go func() {
+		defer r.end()
+
+		r.write(op)
+	}()
+}
+
+// close waits until everything is written or ctx ends, and gives up the rest.
+// What is added after it is dropped.
+func (r *recorder) close(ctx context.Context) error {
+	r.mu.Lock()
+	r.closing = true
+
+	r.checkIdle()
+	r.mu.Unlock()
+
+	defer r.cancel()
+
+	select {
+	case <-r.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *recorder) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.open--
+	r.checkIdle()
+}
+
+// checkIdle needs the lock.
+func (r *recorder) checkIdle() {
+	if r.closing && r.open == 0 {
+		r.once.Do(func() { close(r.idle) })
+	}
+}
+
+func (r *recorder) stopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.closing
+}
+
+func (r *recorder) write(op claims.Operation) {
+	limit, cancel := context.WithTimeout(r.ctx, recordLimit)
+	defer cancel()
+
+	for wait := minRecordWait; ; wait = min(2*wait, maxRecordWait) {
+		result, err := r.try(limit, op)
+		if err == nil {
+			r.log.Info().Str("event", "claim_settled").Str("key", op.Key.String()).Str("claim_id", op.ClaimID).
+				Str("kind", op.Kind.String()).Str("outcome", result.Outcome.String()).Send()
+
+			return
+		}
+
+		if limit.Err() != nil {
+			r.dropped(op, err)
+
+			return
+		}
+
+		sleep(limit, r.jitter(wait))
+	}
+}
+
+func (r *recorder) try(ctx context.Context, op claims.Operation) (claims.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTry)
+	defer cancel()
+
+	return r.apply(ctx, op, !r.stopping())
+}
+
+func (r *recorder) dropped(op claims.Operation, err error) {
+	metrics.GetOrCreateCounter(`primrosed_claim_records_dropped_total{kind="` + op.Kind.String() + `"}`).Inc()
+	r.log.Error().Str("event", "claim_record_dropped").Str("key", op.Key.String()).Str("claim_id", op.ClaimID).
+		Str("kind", op.Kind.String()).Err(err).Send()
+}
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"math/rand/v2"
+	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
@@ -12,6 +14,7 @@
 	"primrosespring.example/internal/snapshot"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
+	"primrosespring.example/primrosed/internal/execute"
 	"primrosespring.example/primrosed/internal/operator"
 	"primrosespring.example/primrosed/internal/platform"
 	"primrosespring.example/primrosed/internal/query"
@@ -30,9 +33,13 @@
 		func() *snapshot.Table { return &snapshot.Table{} },
 		func() *searcher.Pool { return &searcher.Pool{} },
 		func() *balancer.Health { return &balancer.Health{} },
-		func() *platform.Client { return platform.NewClient(s.PlatformAddress) },
+		func() *platform.Client {
+			return platform.NewClientWithOptions(platform.Options{Address: s.PlatformAddress, Jitter: jitter})
+		},
 		newRunner,
 		newPoller,
+		newExecutor,
+		newExpirer,
 		newCallerHandler,
 		newOperatorHandler,
 		operator.NewWatcher,
@@ -65,8 +72,21 @@
 	return query.NewPoller(log, p, h, st)
 }
 
-func newCallerHandler(h *configuration.Holder, r *query.Runner) *caller.Handler {
-	return caller.NewHandler(h, r, r)
+func newExecutor(log zerolog.Logger, s settings.Settings, c *platform.Client, p *searcher.Pool, rt *routing.Table, st *snapshot.Table) *execute.Executor {
+	return execute.New(execute.Options{
+		Log: log, Instance: s.Instance(), Store: c, Searchers: p, Router: rt, Snapshots: st, Jitter: jitter,
+	})
+}
+
+func newExpirer(log zerolog.Logger, s settings.Settings, c *platform.Client) *execute.Expirer {
+	return execute.NewExpirer(log, s.Instance(), c, jitter)
+}
+
+// jitter returns a random duration from zero up to limit.
+func jitter(limit time.Duration) time.Duration { return rand.N(limit + 1) }
+
+func newCallerHandler(h *configuration.Holder, r *query.Runner, x *execute.Executor) *caller.Handler {
+	return caller.NewHandler(h, r, x)
 }
 
 func newOperatorHandler(log zerolog.Logger, h *configuration.Holder, p *platform.Client) *operator.Handler {
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -18,6 +18,7 @@
 	"primrosespring.example/internal/logline"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
+	"primrosespring.example/primrosed/internal/execute"
 	"primrosespring.example/primrosed/internal/operator"
 	"primrosespring.example/primrosed/internal/query"
 	"primrosespring.example/primrosed/internal/searcher"
@@ -41,13 +42,17 @@
 	watcher  *operator.Watcher
 	poller   *query.Poller
 	pool     *searcher.Pool
+	executor *execute.Executor
+	expirer  *execute.Expirer
 }
 
 func newInstance(log zerolog.Logger, logs *logline.Writer, s settings.Settings, h *balancer.Health,
 	c *caller.Handler, o *operator.Handler, w *operator.Watcher, p *query.Poller, pool *searcher.Pool,
+	x *execute.Executor, e *execute.Expirer,
 ) *Instance {
 	return &Instance{
 		log: log, logs: logs, settings: s, health: h, caller: c, operator: o, watcher: w, poller: p, pool: pool,
+		executor: x, expirer: e,
 	}
 }
 
@@ -67,6 +72,7 @@
 	var wg sync.WaitGroup
 
 	wg.Go(func() { i.poller.Run(background) })
+	wg.Go(func() { i.expirer.Run(background) })
 	wg.Go(func() { i.watcher.Run(background, i.storeBackoff(background)) })
 
 	i.log.Info().Str("event", "started").Str("caller_address", i.settings.CallerAddress).Send()
@@ -85,6 +91,10 @@
 		}
 	}
 
+	if err := i.executor.Close(shutdown); err != nil {
+		i.log.Error().Str("event", "stop_incomplete").Err(err).Send()
+	}
+
 	stop()
 	wg.Wait()
 	i.pool.Close()
