primrosefake/platform: meter, limit, fail and lag as asked

Tests of control need a store that is down, hangs, is slow, loses the answers of writes or returns older versions, a list of instances that lags, and the calls that each instance makes. Every write also woke every watch; a watch is now woken by its own object only.

A misspelt fault is refused, so that it doesn't pass for one. The load command still sends {"down": true} and must send {"mode": "down"}.

--- a/primrosefake/internal/command/platform.go
+++ b/primrosefake/internal/command/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
@@ -10,7 +11,11 @@
 )
 
 func platformCommand(c *dig.Container) *cobra.Command {
-	var address string
+	var (
+		address string
+		lag     time.Duration
+		limits  platform.Limits
+	)
 
 	cmd := &cobra.Command{
 		Use: "platform", Short: "Run the platform's object API", Args: cobra.NoArgs,
@@ -19,11 +24,19 @@
 				ctx, stop := untilSignal()
 				defer stop()
 
-				return serve(ctx, out, "platform", address, platform.NewServer().Handler())
+				s := platform.NewServer()
+				s.SetListLag(lag)
+				s.SetLimits(limits)
+
+				return serve(ctx, out, "platform", address, s.Handler())
 			})
 		},
 	}
-	cmd.Flags().StringVar(&address, "address", "127.0.0.1:7000", "IP address and port to listen on")
+	f := cmd.Flags()
+	f.StringVar(&address, "address", "127.0.0.1:7000", "IP address and port to listen on")
+	f.DurationVar(&lag, "list-lag", 0, "how late a change of the list of instances is seen")
+	f.IntVar(&limits.ReadsPerS, "reads-per-second", 0, "limit on reads and watches; 0 for none")
+	f.IntVar(&limits.WritesPerS, "writes-per-second", 0, "limit on writes; 0 for none")
 
 	return cmd
 }
--- /dev/null
+++ b/primrosefake/internal/platform/faults.go
@@ -0,0 +1,209 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Mode says how the platform answers.
+type Mode string
+
+// The modes of the platform.
+const (
+	ModeUp Mode = "up"
+	// ModeDown answers calls with the status 503 and drops waiting watches.
+	ModeDown Mode = "down"
+	// ModeRefuse closes the connection of each call without an answer.
+	ModeRefuse Mode = "refuse"
+	// ModeHang never answers.
+	ModeHang Mode = "hang"
+	// ModeSlow delays each call by DelayMS.
+	ModeSlow Mode = "slow"
+	// ModeLoseWriteAnswers applies a write and then drops the connection.
+	ModeLoseWriteAnswers Mode = "lose_write_answers"
+)
+
+// Stale says which calls may return an older version.
+type Stale string
+
+// The kinds of stale answers.
+const (
+	StaleNone    Stale = ""
+	StaleReads   Stale = "reads"
+	StaleWatches Stale = "watches"
+	StaleAll     Stale = "all"
+)
+
+// Faults are the failures that the control API switches. Each PUT replaces
+// them all.
+type Faults struct {
+	Mode Mode `json:"mode"`
+	// Share is the share of calls that the mode is applied to; 0 means all.
+	Share   float64 `json:"share"`
+	DelayMS float64 `json:"delay_ms"`
+	Stale   Stale   `json:"stale"`
+	// StaleShare is the share of the answers that are stale; 0 means all.
+	StaleShare float64 `json:"stale_share"`
+	Seed       uint64  `json:"seed"`
+}
+
+func (f *Faults) validate() error {
+	switch f.Mode {
+	case ModeUp, ModeDown, ModeRefuse, ModeHang, ModeSlow, ModeLoseWriteAnswers:
+	default:
+		return fmt.Errorf("mode %q is unknown", f.Mode)
+	}
+
+	switch f.Stale {
+	case StaleNone, StaleReads, StaleWatches, StaleAll:
+	default:
+		return fmt.Errorf("stale %q is unknown", f.Stale)
+	}
+
+	if f.Share < 0 || f.Share > 1 || f.StaleShare < 0 || f.StaleShare > 1 || f.DelayMS < 0 {
+		return fmt.Errorf("share %v, stale_share %v or delay_ms %v is out of range", f.Share, f.StaleShare, f.DelayMS)
+	}
+
+	return nil
+}
+
+// faults applies the faults in force.
+type faults struct {
+	mu      sync.Mutex // Guards all below.
+	current Faults
+	rand    *rand.Rand
+	replace chan struct{} // Closed when the faults are replaced.
+}
+
+func (f *faults) set(v Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.current = v
+	f.rand = rand.New(rand.NewPCG(v.Seed, 0))
+
+	if f.replace != nil {
+		close(f.replace)
+	}
+
+	f.replace = make(chan struct{})
+}
+
+func (f *faults) changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.replace
+}
+
+// draw returns the mode of one call.
+func (f *faults) draw() (Mode, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.current.Mode == ModeUp || !f.chance(f.current.Share) {
+		return ModeUp, 0
+	}
+
+	return f.current.Mode, time.Duration(f.current.DelayMS * float64(time.Millisecond))
+}
+
+// chance draws whether one of share happens. The caller holds f.mu.
+func (f *faults) chance(share float64) bool {
+	return share == 0 || f.rand.Float64() < share
+}
+
+// before applies the mode to a call that has come in and reports whether it may
+// go on.
+func (f *faults) before(w http.ResponseWriter, r *http.Request) bool {
+	switch mode, delay := f.draw(); mode {
+	case ModeDown:
+		http.Error(w, "the platform is down", http.StatusServiceUnavailable)
+
+		return false
+	case ModeRefuse:
+		panic(http.ErrAbortHandler)
+	case ModeHang:
+		hang(r)
+	case ModeSlow:
+		t := time.NewTimer(delay)
+		defer t.Stop()
+
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+		}
+	case ModeUp, ModeLoseWriteAnswers:
+	}
+
+	return true
+}
+
+// interrupt applies the mode to a waiting watch.
+func (f *faults) interrupt(r *http.Request) {
+	f.mu.Lock()
+	mode := f.current.Mode
+	f.mu.Unlock()
+
+	switch mode {
+	case ModeDown, ModeRefuse:
+		panic(http.ErrAbortHandler)
+	case ModeHang:
+		hang(r)
+	case ModeUp, ModeSlow, ModeLoseWriteAnswers:
+	}
+}
+
+// afterWrite drops the connection of a write whose answer is to be lost.
+func (f *faults) afterWrite() {
+	f.mu.Lock()
+	lost := f.current.Mode == ModeLoseWriteAnswers && f.chance(f.current.Share)
+	f.mu.Unlock()
+
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// choose returns the newest of versions, or an older one for a stale answer of
+// kind.
+func (f *faults) choose(versions []version, kind Stale) version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	older := len(versions) - 1
+	if older < 1 || (f.current.Stale != kind && f.current.Stale != StaleAll) || !f.chance(f.current.StaleShare) {
+		return newest(versions)
+	}
+
+	return versions[f.rand.IntN(older)]
+}
+
+// hang never answers a call; it ends when the caller gives up.
+func hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !decode(w, r, &f) {
+		return
+	}
+
+	if f.Mode == "" {
+		f.Mode = ModeUp
+	}
+
+	if err := f.validate(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	s.faults.set(f)
+	writeJSON(w, f)
+}
--- /dev/null
+++ b/primrosefake/internal/platform/instances.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// instanceList is a list whose changes become visible after a lag. Its zero
+// value is an empty list without a lag.
+type instanceList struct {
+	mu      sync.Mutex // Guards all below.
+	lag     time.Duration
+	visible map[string]json.RawMessage
+	version uint64
+	pending []listChange // In the order in which they become visible.
+}
+
+type listChange struct {
+	at    time.Time
+	id    string
+	value json.RawMessage // Nil for a deletion.
+}
+
+func (l *instanceList) change(id string, value json.RawMessage, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	at := now.Add(l.lag)
+	// A lag that was shortened doesn't change the order.
+	if n := len(l.pending); n > 0 && at.Before(l.pending[n-1].at) {
+		at = l.pending[n-1].at
+	}
+
+	l.pending = append(l.pending, listChange{at, id, value})
+}
+
+// list returns the visible entries in the order of their ids, and the list's
+// version.
+func (l *instanceList) list(now time.Time) ([]json.RawMessage, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.visible == nil {
+		l.visible = make(map[string]json.RawMessage)
+		l.version = 1
+	}
+
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		c := l.pending[0]
+		l.pending = l.pending[1:]
+		l.version++
+
+		if c.value == nil {
+			delete(l.visible, c.id)
+		} else {
+			l.visible[c.id] = c.value
+		}
+	}
+
+	entries := make([]json.RawMessage, 0, len(l.visible))
+	for _, id := range slices.Sorted(maps.Keys(l.visible)) {
+		entries = append(entries, l.visible[id])
+	}
+
+	return entries, l.version
+}
+
+// SetListLag sets how long a later change of the list of instances stays
+// invisible.
+func (s *Server) SetListLag(lag time.Duration) {
+	s.instances.mu.Lock()
+	defer s.instances.mu.Unlock()
+
+	s.instances.lag = lag
+}
+
+func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
+	entries, number := s.instances.list(time.Now())
+
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(number, 10)))
+	writeJSON(w, struct {
+		Instances []json.RawMessage `json:"instances"`
+	}{entries})
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	if err != nil || !json.Valid(value) {
+		http.Error(w, "body is not JSON", http.StatusBadRequest)
+
+		return
+	}
+
+	s.instances.change(chi.URLParam(r, "id"), value, time.Now())
+}
+
+func (s *Server) deleteInstance(_ http.ResponseWriter, r *http.Request) {
+	s.instances.change(chi.URLParam(r, "id"), nil, time.Now())
+}
+
+func (s *Server) putList(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		LagMS float64 `json:"lag_ms"`
+	}
+	if decode(w, r, &body) {
+		s.SetListLag(time.Duration(body.LagMS * float64(time.Millisecond)))
+		writeJSON(w, body)
+	}
+}
--- a/primrosefake/internal/platform/server.go
+++ b/primrosefake/internal/platform/server.go
@@ -1,5 +1,7 @@
 // Package platform is a stand-in for the platform: an object API with
-// versions, conditional updates and watches, and a list of instances.
+// versions, conditional updates and watches, and a list of instances that lags.
+// It meters its callers, may limit their rate, and fails as its control API
+// asks.
 package platform
 
 import (
@@ -18,60 +20,102 @@
 const (
 	maxValueBytes    = 1 << 20
 	maxWatchDuration = 30 * time.Second
+	// pastVersions is how many replaced versions of an object a stale read can
+	// return.
+	pastVersions = 4
 )
 
-// Server keeps its objects in memory.
+// Server keeps its objects in memory. It is safe for concurrent use.
 type Server struct {
-	mu        sync.Mutex // Guards all below.
-	objects   map[string]object
-	instances map[string]json.RawMessage
-	changed   chan struct{}
+	meter     meter
+	limits    limits
+	faults    faults
+	instances instanceList
+
+	mu      sync.Mutex // Guards objects.
+	objects map[string]*object
 }
 
 type object struct {
-	version uint64
-	value   []byte
+	versions []version // The newest is last.
+	changed  chan struct{}
+}
+
+type version struct {
+	number uint64 // 0 if the object doesn't exist.
+	value  []byte
 }
 
 // NewServer returns an empty platform.
 func NewServer() *Server {
-	return &Server{
-		objects: make(map[string]object), instances: make(map[string]json.RawMessage), changed: make(chan struct{}),
-	}
+	s := &Server{objects: make(map[string]*object)}
+	s.faults.set(Faults{Mode: ModeUp})
+
+	return s
 }
 
-// Handler serves the object API.
+// Handler serves the object API and the control API.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/v1/objects/{kind}/{name}", s.get)
-	r.Put("/v1/objects/{kind}/{name}", s.put)
-	r.Get("/v1/instances", s.listInstances)
+	r.Put("/v1/objects/{kind}/{name}", s.call(callWrite, s.put))
+	r.Get("/v1/instances", s.call(callRead, s.listInstances))
+
+	r.Get("/fake/meter", s.getMeter)
+	r.Delete("/fake/meter", s.resetMeter)
+	r.Put("/fake/faults", s.putFaults)
+	r.Put("/fake/limits", s.putLimits)
+	r.Put("/fake/list", s.putList)
 	r.Put("/fake/instances/{id}", s.putInstance)
+	r.Delete("/fake/instances/{id}", s.deleteInstance)
 
 	return r
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	key := chi.URLParam(r, "kind") + "/" + chi.URLParam(r, "name")
+// call returns a handler that meters a call, limits its rate and applies the
+// faults before next.
+func (s *Server) call(kind callKind, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		done := s.meter.begin(kind, r.Header.Get("X-Instance"), time.Now())
+		defer done()
+
+		if !s.limits.allow(kind) {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "rate limit is exceeded", http.StatusTooManyRequests)
+
+			return
+		}
+
+		if s.faults.before(w, r) {
+			next(w, r)
+		}
+	}
+}
 
-	after := r.URL.Query().Get("watch_after")
-	if after == "" {
-		s.mu.Lock()
-		o := s.objects[key]
-		s.mu.Unlock()
-		writeObject(w, o, http.StatusNotFound)
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch_after") {
+		s.call(callWatch, s.watch)(w, r)
 
 		return
 	}
 
-	version, err := strconv.ParseUint(after, 10, 64)
+	s.call(callRead, func(w http.ResponseWriter, r *http.Request) {
+		past, _ := s.read(objectKey(r))
+		writeVersion(w, s.faults.choose(past, StaleReads), http.StatusNotFound)
+	})(w, r)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+
+	after, err := strconv.ParseUint(q.Get("watch_after"), 10, 64)
 	if err != nil {
 		http.Error(w, "watch_after is not a version", http.StatusBadRequest)
 
 		return
 	}
 
-	timeout, err := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	timeout, err := strconv.Atoi(q.Get("timeout_ms"))
 	if err != nil {
 		http.Error(w, "timeout_ms is not a number", http.StatusBadRequest)
 
@@ -81,33 +125,56 @@
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(timeout)*time.Millisecond, maxWatchDuration))
 	defer cancel()
 
-	writeObject(w, s.wait(ctx, key, version), http.StatusNotModified)
+	past := s.wait(ctx, r, objectKey(r), after)
+	writeVersion(w, s.faults.choose(past, StaleWatches), http.StatusNotModified)
 }
 
-// wait returns the object once its version is above after, or an empty one
-// when ctx ends.
-func (s *Server) wait(ctx context.Context, key string, after uint64) object {
+// wait returns the versions of the object once the newest is above after, or
+// none when ctx ends.
+func (s *Server) wait(ctx context.Context, r *http.Request, key string, after uint64) []version {
 	for {
-		s.mu.Lock()
-		o, changed := s.objects[key], s.changed
-		s.mu.Unlock()
+		failed := s.faults.changed()
+		s.faults.interrupt(r)
 
-		if o.version > after {
-			return o
+		past, changed := s.read(key)
+		if newest(past).number > after {
+			return past
 		}
 
 		select {
 		case <-ctx.Done():
-			return object{}
+			return nil
 		case <-changed:
+		case <-failed:
 		}
 	}
 }
 
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	key := chi.URLParam(r, "kind") + "/" + chi.URLParam(r, "name")
+// read returns the versions of an object that are kept, and what is closed when
+// it changes.
+func (s *Server) read(key string) ([]version, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-	version, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	o := s.object(key)
+
+	return o.versions, o.changed
+}
+
+// object returns the object of a key, which may have no version yet. The caller
+// holds s.mu.
+func (s *Server) object(key string) *object {
+	o, ok := s.objects[key]
+	if !ok {
+		o = &object{changed: make(chan struct{})}
+		s.objects[key] = o
+	}
+
+	return o
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
 	if err != nil {
 		http.Error(w, "If-Match is not a version", http.StatusBadRequest)
 
@@ -121,60 +188,80 @@
 		return
 	}
 
+	number, ok := s.replace(objectKey(r), expected, value)
+
+	s.faults.afterWrite()
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(number, 10)))
+
+	if !ok {
+		s.meter.conflict()
+		http.Error(w, "version has changed", http.StatusPreconditionFailed)
+	}
+}
+
+// replace stores value if the object is at version expected. It returns the
+// version that the object has afterwards.
+func (s *Server) replace(key string, expected uint64, value []byte) (uint64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	o := s.objects[key]
-	if o.version != version {
-		w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.version, 10)))
-		http.Error(w, "version has changed", http.StatusPreconditionFailed)
+	o := s.object(key)
 
-		return
+	number := newest(o.versions).number
+	if number != expected {
+		return number, false
 	}
 
-	o = object{version: version + 1, value: value}
-	s.objects[key] = o
-	close(s.changed)
-	s.changed = make(chan struct{})
+	kept := o.versions[max(0, len(o.versions)-pastVersions):]
+	// A new slice, since readers use the old one.
+	o.versions = append(append(make([]version, 0, len(kept)+1), kept...), version{number + 1, value})
+	close(o.changed)
+	o.changed = make(chan struct{})
 
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.version, 10)))
+	return number + 1, true
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	list := make([]json.RawMessage, 0, len(s.instances))
-
-	for _, i := range s.instances {
-		list = append(list, i)
+func newest(versions []version) version {
+	if len(versions) == 0 {
+		return version{}
 	}
-	s.mu.Unlock()
 
-	w.Header().Set("ETag", `"1"`)
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list})
+	return versions[len(versions)-1]
 }
 
-func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
-	if err != nil || !json.Valid(value) {
-		http.Error(w, "body is not JSON", http.StatusBadRequest)
+func objectKey(r *http.Request) string {
+	return chi.URLParam(r, "kind") + "/" + chi.URLParam(r, "name")
+}
+
+func writeVersion(w http.ResponseWriter, v version, missing int) {
+	if v.number == 0 {
+		w.WriteHeader(missing)
 
 		return
 	}
 
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.number, 10)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(v.value)
+}
 
-	s.instances[chi.URLParam(r, "id")] = value
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
 }
 
-func writeObject(w http.ResponseWriter, o object, missing int) {
-	if o.version == 0 {
-		w.WriteHeader(missing)
+// decode reads the body of a control call and reports whether it could; if it
+// couldn't, it has answered. A member that isn't known is refused, so that a
+// misspelt fault doesn't pass for one.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	d.DisallowUnknownFields()
 
-		return
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return false
 	}
 
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.version, 10)))
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(o.value)
+	return true
 }
