primrosefake/faultproxy: add TCP links that delay, lose, hold and break

Each direction of a connection is a queue of pieces with delivery times, so a delay doesn't limit the throughput.

--- a/primrosefake/internal/command/command.go
+++ b/primrosefake/internal/command/command.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,7 +19,13 @@
 	"go.uber.org/dig"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout     = 5 * time.Second
+	defaultControlAddress = "127.0.0.1:0"
+	// collectorPercent trades memory for CPU: the live heap of a stand-in is
+	// small, so the default collects very often.
+	collectorPercent = 400
+)
 
 // Main runs the command line and returns the exit code.
 func Main(c *dig.Container, args []string, stdout, stderr io.Writer) int {
@@ -27,7 +36,8 @@
 	}
 
 	root := &cobra.Command{Use: "primrosefake", Short: "Stand-ins for primrosespring", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(platformCommand(c), searcherCommand(c), searchersCommand(c), workloadCommand(c), loadCommand(c))
+	root.AddCommand(platformCommand(c), searcherCommand(c), searchersCommand(c),
+		faultproxyCommand(c), workloadCommand(c), loadCommand(c))
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -46,6 +56,35 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// readFile decodes a JSON file.
+func readFile(name string, v any) error {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+
+	if err := json.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+
+	return nil
+}
+
+// collectLess sets the collector's target unless the environment sets it.
+func collectLess() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+}
+
+func orDefault(controlAddress string) string {
+	if controlAddress == "" {
+		return defaultControlAddress
+	}
+
+	return controlAddress
+}
+
 // serve runs an HTTP server, with and without HTTP/2, until ctx ends. It writes
 // a line that names the role and the address once it listens.
 func serve(ctx context.Context, out io.Writer, role, address string, h http.Handler) error {
--- /dev/null
+++ b/primrosefake/internal/faultproxy/alarm_linux.go
@@ -0,0 +1,40 @@
+package faultproxy
+
+import (
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// fdAlarm is an alarm on a timer of the kernel. It becomes readable at its time
+// and so wakes the poller then, without the poller's rounding to milliseconds.
+type fdAlarm struct {
+	file *os.File
+	fd   int
+}
+
+func newAlarm() (alarm, error) {
+	fd, err := unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
+	if err != nil {
+		return nil, os.NewSyscallError("timerfd_create", err)
+	}
+
+	return &fdAlarm{os.NewFile(uintptr(fd), "timerfd"), fd}, nil
+}
+
+func (a *fdAlarm) set(at time.Time) {
+	// A value of 0 would stop the timer.
+	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(max(int64(time.Until(at)), 1))}
+	_ = unix.TimerfdSettime(a.fd, 0, &spec, nil)
+}
+
+func (a *fdAlarm) wait() bool {
+	var expirations [8]byte
+
+	_, err := a.file.Read(expirations[:])
+
+	return err == nil
+}
+
+func (a *fdAlarm) close() { _ = a.file.Close() }
--- /dev/null
+++ b/primrosefake/internal/faultproxy/alarm_other.go
@@ -0,0 +1,5 @@
+//go:build !linux
+
+package faultproxy
+
+func newAlarm() (alarm, error) { return newTimerAlarm(), nil }
