primrosefake/balancer: spread connections over ready instances

Callers reach the instances through the platform's balancer, which this TCP stand-in is. It polls /readyz of each backend every 200 ms, sends new connections to ready ones in turn and never cuts an open one.

--- /dev/null
+++ b/primrosefake/internal/balancer/balancer.go
@@ -0,0 +1,273 @@
+// Package balancer is a stand-in for the platform's balancer: it spreads TCP
+// connections over the backends that say they are ready. It never cuts a
+// connection, so a caller that keeps one stays at its backend.
+package balancer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	pollInterval = 200 * time.Millisecond
+	pollTimeout  = 500 * time.Millisecond
+	dialTimeout  = time.Second
+)
+
+// Backend is one instance behind the balancer.
+type Backend struct {
+	ID string `json:"id"`
+	// Address takes the connections.
+	Address string `json:"address"`
+	// Health serves /readyz.
+	Health string `json:"health"`
+}
+
+// Validate reports the first field that is missing.
+func (b *Backend) Validate() error {
+	if b.ID == "" || b.Address == "" || b.Health == "" {
+		return fmt.Errorf("backend %q: id, address and health must be given", b.ID)
+	}
+
+	return nil
+}
+
+// File lists the backends.
+type File struct {
+	Backends []Backend `json:"backends"`
+}
+
+// Status is one backend in the answer of GET /fake/backends.
+type Status struct {
+	Backend
+	Ready       bool `json:"ready"`
+	Connections int  `json:"connections"`
+	Total       int  `json:"total"`
+}
+
+// Balancer spreads connections. It is safe for concurrent use.
+type Balancer struct {
+	ready func(b Backend) bool
+	dial  func(b Backend) (net.Conn, error)
+
+	mu       sync.Mutex // Guards all below.
+	backends []*state
+	next     int
+}
+
+type state struct {
+	Backend
+	ready       bool
+	connections int
+	total       int
+	removed     chan struct{} // Closed when the backend is taken off the list.
+}
+
+// New returns a balancer without backends.
+func New() *Balancer {
+	client := &http.Client{Timeout: pollTimeout}
+
+	return &Balancer{
+		ready: func(b Backend) bool { return askReady(client, b.Health) },
+		dial: func(b Backend) (net.Conn, error) {
+			return net.DialTimeout("tcp", b.Address, dialTimeout)
+		},
+	}
+}
+
+// SetBackends replaces the list. A backend that stays keeps its state; the
+// connections of one that goes stay open.
+func (b *Balancer) SetBackends(list []Backend) error {
+	seen := make(map[string]bool)
+
+	for i := range list {
+		if err := list[i].Validate(); err != nil {
+			return err
+		}
+
+		if seen[list[i].ID] {
+			return fmt.Errorf("backend %q: id is used twice", list[i].ID)
+		}
+
+		seen[list[i].ID] = true
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	old := make(map[Backend]*state, len(b.backends))
+	for _, s := range b.backends {
+		old[s.Backend] = s
+	}
+
+	b.backends = make([]*state, 0, len(list))
+
+	for _, v := range list {
+		s := old[v]
+		delete(old, v)
+
+		if s == nil {
+			s = &state{Backend: v, removed: make(chan struct{})}
+
+			go b.poll(s)
+		}
+
+		b.backends = append(b.backends, s)
+	}
+
+	for _, s := range old {
+		close(s.removed)
+	}
+
+	return nil
+}
+
+// Serve spreads the connections that l accepts until it is closed.
+func (b *Balancer) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+
+		if err != nil {
+			return err
+		}
+
+		go b.serve(c)
+	}
+}
+
+// Statuses lists the backends.
+func (b *Balancer) Statuses() []Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	list := make([]Status, 0, len(b.backends))
+	for _, s := range b.backends {
+		list = append(list, Status{s.Backend, s.ready, s.connections, s.total})
+	}
+
+	return list
+}
+
+// serve passes a caller's connection to the next ready backend that takes it.
+func (b *Balancer) serve(caller net.Conn) {
+	defer func() { _ = caller.Close() }()
+
+	for range len(b.Statuses()) {
+		s := b.pick()
+		if s == nil {
+			return
+		}
+
+		backend, err := b.dial(s.Backend)
+		if err != nil {
+			b.leave(s, false)
+
+			continue
+		}
+
+		relay(caller, backend)
+		b.leave(s, true)
+
+		return
+	}
+}
+
+// pick counts a connection at the next ready backend; nil if none is ready.
+func (b *Balancer) pick() *state {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for range b.backends {
+		s := b.backends[b.next%len(b.backends)]
+		b.next++
+
+		if s.ready {
+			s.connections++
+			s.total++
+
+			return s
+		}
+	}
+
+	return nil
+}
+
+// leave ends the count of a connection. One that the backend didn't take makes
+// it not ready until the next poll.
+func (b *Balancer) leave(s *state, taken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	s.connections--
+
+	if !taken {
+		s.total--
+		s.ready = false
+	}
+}
+
+// poll asks a backend whether it is ready until it is removed.
+func (b *Balancer) poll(s *state) {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+
+	for {
+		ready := b.ready(s.Backend)
+
+		b.mu.Lock()
+		s.ready = ready
+		b.mu.Unlock()
+
+		select {
+		case <-t.C:
+		case <-s.removed:
+			return
+		}
+	}
+}
+
+func askReady(client *http.Client, address string) bool {
+	resp, err := client.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	_, _ = io.Copy(io.Discard, resp.Body)
+
+	return resp.StatusCode == http.StatusOK
+}
+
+// relay copies between both ends until both directions have ended.
+func relay(caller, backend net.Conn) {
+	defer func() { _ = backend.Close() }()
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { copyOne(backend, caller) })
+	wg.Go(func() { copyOne(caller, backend) })
+	wg.Wait()
+}
+
+// copyOne copies one direction and passes its end on. After an error both ends
+// are closed, since the other direction would wait for good.
+func copyOne(to, from net.Conn) {
+	_, err := io.Copy(to, from)
+
+	if half, ok := to.(interface{ CloseWrite() error }); ok && err == nil {
+		_ = half.CloseWrite()
+
+		return
+	}
+
+	_ = to.Close()
+	_ = from.Close()
+}
