--- /dev/null
+++ b/primrosefake/internal/fleet/usage.go
@@ -0,0 +1,251 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"primrosespring.example/primrosefake/internal/workload"
+)
+
+const (
+	// clockTick is the unit of the CPU times in /proc/PID/stat on Linux.
+	clockTick       = 10 * time.Millisecond
+	kibibyte        = 1024
+	maxMetricsBytes = 4 << 20
+	// controlBytesPrefix begins the names of the counters of bytes that
+	// instances exchange for control.
+	controlBytesPrefix = "primrosed_control_bytes_total"
+)
+
+// Usage is what one instance spent on average, and the highest of any.
+type Usage struct {
+	Instances int     `json:"instances"`
+	Seconds   float64 `json:"seconds"`
+	// CPUPercent is in percent of one core.
+	CPUPercent    float64 `json:"cpu_percent"`
+	MaxCPUPercent float64 `json:"max_cpu_percent"`
+	// MemoryMB is the resident set, in megabytes of 1,000,000 bytes.
+	MemoryMB    float64 `json:"memory_mb"`
+	MaxMemoryMB float64 `json:"max_memory_mb"`
+	// ControlBytesPerSecond counts bytes sent and received between instances.
+	ControlBytesPerSecond    float64 `json:"control_bytes_per_second"`
+	MaxControlBytesPerSecond float64 `json:"max_control_bytes_per_second"`
+	// StoreCallsPerSecond is that of the whole fleet.
+	StoreCallsPerSecond float64 `json:"store_calls_per_second"`
+	WaitingWatches      float64 `json:"waiting_watches"`
+}
+
+// reading is the state of one instance at one time.
+type reading struct {
+	cpu    time.Duration
+	memory float64
+	bytes  float64
+}
+
+// MeasureUsage reads every instance at the start and the end of duration. pids
+// are those of the instances, in the order of the topology.
+func MeasureUsage(ctx context.Context, t *workload.Topology, pids []int, duration time.Duration) (Usage, error) {
+	if len(pids) != len(t.Instances) {
+		return Usage{}, fmt.Errorf("%d process ids given for %d instances", len(pids), len(t.Instances))
+	}
+
+	if err := resetMeter(ctx, t.Platform); err != nil {
+		return Usage{}, err
+	}
+
+	before, err := readAll(ctx, t, pids)
+	if err != nil {
+		return Usage{}, err
+	}
+
+	start := time.Now()
+
+	select {
+	case <-ctx.Done():
+		return Usage{}, ctx.Err()
+	case <-time.After(duration):
+	}
+
+	after, err := readAll(ctx, t, pids)
+	if err != nil {
+		return Usage{}, err
+	}
+
+	u := summariseUsage(before, after, time.Since(start))
+	u.StoreCallsPerSecond, u.WaitingWatches, err = readMeter(ctx, t.Platform, time.Since(start))
+
+	return u, err
+}
+
+func summariseUsage(before, after []reading, elapsed time.Duration) Usage {
+	n, s := float64(len(after)), elapsed.Seconds()
+	u := Usage{Instances: len(after), Seconds: s}
+
+	for i := range after {
+		cpu := 100 * (after[i].cpu - before[i].cpu).Seconds() / s
+		rate := (after[i].bytes - before[i].bytes) / s
+
+		u.CPUPercent += cpu / n
+		u.MaxCPUPercent = max(u.MaxCPUPercent, cpu)
+		u.MemoryMB += after[i].memory / n
+		u.MaxMemoryMB = max(u.MaxMemoryMB, after[i].memory)
+		u.ControlBytesPerSecond += rate / n
+		u.MaxControlBytesPerSecond = max(u.MaxControlBytesPerSecond, rate)
+	}
+
+	return u
+}
+
+func readAll(ctx context.Context, t *workload.Topology, pids []int) ([]reading, error) {
+	out := make([]reading, len(pids))
+
+	for i, pid := range pids {
+		cpu, err := cpuTime(pid)
+		if err != nil {
+			return nil, err
+		}
+
+		memory, err := residentMB(pid)
+		if err != nil {
+			return nil, err
+		}
+
+		data, err := fetch(ctx, "http://"+t.Instances[i].Debug+"/metrics")
+		if err != nil {
+			return nil, err
+		}
+
+		out[i] = reading{cpu: cpu, memory: memory, bytes: sumMetric(data, controlBytesPrefix)}
+	}
+
+	return out, nil
+}
+
+func cpuTime(pid int) (time.Duration, error) {
+	const utime, stime = 11, 12
+
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read CPU time: %w", err)
+	}
+
+	fields := bytes.Fields(data[bytes.LastIndexByte(data, ')')+1:])
+	if len(fields) <= stime {
+		return 0, fmt.Errorf("read CPU time of %d: too few fields", pid)
+	}
+
+	user, err := strconv.ParseInt(string(fields[utime]), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("read user time: %w", err)
+	}
+
+	system, err := strconv.ParseInt(string(fields[stime]), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("read system time: %w", err)
+	}
+
+	return time.Duration(user+system) * clockTick, nil
+}
+
+func residentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
+
+			return kb * kibibyte / 1e6, err
+		}
+	}
+
+	return 0, fmt.Errorf("read memory of %d: no VmRSS", pid)
+}
+
+// sumMetric adds the values of every series whose name begins with prefix.
+func sumMetric(metrics []byte, prefix string) float64 {
+	total := 0.0
+	lines := bufio.NewScanner(bytes.NewReader(metrics))
+
+	for lines.Scan() {
+		line := lines.Text()
+		if !strings.HasPrefix(line, prefix) {
+			continue
+		}
+
+		if i := strings.LastIndexByte(line, ' '); i > 0 {
+			v, _ := strconv.ParseFloat(line[i+1:], 64)
+			total += v
+		}
+	}
+
+	return total
+}
+
+// meter is the part of the platform's meter that is used.
+type meter struct {
+	Total struct {
+		Reads   callCount `json:"reads"`
+		Writes  callCount `json:"writes"`
+		Watches callCount `json:"watches"`
+		Waiting float64   `json:"waiting"`
+	} `json:"total"`
+}
+
+type callCount struct {
+	Total float64 `json:"total"`
+}
+
+func readMeter(ctx context.Context, platform string, elapsed time.Duration) (calls, waiting float64, err error) {
+	data, err := fetch(ctx, "http://"+platform+"/fake/meter")
+	if err != nil {
+		return 0, 0, err
+	}
+
+	var m meter
+	if err := json.Unmarshal(data, &m); err != nil {
+		return 0, 0, fmt.Errorf("decode meter: %w", err)
+	}
+
+	t := m.Total
+
+	return (t.Reads.Total + t.Writes.Total + t.Watches.Total) / elapsed.Seconds(), t.Waiting, nil
+}
+
+func resetMeter(ctx context.Context, platform string) error {
+	_, err := call(ctx, http.MethodDelete, "http://"+platform+"/fake/meter")
+
+	return err
+}
+
+func fetch(ctx context.Context, url string) ([]byte, error) { return call(ctx, http.MethodGet, url) }
+
+func call(ctx context.Context, method, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, fmt.Errorf("%s %s: status %s", method, url, resp.Status)
+	}
+
+	return io.ReadAll(io.LimitReader(resp.Body, maxMetricsBytes))
+}
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -163,7 +164,7 @@
 // instance writes the settings of an instance and returns its registration.
 func (g *generator) instance(in Instance) domain.Instance {
 	f := instanceFile{
-		ID: in.ID, FailureDomain: in.FailureDomain, Region: g.workload.Region,
+		ID: in.ID, FailureDomain: in.FailureDomain, Region: g.region(in),
 		CallerAddress: g.address(), OperatorAddress: g.address(), PeerAddress: g.address(), HealthAddress: g.address(),
 		DebugAddress: g.address(), PlatformAddress: g.topology.Platform,
 	}
@@ -172,7 +173,7 @@
 	})
 	g.writeJSON(in.ID+".json", f)
 
-	return domain.Instance{ID: in.ID, PeerAddress: f.PeerAddress, FailureDomain: in.FailureDomain, Region: g.workload.Region}
+	return domain.Instance{ID: in.ID, PeerAddress: f.PeerAddress, FailureDomain: in.FailureDomain, Region: g.region(in)}
 }
 
 // meanDelay returns the one-way delay of the links to a searcher. All instances
@@ -237,3 +238,5 @@
 	g.write(InstancesFile, []byte(lines.String()))
 	g.write(BalancerFile, []byte(address+"\n"))
 }
+
+func (g *generator) region(in Instance) string { return cmp.Or(in.Region, g.workload.Region) }
