membership: add the table of instances

Instances find the dead by themselves: heartbeats from overlay neighbours, indirect probes, a time to refute, and deltas to the neighbours.

--- /dev/null
+++ b/internal/membership/receive.go
@@ -0,0 +1,318 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+)
+
+// Connected says that a control session with a peer is open, and what the peer
+// said of itself. dialled says that this instance opened it; the dialler
+// starts the exchange of what differs.
+func (t *Table) Connected(now time.Time, rec Record, digest uint64, dialled bool) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var r Result
+
+	id := rec.Instance.ID
+	if id == t.self.Instance.ID {
+		return r
+	}
+
+	l := &link{}
+	t.links[id] = l
+	t.heard(now, id)
+
+	if t.merge(now, rec, &r) {
+		t.flood(&r, id, []Record{rec})
+	} else {
+		t.correct(&r, id, rec)
+	}
+
+	if dialled && digest != t.digest() {
+		t.sync(now, id, l, &r)
+	}
+
+	t.finish(now)
+
+	return r
+}
+
+// Disconnected says that no control session with the peer is open any more.
+func (t *Table) Disconnected(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	delete(t.links, id)
+}
+
+// Unreachable says that a neighbour refused a connection: it is probed at once
+// and not after missed heartbeats.
+func (t *Table) Unreachable(now time.Time, id string) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var r Result
+
+	if w, ok := t.watches[id]; ok && !w.probing {
+		if e, ok := t.entries[id]; ok && e.State == Alive {
+			t.probe(now, id, w, &r)
+		}
+	}
+
+	return r
+}
+
+// Heartbeat takes a heartbeat of a connected peer.
+func (t *Table) Heartbeat(now time.Time, from string, hb *pb.Heartbeat) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var r Result
+
+	t.heard(now, from)
+
+	if e, ok := t.entries[from]; ok {
+		e.ConfigurationVersion = max(e.ConfigurationVersion, hb.GetConfigurationVersion())
+
+		rec := e.Record
+		rec.Incarnation, rec.State = hb.GetIncarnation(), Alive
+
+		if rec.Incarnation > e.Incarnation {
+			t.merge(now, rec, &r)
+			t.flood(&r, from, []Record{rec})
+		} else {
+			t.correct(&r, from, rec)
+		}
+	}
+
+	for _, v := range hb.GetVersions() {
+		if e, ok := t.entries[v.GetId()]; ok {
+			e.ConfigurationVersion = max(e.ConfigurationVersion, v.GetConfigurationVersion())
+		}
+	}
+
+	if l, ok := t.links[from]; ok {
+		t.compare(now, from, l, hb.GetMembershipDigest(), &r)
+	}
+
+	t.finish(now)
+
+	return r
+}
+
+// compare starts an exchange when the digests differ for a while. The instance
+// with the lower id starts, so that one exchange runs and not two.
+func (t *Table) compare(now time.Time, from string, l *link, digest uint64, r *Result) {
+	if digest == t.digest() {
+		l.mismatches = 0
+
+		return
+	}
+
+	l.mismatches++
+
+	limit := mismatchesBeforeSync
+	if t.self.Instance.ID > from {
+		limit *= 2
+	}
+
+	if l.mismatches >= limit && now.Sub(l.synced) >= syncInterval {
+		l.mismatches = 0
+		t.sync(now, from, l, r)
+	}
+}
+
+func (t *Table) sync(now time.Time, to string, l *link, r *Result) {
+	l.synced = now
+	r.Send = append(r.Send, Outbound{to, &pb.PeerFrame{Body: &pb.PeerFrame_Sync{Sync: &pb.MembershipSync{
+		BucketDigests: slices.Clone(t.digests[:]),
+	}}}})
+}
+
+// Sync answers a peer's digests with the buckets that differ.
+func (t *Table) Sync(from string, s *pb.MembershipSync) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var want uint64
+
+	for i, d := range s.GetBucketDigests() {
+		if i < buckets && d != t.digests[i] {
+			want |= 1 << i
+		}
+	}
+
+	if want == 0 {
+		return Result{}
+	}
+
+	return Result{Send: []Outbound{{from, deltaFrame(t.inBuckets(want), want)}}}
+}
+
+// Delta takes records from a peer and passes on those that are news.
+func (t *Table) Delta(now time.Time, from string, d *pb.MembershipDelta) (Result, error) {
+	records := make([]Record, 0, len(d.GetRecords()))
+
+	for _, p := range d.GetRecords() {
+		rec, err := FromProto(p)
+		if err != nil {
+			return Result{}, err
+		}
+
+		records = append(records, rec)
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var (
+		r    Result
+		news []Record
+	)
+
+	for _, rec := range records {
+		switch {
+		case rec.Instance.ID == t.self.Instance.ID:
+			if t.refute(rec) {
+				r.Changes = append(r.Changes, Change{Record: t.self, From: rec.State, Known: true})
+				// The sender needs the refutation too.
+				t.flood(&r, "", []Record{t.self})
+			}
+		case t.merge(now, t.doubt(now, rec), &r):
+			news = append(news, t.entries[rec.Instance.ID].Record)
+		default:
+			t.correct(&r, from, rec)
+		}
+	}
+
+	t.flood(&r, from, news)
+
+	if want := d.GetWantBuckets(); want != 0 {
+		r.Send = append(r.Send, Outbound{from, deltaFrame(t.inBuckets(want), 0)})
+	}
+
+	t.finish(now)
+
+	return r, nil
+}
+
+// doubt turns the word that an instance is dead into a suspicion, unless it is
+// under suspicion here for a while: when a partition heals, each side holds the
+// other for dead, and the instances refute it before anybody acts on it.
+func (t *Table) doubt(now time.Time, rec Record) Record {
+	e, known := t.entries[rec.Instance.ID]
+	if !known || rec.State != Dead {
+		return rec
+	}
+
+	if e.State == Alive || e.State == Suspect && now.Sub(e.since) < refuteTimeout/2 {
+		rec.Instance, rec.State = e.Instance, Suspect
+	}
+
+	return rec
+}
+
+// refute raises the own incarnation over a record that claims something else
+// of this instance.
+func (t *Table) refute(rec Record) bool {
+	if !rec.supersedes(t.self) {
+		return false
+	}
+
+	t.setSelf(t.self.State, rec.Incarnation+1)
+
+	return true
+}
+
+// correct tells a peer that holds an outdated record of an instance what is
+// known: that it is under suspicion or dead. A suspect learns so from its own
+// contacts and can refute.
+func (t *Table) correct(r *Result, to string, rec Record) {
+	id := rec.Instance.ID
+
+	if inc, ok := t.forgotten[id]; ok && rec.State != Dead && rec.Incarnation <= inc {
+		r.Send = append(r.Send, Outbound{to, deltaFrame([]Record{{
+			Instance: domain.Instance{ID: id}, State: Dead, Incarnation: inc,
+		}}, 0)})
+
+		return
+	}
+
+	e, ok := t.entries[id]
+	if !ok || !e.supersedes(rec) || (e.State != Suspect && e.State != Dead) {
+		return
+	}
+
+	r.Send = append(r.Send, Outbound{to, deltaFrame([]Record{e.Record}, 0)})
+}
+
+// Probed takes the outcome of an indirect probe.
+func (t *Table) Probed(now time.Time, id string, reached bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if reached {
+		t.heard(now, id)
+	}
+}
+
+// Listed takes the platform's list, which lags: an instance listed as leaving
+// is marked so once, and can refute it. An instance that isn't listed stays as
+// it is. It returns the listed instances that aren't known to be live, as
+// seeds.
+func (t *Table) Listed(now time.Time, list []domain.Instance, leaving map[string]bool) (Result, []domain.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var (
+		r     Result
+		seeds []domain.Instance
+	)
+
+	for _, in := range list {
+		e, known := t.entries[in.ID]
+
+		switch {
+		case in.ID == t.self.Instance.ID:
+		case known && e.State == Alive && leaving[in.ID] && !t.hinted[in.ID]:
+			rec := e.Record
+			rec.State = Leaving
+			t.merge(now, rec, &r)
+			t.flood(&r, "", []Record{rec})
+		case (!known || e.State == Dead) && !leaving[in.ID]:
+			seeds = append(seeds, in)
+		}
+	}
+
+	t.hinted = leaving
+	t.finish(now)
+
+	return r, seeds
+}
+
+// heard takes direct evidence that an instance is alive.
+func (t *Table) heard(now time.Time, id string) {
+	if w, ok := t.watches[id]; ok {
+		w.heard, w.probing = now, false
+	}
+}
+
+func (t *Table) inBuckets(want uint64) []Record {
+	var out []Record
+
+	if want&(1<<(t.selfHash%buckets)) != 0 {
+		out = append(out, t.self)
+	}
+
+	for _, e := range t.entries {
+		if want&(1<<(e.hash%buckets)) != 0 {
+			out = append(out, e.Record)
+		}
+	}
+
+	return out
+}
