--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -11,6 +11,9 @@
 //	stop NAME                 sends SIGTERM and waits for a clean end
 //	kill NAME                 ends a process at once
 //	pause NAME, resume NAME   stops and continues a process
+//	system DIR WORKLOAD       generates a run and starts all of its processes
+//	instance DIR ID...        starts instances of a generated run again
+//	join NAME                 waits until a process has ended by itself
 //	ready URL                 waits until URL answers 200
 //	until PROGRAM ARG...      repeats a command until it succeeds
 //	get URL, put URL FILE     HTTP requests; the body goes to standard output
@@ -68,6 +71,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports": ports, "expand": expand, "start": start, "stop": stop, "kill": kill,
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
+			"system": system, "instance": instance, "join": join,
 			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
 		},
 	})
