primrosefake/report: show results as tables and as a page with plots

The results of a run were readable only as text. Add `report RESULTS...` with a self-contained page (figures, latency over time with the faults marked, latency distribution, coverage and extra load over time) and a Markdown table with the ratios that the targets name.

--- a/primrosefake/internal/command/command.go
+++ b/primrosefake/internal/command/command.go
@@ -27,7 +27,7 @@
 	}
 
 	root := &cobra.Command{Use: "primrosefake", Short: "Stand-ins for primrosespring", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(platformCommand(c), searcherCommand(c), searchersCommand(c), workloadCommand(c), loadCommand(c))
+	root.AddCommand(platformCommand(c), searcherCommand(c), searchersCommand(c), workloadCommand(c), loadCommand(c), reportCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- a/primrosefake/internal/load/result.go
+++ b/primrosefake/internal/load/result.go
@@ -22,6 +22,7 @@
 	// System is product or baseline.
 	System     string `json:"system"`
 	DurationMS uint32 `json:"duration_ms"`
+	WarmUpMS   uint32 `json:"warm_up_ms"`
 	Counts     Counts `json:"counts"`
 	// Outcomes counts the requests without an answer by code and fate.
 	Outcomes []Outcome `json:"outcomes,omitempty"`
@@ -48,6 +49,14 @@
 	LatestDispatchUS int64 `json:"latest_dispatch_us"`
 }
 
+// Goodput returns the answers, whole or partial, for each second of the load
+// after the warm-up.
+func (r *Result) Goodput() float64 {
+	seconds := float64(r.DurationMS-r.WarmUpMS) / 1000
+
+	return float64(r.Counts.Whole+r.Counts.Partial) / seconds
+}
+
 // Counts are the figures of a phase.
 type Counts struct {
 	Queries     uint64 `json:"queries"`
@@ -361,7 +370,7 @@
 	defer r.mu.Unlock()
 
 	out := &Result{
-		Workload: w.Name, System: system, DurationMS: w.DurationMS, Counts: r.counts,
+		Workload: w.Name, System: system, DurationMS: w.DurationMS, WarmUpMS: w.WarmUpMS, Counts: r.counts,
 		Latency: quantiles(r.whole), LatencyAll: quantiles(r.all), LatencyRefused: quantiles(r.refused),
 		Distribution: distribution(r.whole), Faults: w.Faults, Problems: r.problems,
 		LatestDispatchUS: r.latest.Microseconds(),
--- /dev/null
+++ b/primrosefake/internal/load/result_test.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/refusal"
+)
+
+// Guards against runs of one key that go unseen, and against a truthful
+// "not run" that counts as false.
+func TestCountRuns(t *testing.T) {
+	notRun := &failure{code: "overloaded", fate: domain.FateNotRun}
+
+	var c Counts
+
+	countRuns(&c, []executed{
+		{key: "ran once"},
+		{key: "ran twice"},
+		{key: "refused truthfully", last: notRun},
+		{key: "refused falsely", last: notRun},
+		{key: "unknown", last: &failure{code: codeCallerTimeout}},
+	}, map[string]int{"ran once": 1, "ran twice": 2, "refused falsely": 1, "unknown": 1})
+
+	require.Equal(t, Counts{Doubled: 1, FalseNotRun: 1}, c)
+}
+
+// Guards against a broken connection that counts as a refusal, and the reverse.
+func TestClassify(t *testing.T) {
+	ctx := t.Context()
+	expired, cancel := context.WithTimeout(ctx, 0)
+
+	defer cancel()
+
+	dial := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	overloaded := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "search", "full")
+
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		err  error
+		want failure
+	}{
+		{"refusal", ctx, refusal.ToConnect(overloaded), failure{code: "overloaded", fate: domain.FateNotRun}},
+		{"refusal at the deadline", expired, refusal.ToConnect(overloaded), failure{code: "overloaded", fate: domain.FateNotRun}},
+		{"timeout", expired, connect.NewError(connect.CodeCanceled, nil), failure{code: codeCallerTimeout}},
+		{"no connection", ctx, connect.NewError(connect.CodeUnavailable, dial), failure{code: codeUnreachable, fate: domain.FateNotRun}},
+		{
+			"broken connection", ctx, connect.NewError(connect.CodeUnavailable, errors.New("unexpected EOF")),
+			failure{code: codeInterrupted, interrupted: true},
+		},
+	} {
+		require.Equal(t, c.want, *classify(c.ctx, c.err), c.name)
+	}
+}
+
+// Guards against queries that are left out of the coverage or of the extra
+// load, or that count in the warm-up.
+func TestRecorderCounts(t *testing.T) {
+	w := builtin(t, "bench-20")
+	r := newRecorder(w)
+
+	r.query(ended{at: time.Second, shards: 20, included: 20, attempts: 20, problems: []problem{{finding: crossed}, {finding: crossed}}})
+	r.query(ended{at: 3 * time.Second, latency: 10 * time.Millisecond, shards: 20, included: 20, attempts: 21})
+	r.query(ended{at: 3 * time.Second, latency: 20 * time.Millisecond, shards: 20, included: 15, attempts: 25})
+	r.query(ended{at: 4 * time.Second, shards: 20, failure: &failure{code: "overloaded", fate: domain.FateNotRun}})
+	r.query(ended{at: 5 * time.Second, shards: 20, failure: &failure{code: "deadline"}})
+	r.query(ended{at: 6 * time.Second, shards: 20, failure: &failure{code: codeInterrupted, interrupted: true}})
+
+	got := r.result(w, Product)
+	require.Equal(t, Counts{
+		Queries: 5, Whole: 1, Partial: 1, Refused: 1, Failed: 1, Interrupted: 1, Crossed: 1,
+		ShardsIncluded: 35, ShardsAsked: 80, AttemptsStated: 46, LeastStated: 40, LeastRuns: 100,
+	}, got.Counts)
+	require.InDelta(t, 35.0/80, got.Counts.Coverage(), 1e-9)
+	require.InDelta(t, 0.15, got.Counts.ExtraStated(), 1e-9)
+	require.Equal(t, uint64(1), got.Latency.Count)
+	require.Equal(t, uint64(4), got.LatencyAll.Count)
+	require.EqualError(t, Verdict([]*Result{{System: Baseline, Counts: got.Counts}, got}),
+		"figures that must be zero aren't: crossed: 1, interrupted: 1")
+}
+
+// Guards against wrong fields where the name of a process holds spaces.
+func TestCPUTicks(t *testing.T) {
+	require.Equal(t, int64(15), cpuTicks([]byte("42 (a b) c) S 1 2 3 4 5 6 7 8 9 10 11 4 0 0")))
+	require.Zero(t, cpuTicks([]byte("42 (a) S 1")))
+}
