--- a/internal/coverage/coverage.go
+++ b/internal/coverage/coverage.go
@@ -36,7 +36,13 @@
 
 // Accepts reports whether rules allow an answer with this coverage.
 func Accepts(rules domain.Rules, c Coverage) bool {
-	return len(c.Included) > 0 && c.Permille() >= rules.MinCoveragePermille
+	return AcceptsCount(rules, len(c.Included), int(c.Shards))
+}
+
+// AcceptsCount reports whether rules allow an answer with that many of the
+// shards.
+func AcceptsCount(rules domain.Rules, included, shards int) bool {
+	return included > 0 && uint64(included)*domain.Permille >= uint64(shards)*uint64(rules.MinCoveragePermille)
 }
 
 // Check returns nil if answer is a whole, undamaged answer to request, drawn
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -2,52 +2,174 @@
 package hedging
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
-// Delayer keeps a running quantile of a service's latency and derives the
-// hedging delay from it. The zero value uses DefaultDelay until it has seen
-// answers. It is safe for concurrent use.
+// Estimate is what routing expected of an attempt.
+type Estimate struct {
+	// Before is the expected time on the network and in the searcher's queue.
+	Before time.Duration
+	// Service is the expected time of the request itself.
+	Service time.Duration
+}
+
+// Total returns the expected latency.
+func (e Estimate) Total() time.Duration { return e.Before + e.Service }
+
+// Delayer keeps the distribution of a service's latencies, each without the
+// time expected before service and divided by the expected service time, so
+// that a request sent to a longer queue or over a longer distance waits longer
+// for its hedge. Old latencies lose weight. The zero value uses defaultRatio until it has seen answers. It
+// is safe for concurrent use.
 type Delayer struct {
-	mu       sync.Mutex // Guards quantile.
-	quantile time.Duration
+	mu       sync.Mutex // Guards what follows.
+	weights  [buckets]float64
+	total    float64
+	observed int
+	// first and later are the computed quantiles; zero if they are out of date.
+	first, later float64
 }
 
 const (
-	// DefaultDelay is the delay before any answer was seen.
-	DefaultDelay = 20 * time.Millisecond
-	// targetQuantile is the share of answers expected before the delay.
-	targetQuantile = 0.96
-	// stepShare is how far one answer moves the estimate.
-	stepShare = 0.02
+	// FirstQuantile is the share of first attempts that end before their hedge
+	// is due.
+	FirstQuantile = 0.955
+	// LaterQuantile is the same for hedges and retries. They are few, so that a
+	// quick hedge of them costs little, and their shard is late already.
+	LaterQuantile = 0.80
+	// MinDelay keeps hedges apart from the noise of timers.
+	MinDelay = time.Millisecond
+
+	defaultRatio = 4.0
+	tailFactor   = 2
+	// The buckets divide each doubling of the ratio in perOctave parts, from
+	// 1/2^octavesBelow up.
+	perOctave    = 8
+	octavesBelow = 5
+	octavesAbove = 8
+	buckets      = (octavesBelow + octavesAbove) * perOctave
+	// maxWeight is the total at which every weight is halved, so that the
+	// distribution follows the last few thousand attempts.
+	maxWeight = 4096
+	// minObserved is how many attempts it takes to replace defaultRatio; fewer
+	// don't determine the quantile.
+	minObserved = 100
+	// refreshEvery is how many observations a computed quantile serves.
+	refreshEvery = 16
 )
 
-// Observe adds the latency of one answered first attempt.
-func (d *Delayer) Observe(latency time.Duration) {
+// Observe adds the latency of an answered first attempt.
+func (d *Delayer) Observe(e Estimate, latency time.Duration) { d.add(e, latency) }
+
+// ObserveCensored adds a first attempt that was given up after elapsed, in
+// favour of its hedge. It counts at elapsed, which is at or above the delay.
+// Leaving such attempts out would lower the quantile with every hedge won.
+func (d *Delayer) ObserveCensored(e Estimate, elapsed time.Duration) { d.add(e, elapsed) }
+
+// Delay returns how long after an attempt its hedge may start; first says that
+// it was the first attempt for its shard.
+func (d *Delayer) Delay(e Estimate, first bool) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.refresh()
+
+	ratio := d.later
+	if first {
+		ratio = d.first
+	}
+
+	return e.Before + max(time.Duration(ratio*float64(e.Service)), MinDelay)
+}
+
+// Left returns how much longer an attempt is likely to take that has taken
+// elapsed so far: the mean over the observed attempts that took longer, at
+// least tailFactor times elapsed. Attempts that were given up cut the observed
+// tail short, and in a heavy tail the time left grows with the time taken.
+func (d *Delayer) Left(e Estimate, elapsed time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.quantile == 0 {
-		d.quantile = DefaultDelay
+	ratio := e.ratio(elapsed)
+
+	var weight, sum float64
+
+	for i := bucket(ratio) + 1; i < buckets; i++ {
+		weight += d.weights[i]
+		sum += d.weights[i] * middle(i)
 	}
 
-	step := float64(d.quantile) * stepShare
-	if latency > d.quantile {
-		d.quantile += time.Duration(step * targetQuantile)
-	} else {
-		d.quantile -= time.Duration(step * (1 - targetQuantile))
+	if weight == 0 {
+		return tailFactor * elapsed
 	}
+
+	return max(time.Duration((sum/weight-ratio)*float64(e.Service)), tailFactor*elapsed)
 }
 
-// Delay returns how long after a first attempt a hedge may start.
-func (d *Delayer) Delay() time.Duration {
+func (e Estimate) ratio(latency time.Duration) float64 {
+	return float64(max(latency-e.Before, 0)) / float64(max(e.Service, 1))
+}
+
+func (d *Delayer) add(e Estimate, latency time.Duration) {
+	if e.Service <= 0 || latency < 0 {
+		return
+	}
+
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.quantile == 0 {
-		return DefaultDelay
+	d.weights[bucket(e.ratio(latency))]++
+	d.total++
+	d.observed++
+
+	if d.total >= maxWeight {
+		d.total = 0
+
+		for i := range d.weights {
+			d.weights[i] /= 2
+			d.total += d.weights[i]
+		}
+	}
+
+	if d.observed%refreshEvery == 0 {
+		d.first, d.later = 0, 0
 	}
+}
 
-	return d.quantile
+func (d *Delayer) refresh() {
+	switch {
+	case d.observed < minObserved:
+		d.first, d.later = defaultRatio, defaultRatio
+	case d.first == 0:
+		d.first, d.later = d.quantile(FirstQuantile), d.quantile(LaterQuantile)
+	}
 }
+
+func (d *Delayer) quantile(q float64) float64 {
+	above := d.total * (1 - q)
+
+	for i := buckets - 1; i >= 0; i-- {
+		w := d.weights[i]
+		if w >= above {
+			return lower(i) * math.Exp2((1-above/w)/perOctave)
+		}
+
+		above -= w
+	}
+
+	return defaultRatio
+}
+
+func bucket(ratio float64) int {
+	if ratio <= 0 {
+		return 0
+	}
+
+	return min(max(int((math.Log2(ratio)+octavesBelow)*perOctave), 0), buckets-1)
+}
+
+func lower(bucket int) float64 { return math.Exp2(float64(bucket)/perOctave - octavesBelow) }
+
+func middle(bucket int) float64 { return math.Exp2((float64(bucket)+0.5)/perOctave - octavesBelow) }
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,127 @@
+// Package limits adapts how many requests an instance keeps outstanding at one
+// searcher. Instances that share a searcher don't see each other, so each
+// infers the others' load from the time that its requests wait in the
+// searcher's queue and from the requests that the searcher sheds.
+package limits
+
+import "time"
+
+// Limit is the concurrency limit for one searcher. The zero value allows a
+// few times the searcher's slots: an instance's own requests come in bursts, and
+// only strain shows that the searcher can't take them. It isn't safe for concurrent use:
+// its owner's lock guards it.
+type Limit struct {
+	value   float64
+	ramping bool
+	window  window
+	cutAt   time.Time
+}
+
+// window sums the answers since the last decision.
+type window struct {
+	started time.Time
+	answers int
+	wait    time.Duration
+	service time.Duration
+}
+
+// Sample is what one answer says about a searcher's load.
+type Sample struct {
+	// Wait is the part of the latency spent in the searcher's queue.
+	Wait time.Duration
+	// Service is the searcher's usual time for one request, without the queue.
+	Service time.Duration
+}
+
+const (
+	// maxSlotsMultiple bounds the limit in terms of the searcher's slots.
+	maxSlotsMultiple = 4
+	// The limit falls while requests wait for more than waitTolerance service
+	// times on average, and rises below waitGoal. A short queue keeps the slots
+	// busy; the gap keeps the limit from swinging.
+	waitTolerance = 1.5
+	waitGoal      = 0.75
+	// windowAnswers and windowTime end a window, whichever comes first; the
+	// mean of fewer answers is mostly noise.
+	windowAnswers = 8
+	windowTime    = 200 * time.Millisecond
+	minAnswers    = 3
+	decrease      = 0.9
+	maxDecrease   = 0.5
+	// initialSlotsMultiple is the limit before any window has ended, in terms of
+	// the slots.
+	initialSlotsMultiple = 2
+	shedDecrease         = 0.7
+	// cutInterval is the least time between two cuts for sheds, since requests
+	// sent before the first cut are shed after it.
+	cutInterval = 20 * time.Millisecond
+)
+
+// Allowed returns how many requests may be outstanding, at least 1.
+func (l *Limit) Allowed(slots uint32) int {
+	if l.value == 0 {
+		return initialSlotsMultiple * int(slots)
+	}
+
+	return max(int(l.value), 1)
+}
+
+// Warm starts a ramp: one request at first, twice as many after each window
+// without undue waiting.
+func (l *Limit) Warm() {
+	l.value, l.ramping = 1, true
+	l.window = window{}
+}
+
+// Answered takes one answer.
+func (l *Limit) Answered(now time.Time, slots uint32, s Sample) {
+	w := &l.window
+	if w.answers == 0 {
+		w.started = now
+	}
+
+	w.answers++
+	w.wait += s.Wait
+	w.service += s.Service
+
+	if w.answers >= windowAnswers || (w.answers >= minAnswers && now.Sub(w.started) >= windowTime) {
+		l.decide(slots)
+	}
+}
+
+// Shed takes a refusal for load.
+func (l *Limit) Shed(now time.Time, slots uint32) {
+	if now.Sub(l.cutAt) < cutInterval {
+		return
+	}
+
+	l.cutAt = now
+	l.ramping = false
+	l.value = max(float64(l.Allowed(slots))*shedDecrease, 1)
+	l.window = window{}
+}
+
+func (l *Limit) decide(slots uint32) {
+	w := l.window
+	l.window = window{}
+
+	if l.value == 0 {
+		l.value = initialSlotsMultiple * float64(slots)
+	}
+
+	switch {
+	case float64(w.wait) > waitTolerance*float64(w.service):
+		// The cut is in proportion to the excess, so that a long queue is gone
+		// after a few windows.
+		ratio := waitTolerance * float64(w.service) / float64(w.wait)
+		l.value = max(l.value*min(max(ratio, maxDecrease), decrease), 1)
+		l.ramping = false
+	case l.ramping:
+		l.value *= 2
+		l.ramping = l.value < float64(slots)
+	case float64(w.wait) < waitGoal*float64(w.service):
+		l.value++
+	}
+
+	l.value = min(l.value, maxSlotsMultiple*float64(slots))
+}
--- /dev/null
+++ b/internal/routing/hearsay.go
@@ -0,0 +1,138 @@
+package routing
+
+import (
+	"time"
+
+	"primrosespring.example/internal/domain"
+)
+
+// mistrustShare is the share of a service's searchers that hearsay may call
+// unwell, in 1/1,000. Above it the source of the hearsay is the likelier fault,
+// and direct evidence alone counts.
+const mistrustShare = 500
+
+// Configure takes the services in force. It forgets searchers that no service
+// names and that have no request outstanding.
+func (t *Table) Configure(c *domain.Configuration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.services = make(map[string][]string, len(c.Services))
+	named := make(map[string]bool)
+
+	for _, s := range c.Services {
+		var ids []string
+
+		for _, sh := range s.PartitionMap.Shards {
+			for _, sr := range sh.Searchers {
+				ids = append(ids, sr.ID)
+				named[sr.ID] = true
+			}
+		}
+
+		t.services[s.Name] = ids
+	}
+
+	for id, st := range t.searchers {
+		if !named[id] && st.outstanding == 0 {
+			delete(t.searchers, id)
+		}
+	}
+
+	t.review()
+}
+
+// SetLeaving replaces the set of searchers that the platform's list calls
+// leaving. They get no new work, unless the list is mistrusted.
+func (t *Table) SetLeaving(searchers []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, st := range t.searchers {
+		st.leaving = false
+	}
+
+	for _, id := range searchers {
+		t.state(id).leaving = true
+	}
+
+	t.review()
+}
+
+// SetStatus takes the answer of a searcher's status endpoint. Its load counts
+// only when no answer came for reportAge.
+func (t *Table) SetStatus(now time.Time, searcher string, healthy bool, load *Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	st := t.state(searcher)
+	st.unhealthy = !healthy
+
+	if load != nil {
+		st.statusLoad(now, load)
+	}
+
+	// The process answers, so a request may find out at once whether it serves.
+	if st.failures > 0 && !st.probing && healthy {
+		st.probeAt = now
+	}
+}
+
+// SetUnreachable takes the failure of a status request. It is hearsay on the
+// searcher's health, since requests may still be served.
+func (t *Table) SetUnreachable(searcher string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.state(searcher).unhealthy = true
+}
+
+// Review decides for each service whether hearsay is believed. It is due after
+// a round of SetStatus and SetUnreachable.
+func (t *Table) Review() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.review()
+}
+
+func (s *state) statusLoad(now time.Time, l *Load) {
+	s.statusDraining = l.Draining
+	if !l.Draining && now.Sub(s.drainingAt) >= drainMemory {
+		s.draining = false
+	}
+
+	if now.Sub(s.reportedAt) >= reportAge {
+		s.reported, s.reportedAt, s.since = l.Running+l.Queued, now, 0
+	}
+
+	if l.Cold && !s.cold {
+		s.limit.Warm()
+	}
+
+	s.cold = l.Cold
+}
+
+func (t *Table) review() {
+	for _, st := range t.searchers {
+		st.mistrusted = false
+	}
+
+	for _, ids := range t.services {
+		unwell := 0
+
+		for _, id := range ids {
+			if st := t.state(id); st.leaving || st.unhealthy || st.statusDraining {
+				unwell++
+			}
+		}
+
+		if unwell*domain.Permille <= len(ids)*mistrustShare {
+			continue
+		}
+
+		for _, id := range ids {
+			t.state(id).mistrusted = true
+		}
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,6 +1,7 @@
 // Package routing chooses the searcher that gets a sub-query. A Table keeps
 // what the instance knows of each searcher: its own outstanding requests, the
-// load that the searcher reported in its answers, latencies and failures.
+// load that the searcher reported in its answers, latencies, failures, and
+// hearsay (status endpoints, the platform's list).
 package routing
 
 import (
@@ -17,97 +18,265 @@
 const (
 	// Answered means that the searcher answered in full.
 	Answered Outcome = iota
-	// Shed means that the searcher refused the request without running it.
+	// Shed means that the searcher refused the request for its load.
 	Shed
 	// Unreachable means that no request could be sent, or the connection broke.
 	Unreachable
 	// Cancelled means that this instance gave the attempt up.
 	Cancelled
+	// Draining means that the searcher refused the request because it leaves.
+	Draining
+	// Refused means that the searcher refused the request for another reason.
+	Refused
 )
 
-// Load is the searcher's own word on its load, from an answer.
+// Load is the searcher's own word on its load, from an answer or its status.
 type Load struct {
 	Running  uint32
 	Queued   uint32
 	Draining bool
-	Service  time.Duration
+	Cold     bool
+	// Service is the time that the request was served, without the queue; zero
+	// if the searcher doesn't say.
+	Service time.Duration
 }
 
 // Request asks for a searcher of one shard.
 type Request struct {
 	Shard *domain.Shard
 	// Avoid lists searchers that were tried already; they are chosen only when
-	// no other is left.
+	// no other is left. The last entry is avoided most.
 	Avoid []string
 	// Eligible reports whether a searcher can answer from the pinned snapshot.
 	Eligible func(searcher string) bool
 	// Nearby is the failure domain of this instance.
 	Nearby string
+	// Extra marks a hedge, which hardly exceeds a searcher's limit.
+	Extra bool
+	// Elsewhere excludes the last entry of Avoid.
+	Elsewhere bool
+	// Within is the longest useful expected time; zero sets no bound.
+	Within time.Duration
 }
 
-// Choice is the searcher chosen, with the expected time to its answer.
+// Choice is the searcher chosen, with the expected time to its answer. When no
+// searcher can be used, Refusal says why.
 type Choice struct {
 	Searcher *domain.Searcher
 	Expected time.Duration
+	// Service is the part of Expected that the searcher works on the request;
+	// the rest is distance and queue.
+	Service time.Duration
+	// Probe says that the searcher is believed dead, and that this request
+	// finds out whether it still is.
+	Probe   bool
+	Refusal domain.Code
 }
 
 // Table is safe for concurrent use; its zero value is empty and ready to use.
 type Table struct {
-	mu        sync.Mutex // Guards searchers and the values in it.
+	// Random breaks ties; nil takes turns. It is called under the table's lock
+	// and must be set before first use.
+	Random func() uint64
+
+	mu        sync.Mutex // Guards what follows and the states.
+	turn      uint64
 	searchers map[string]*state
+	services  map[string][]string
 }
 
-type state struct {
-	outstanding int
-	latency     time.Duration
-	draining    bool
-	retryAt     time.Time
-	backoff     time.Duration
-}
+const (
+	// scanLimit is the largest shard whose searchers are all compared; of a
+	// larger one, two are drawn. Comparing few costs less than drawing them.
+	scanLimit = 8
+	draws     = 2
+	// standingWait is how many service times the queue of a searcher may be long
+	// before no new query is let in for it. A longer queue adds to every
+	// latency and nothing to the throughput.
+	standingWait = 4
+	// extraOverLimit is how far hedges may exceed a searcher's limit.
+	// Without it, a straggler that takes up a limit of 1 blocks its own hedge.
+	extraOverLimit = 1
+	// maxDraws bounds the search for usable searchers before a full scan.
+	maxDraws = 8
+)
 
+// Penalties order the candidates: a lower sum is better, and the expected time
+// decides between equal sums.
 const (
-	initialLatency = 5 * time.Millisecond
-	latencyWeight  = 8
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = 5 * time.Second
+	penaltyLimit      = 1
+	penaltyUnhealthy  = 2
+	penaltyTried      = 4
+	penaltyJustTried  = 8
+	penaltyLastResort = 16
 )
 
+// candidate is a searcher that can be used.
+type candidate struct {
+	searcher *domain.Searcher
+	state    *state
+	cost     time.Duration
+	penalty  int
+	probe    bool
+}
+
+func (c candidate) better(o candidate) bool {
+	if o.searcher == nil || c.penalty != o.penalty {
+		return o.searcher == nil || c.penalty < o.penalty
+	}
+
+	return c.cost < o.cost
+}
+
 // Choose picks the searcher with the least expected time, and reserves a place
 // on it until Release. It reports false if no searcher can be used.
 func (t *Table) Choose(now time.Time, r Request) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	var (
-		best      *domain.Searcher
-		bestState *state
-		bestCost  time.Duration
-		bestTried bool
-	)
+	best, refusal := t.pick(now, &r)
+	if best.searcher == nil {
+		return Choice{Refusal: refusal}, false
+	}
+
+	best.state.dispatch(now, best.searcher.Slots, best.probe)
 
-	for i := range r.Shard.Searchers {
-		sr := &r.Shard.Searchers[i]
-		st := t.state(sr.ID)
+	return Choice{
+		Searcher: best.searcher, Expected: best.cost, Probe: best.probe,
+		Service: best.state.service,
+	}, true
+}
+
+func (t *Table) pick(now time.Time, r *Request) (candidate, domain.Code) {
+	n := len(r.Shard.Searchers)
+	if n <= scanLimit || len(r.Avoid) > 0 {
+		return t.scan(now, r)
+	}
 
-		if sr.Draining || st.draining || now.Before(st.retryAt) || (r.Eligible != nil && !r.Eligible(sr.ID)) {
+	var best candidate
+
+	for i, found := 0, 0; i < maxDraws && found < draws; i++ {
+		c, _ := t.consider(now, r, &r.Shard.Searchers[t.random()%uint64(n)])
+		if c.searcher == nil || c.penalty >= penaltyLastResort {
 			continue
 		}
 
-		tried := slices.Contains(r.Avoid, sr.ID)
-		cost := st.expected(sr)
+		found++
+
+		if c.probe || c.better(best) {
+			best = c
+		}
+	}
+
+	if best.searcher == nil {
+		return t.scan(now, r)
+	}
+
+	return best, ""
+}
+
+// scan starts at a random searcher, so that equal ones take turns.
+func (t *Table) scan(now time.Time, r *Request) (candidate, domain.Code) {
+	var best candidate
+
+	refusal := domain.CodeNoLiveSearcher
+	n := len(r.Shard.Searchers)
+	start := int(t.random() % uint64(n))
+
+	for i := range n {
+		c, code := t.consider(now, r, &r.Shard.Searchers[(start+i)%n])
+
+		switch {
+		case c.searcher == nil:
+			refusal = moreTelling(refusal, code)
+		case c.probe:
+			return c, ""
+		case c.better(best):
+			best = c
+		}
+	}
+
+	return best, refusal
+}
+
+// consider returns the searcher as a candidate, or why it can't be one.
+func (t *Table) consider(now time.Time, r *Request, sr *domain.Searcher) (candidate, domain.Code) {
+	st := t.state(sr.ID)
+
+	switch {
+	case r.Elsewhere && r.Avoid[len(r.Avoid)-1] == sr.ID:
+		return candidate{}, domain.CodeOverloaded
+	case sr.Draining || st.leaves():
+		return candidate{}, domain.CodeSearcherDraining
+	case r.Eligible != nil && !r.Eligible(sr.ID):
+		return candidate{}, domain.CodeSnapshotGone
+	}
+
+	c := candidate{searcher: sr, state: st, cost: st.expected(now, sr, r.Nearby)}
+
+	if st.failures > 0 {
+		switch {
+		case st.probeDue(now) && !r.Extra:
+			c.probe = true
+
+			return c, ""
+		case st.failures >= knownDead:
+			return candidate{}, domain.CodeNoLiveSearcher
+		}
+
+		c.penalty += penaltyLastResort
+	}
+
+	if r.Within > 0 && c.cost > r.Within {
+		return candidate{}, domain.CodeDeadline
+	}
+
+	if over := st.outstanding - st.limit.Allowed(sr.Slots); over >= 0 {
+		if r.Extra && over >= extraOverLimit {
+			return candidate{}, domain.CodeOverloaded
+		}
+
+		c.penalty += penaltyLimit
+	}
 
-		if best == nil || (bestTried && !tried) || (bestTried == tried && cost < bestCost) {
-			best, bestState, bestCost, bestTried = sr, st, cost, tried
+	if st.unhealthy && !st.mistrusted {
+		c.penalty += penaltyUnhealthy
+	}
+
+	if i := slices.Index(r.Avoid, sr.ID); i >= 0 {
+		c.penalty += penaltyTried
+
+		if r.Avoid[len(r.Avoid)-1] == sr.ID {
+			c.penalty += penaltyJustTried
 		}
 	}
 
-	if best == nil {
-		return Choice{}, false
+	return c, ""
+}
+
+// moreTelling returns the code that says more about why a shard has no usable
+// searcher: one that may pass soon over one that lasts.
+func moreTelling(a, b domain.Code) domain.Code {
+	rank := func(c domain.Code) int {
+		switch c {
+		case domain.CodeOverloaded:
+			return 4
+		case domain.CodeDeadline:
+			return 3
+		case domain.CodeSnapshotGone:
+			return 2
+		case domain.CodeSearcherDraining:
+			return 1
+		default:
+			return 0
+		}
 	}
 
-	bestState.outstanding++
+	if rank(b) > rank(a) {
+		return b
+	}
 
-	return Choice{Searcher: best, Expected: bestCost}, true
+	return a
 }
 
 // Release ends the reservation that Choose made. latency is the time from send
@@ -116,38 +285,107 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	st := t.state(searcher)
-	st.outstanding--
+	t.state(searcher).release(now, outcome, latency, load)
+}
+
+// Pressure is how loaded the searchers of a service are, as far as this
+// instance knows.
+type Pressure struct {
+	// Free is how many more sub-queries the worst live shard's limits allow.
+	Free int
+	// Wait is the expected time to the answer of the worst live shard.
+	Wait time.Duration
+	// Saturation is the share of the slots that the searchers lately reported
+	// as taken, 0 to 1.
+	Saturation float64
+	// Degraded says that a searcher is believed dead.
+	Degraded bool
+	// Lost is how many shards have no usable searcher.
+	Lost int
+}
+
+// Pressure sums up the searchers of a service that eligible allows.
+func (t *Table) Pressure(now time.Time, s *domain.Service, nearby string, eligible func(shard uint32, searcher string) bool,
+) Pressure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var (
+		p           Pressure
+		busy, slots float64
+		counted     bool
+	)
+
+	for i := range s.PartitionMap.Shards {
+		var (
+			free, usable int
+			wait         time.Duration
+		)
 
-	if load != nil {
-		st.draining = load.Draining
+		for j := range s.PartitionMap.Shards[i].Searchers {
+			sr := &s.PartitionMap.Shards[i].Searchers[j]
+			st := t.state(sr.ID)
+			p.Degraded = p.Degraded || st.failures > 0
+
+			if sr.Draining || st.leaves() || st.failures >= knownDead || !eligible(uint32(i), sr.ID) {
+				continue
+			}
+
+			if st.wait(now, float64(sr.Slots)) <= standingWait*st.service {
+				free += max(st.limit.Allowed(sr.Slots)-st.outstanding, 0)
+			}
+
+			busy += min(st.busy, float64(sr.Slots))
+			slots += float64(sr.Slots)
+
+			if w := st.expected(now, sr, nearby); usable == 0 || w < wait {
+				wait = w
+			}
+
+			usable++
+		}
+
+		if usable == 0 {
+			p.Lost++
+
+			continue
+		}
+
+		if !counted || free < p.Free {
+			p.Free = free
+		}
+
+		p.Wait = max(p.Wait, wait)
+		counted = true
 	}
 
-	switch outcome {
-	case Answered:
-		st.backoff, st.retryAt = 0, time.Time{}
-		st.latency += (latency - st.latency) / latencyWeight
-	case Unreachable:
-		st.backoff = min(max(2*st.backoff, minBackoff), maxBackoff)
-		st.retryAt = now.Add(st.backoff)
-	case Shed, Cancelled:
+	if slots > 0 {
+		p.Saturation = busy / slots
 	}
+
+	return p
 }
 
 func (t *Table) state(searcher string) *state {
-	if t.searchers == nil {
-		t.searchers = make(map[string]*state)
-	}
-
 	st, ok := t.searchers[searcher]
 	if !ok {
-		st = &state{latency: initialLatency}
+		if t.searchers == nil {
+			t.searchers = make(map[string]*state)
+		}
+
+		st = &state{service: initialService}
 		t.searchers[searcher] = st
 	}
 
 	return st
 }
 
-func (s *state) expected(sr *domain.Searcher) time.Duration {
-	return s.latency + s.latency*time.Duration(s.outstanding)/time.Duration(sr.Slots)
+func (t *Table) random() uint64 {
+	if t.Random != nil {
+		return t.Random()
+	}
+
+	t.turn++
+
+	return t.turn
 }
--- /dev/null
+++ b/internal/routing/state.go
@@ -0,0 +1,277 @@
+package routing
+
+import (
+	"time"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/limits"
+)
+
+// state is what the instance knows of one searcher. The table's lock guards it.
+type state struct {
+	outstanding int
+	limit       limits.Limit
+	slots       uint32
+
+	// service and distance split the usual latency without a queue: the
+	// searcher's own time, and the network's and protocol's.
+	service  time.Duration
+	distance floor
+	answers  int
+	// busy is the mean of the reported numbers of requests.
+	busy float64
+
+	// reported is the number of requests that the searcher had when it last
+	// answered, and since how many were sent after that and are still open.
+	reported   uint32
+	reportedAt time.Time
+	since      int
+
+	// overdue counts the requests given up as overdue since the last word from
+	// the searcher, at heardAt.
+	overdue int
+	heardAt time.Time
+
+	// failures counts the failures in a row; the searcher is believed dead
+	// while it isn't zero.
+	failures  int
+	backoff   time.Duration
+	probeAt   time.Time
+	probing   bool
+	probeSent time.Time
+
+	// draining is the searcher's own word in an answer or refusal, last given
+	// at drainingAt.
+	draining   bool
+	drainingAt time.Time
+	cold       bool
+
+	// statusDraining and unhealthy are from the status endpoint, and leaving is
+	// from the platform's list; they don't count while mistrusted.
+	statusDraining bool
+	unhealthy      bool
+	leaving        bool
+	mistrusted     bool
+}
+
+const (
+	initialService = 5 * time.Millisecond
+	// remoteDistance is expected of a searcher in another failure domain until
+	// the first answer shows its distance.
+	remoteDistance = 6 * time.Millisecond
+	serviceWeight  = 16
+	// serviceClip bounds what one straggler adds to the estimate, as a multiple
+	// of it.
+	serviceClip = 4
+	busyWeight  = 16
+	// idleWait is the share of a service time that a request waits on average
+	// for each request that is in a slot before it.
+	idleWait = 0.8
+	// floorEpoch is half of the time after which a distance that is no longer
+	// seen is forgotten. It outlasts most overloads, in which every latency
+	// includes a queue.
+	floorEpoch = 30 * time.Second
+
+	// reportAge is the age at which a reported queue has lost all its weight.
+	reportAge = 100 * time.Millisecond
+
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 5 * time.Second
+	// knownDead is how many failures in a row take a searcher out even when
+	// its shard has no other; one broken connection doesn't lose a shard.
+	knownDead = 3
+	// A searcher is treated as dead when overdueRequests in a row were given up
+	// after overdueFactor times its usual latency, with no word in between.
+	overdueRequests = 3
+	overdueFactor   = 2
+	// staleAfter is the age of the last answer from which a searcher is assumed
+	// to work at twice its estimated speed, so that one whose estimate is too
+	// high gets a request that corrects it.
+	staleAfter = 2 * time.Second
+	// drainMemory is how long a searcher's own word that it drains outweighs a
+	// status that says otherwise, since a status may lag.
+	drainMemory = 10 * time.Second
+)
+
+// expected returns the expected time to the answer of a request sent now.
+func (s *state) expected(now time.Time, sr *domain.Searcher, nearby string) time.Duration {
+	work := s.service + s.wait(now, float64(max(sr.Slots, 1)))
+	if now.Sub(s.heardAt) > staleAfter {
+		work /= 2
+	}
+
+	return s.far(sr, nearby) + work
+}
+
+// far returns the expected distance.
+func (s *state) far(sr *domain.Searcher, nearby string) time.Duration {
+	if s.answers == 0 && sr.FailureDomain != nearby {
+		return remoteDistance
+	}
+
+	return s.distance.value()
+}
+
+// wait returns the expected time in the queue of a request sent now. Below full
+// slots it rises slowly, since requests of other instances arrive in between.
+func (s *state) wait(now time.Time, slots float64) time.Duration {
+	n := s.queue(now)
+	full := max(n+1-slots, 0)
+
+	return time.Duration(float64(s.service) * (full + idleWait*min(n, slots)) / slots)
+}
+
+// queue returns the expected number of requests at the searcher.
+func (s *state) queue(now time.Time) float64 {
+	own := float64(s.outstanding)
+
+	age := now.Sub(s.reportedAt)
+	if age >= reportAge {
+		return own
+	}
+
+	weight := 1 - float64(age)/float64(reportAge)
+
+	return max(own, weight*float64(s.reported)+float64(s.since))
+}
+
+// leaves reports whether any sign says that the searcher gets no new work.
+func (s *state) leaves() bool {
+	return s.draining || (!s.mistrusted && (s.leaving || s.statusDraining))
+}
+
+func (s *state) dispatch(now time.Time, slots uint32, probe bool) {
+	s.outstanding++
+	s.since++
+	s.slots = slots
+
+	if probe {
+		s.probing, s.probeSent = true, now
+	}
+}
+
+func (s *state) release(now time.Time, o Outcome, latency time.Duration, load *Load) {
+	s.outstanding--
+	s.since = max(s.since-1, 0)
+
+	switch o {
+	case Answered:
+		s.alive(now)
+		s.answered(now, latency, load)
+	case Shed:
+		s.alive(now)
+		s.limit.Shed(now, s.slots)
+	case Draining:
+		s.alive(now)
+		s.draining, s.drainingAt = true, now
+	case Refused:
+		s.alive(now)
+	case Unreachable:
+		s.failed(now)
+	case Cancelled:
+		s.cancelled(now, latency)
+	}
+}
+
+// alive takes any word from the searcher.
+func (s *state) alive(now time.Time) {
+	if s.failures >= knownDead {
+		s.limit.Warm()
+	}
+
+	s.failures, s.backoff, s.probing, s.overdue = 0, 0, false, 0
+	s.heardAt = now
+}
+
+func (s *state) answered(now time.Time, latency time.Duration, load *Load) {
+	service := latency
+
+	if load != nil {
+		s.report(now, load)
+		s.since = 0
+
+		if load.Draining {
+			s.drainingAt = now
+		}
+
+		if load.Service > 0 {
+			service = min(load.Service, latency)
+		}
+	}
+
+	distance := max(latency-service, 0)
+	s.answers++
+	s.distance.add(now, distance)
+	s.service += (min(service, serviceClip*s.service) - s.service) / time.Duration(min(s.answers+1, serviceWeight))
+	s.limit.Answered(now, s.slots, limits.Sample{
+		Wait: distance - s.distance.value(), Service: s.service,
+	})
+}
+
+func (s *state) report(now time.Time, l *Load) {
+	s.reported, s.reportedAt = l.Running+l.Queued, now
+	s.draining = l.Draining
+	s.busy += (float64(s.reported) - s.busy) / busyWeight
+
+	if l.Cold && !s.cold {
+		s.limit.Warm()
+	}
+
+	s.cold = l.Cold
+}
+
+func (s *state) failed(now time.Time) {
+	// The other requests of a connection that broke fail with it; they say no
+	// more than the first.
+	if s.failures > 0 && now.Before(s.probeAt) && !s.probing {
+		return
+	}
+
+	s.failures++
+	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.probeAt = now.Add(s.backoff)
+	s.probing, s.overdue = false, 0
+}
+
+// cancelled learns from a request that was given up. A probe that was overtaken
+// early says nothing; the next one follows.
+func (s *state) cancelled(now time.Time, elapsed time.Duration) {
+	late := elapsed >= overdueFactor*(s.service+s.distance.value())
+	probe := s.probing && now.Add(-elapsed).Equal(s.probeSent)
+
+	switch {
+	case probe && !late:
+		s.probing = false
+		s.probeAt = now.Add(s.backoff)
+	case probe:
+		s.failed(now)
+	case late && s.failures == 0 && now.Add(-elapsed).After(s.heardAt):
+		s.overdue++
+
+		if s.overdue >= overdueRequests {
+			s.failed(now)
+		}
+	}
+}
+
+func (s *state) probeDue(now time.Time) bool { return !s.probing && !now.Before(s.probeAt) }
+
+// floor is the least value of the current and the previous epoch.
+type floor struct {
+	current, previous time.Duration
+	started           time.Time
+	known             bool
+}
+
+func (f *floor) add(now time.Time, d time.Duration) {
+	switch {
+	case !f.known:
+		*f = floor{current: d, previous: d, started: now, known: true}
+	case now.Sub(f.started) >= floorEpoch:
+		f.previous, f.current, f.started = f.current, d, now
+	default:
+		f.current = min(f.current, d)
+	}
+}
+
+func (f *floor) value() time.Duration { return min(f.current, f.previous) }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -11,8 +11,10 @@
 import (
 	"time"
 
+	"primrosespring.example/internal/budget"
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/hedging"
 	"primrosespring.example/internal/routing"
 )
 
@@ -22,28 +24,43 @@
 	Release(now time.Time, searcher string, outcome routing.Outcome, latency time.Duration, load *routing.Load)
 }
 
-// Hedger sets the time of second attempts.
+// Hedger sets the time of second attempts. Each method takes what the Router
+// expected of the attempt.
 type Hedger interface {
-	Delay() time.Duration
-	Observe(latency time.Duration)
+	Delay(e hedging.Estimate, first bool) time.Duration
+	Left(e hedging.Estimate, elapsed time.Duration) time.Duration
+	Observe(e hedging.Estimate, latency time.Duration)
+	ObserveCensored(e hedging.Estimate, elapsed time.Duration)
 }
 
 // Budget pays for retries and hedges.
 type Budget interface {
 	Fill(n int, permille uint32)
-	Take() bool
+	Take(k budget.Kind) bool
+	Return()
 }
 
+// Reason says why an attempt is sent.
+type Reason string
+
+// The reasons of attempts.
+const (
+	First Reason = "first"
+	Retry Reason = "retry"
+	Hedge Reason = "hedge"
+)
+
 // Attempt is one sub-query to be sent.
 type Attempt struct {
 	ID       uint32
 	Shard    uint32
 	Searcher *domain.Searcher
 	Expected time.Duration
-	// Reason is first, retry or hedge.
-	Reason string
+	Reason   Reason
 	// Tried is how many attempts the shard had before.
 	Tried int
+	// Probe says that the searcher was believed dead.
+	Probe bool
 }
 
 // Step is what the host has to do after an event.
@@ -67,6 +84,19 @@
 	Eligible func(shard uint32, searcher string) bool
 }
 
+const (
+	// patience is how many times the expected latency may exceed the time left
+	// before a first attempt or a retry is pointless: a request often ends well
+	// before its expected time.
+	patience = 2
+	// againFactor is how many hedging delays an attempt must have taken before
+	// its searcher gets the hedge too.
+	againFactor = 1.4
+	// recheck is how long a hedge that couldn't be sent waits for the next try,
+	// as a divisor of the hedging delay.
+	recheck = 2
+)
+
 // Query is the state of one query. It isn't safe for concurrent use.
 type Query struct {
 	params   Params
@@ -75,45 +105,68 @@
 	budget   Budget
 	shards   []shardState
 	attempts []attemptState
+	included int
 	open     int
 	done     bool
+	gone     bool
 	partial  time.Time
+	// eligible serves the shard that is being sent, so that one closure does
+	// for all decisions.
+	eligible func(searcher string) bool
+	sending  uint32
 }
 
 type shardState struct {
 	included bool
 	missing  domain.Code
-	tried    []string
-	active   int
-	hedgeAt  time.Time
+	// failure is the code of the last failed attempt.
+	failure domain.Code
+	// tried and ids hold the searchers and ids of the sent attempts, in order.
+	tried  [domain.MaxAttempts]string
+	ids    [domain.MaxAttempts]uint32
+	sent   int
+	active int
+	// nextAt is when the next extra attempt is due; zero means never.
+	nextAt time.Time
+	// late says that a hedge was due and couldn't be sent.
+	late bool
 }
 
+func (s *shardState) settled() bool { return s.included || s.missing != "" }
+
 type attemptState struct {
 	shard    uint32
 	searcher string
 	sent     time.Time
+	estimate hedging.Estimate
 	first    bool
 	ended    bool
 }
 
 // New returns a query that hasn't started.
 func New(p Params, r Router, h Hedger, b Budget) *Query {
-	return &Query{
+	n := len(p.Service.PartitionMap.Shards)
+	q := &Query{
 		params: p, router: r, hedger: h, budget: b,
-		shards: make([]shardState, len(p.Service.PartitionMap.Shards)),
+		shards: make([]shardState, n), attempts: make([]attemptState, 0, n+n/8+1),
 	}
+	q.eligible = func(searcher string) bool { return q.params.Eligible(q.sending, searcher) }
+
+	return q
 }
 
 // Start sends the first attempt of every shard.
 func (q *Query) Start(now time.Time) Step {
-	var s Step
+	s := Step{Send: make([]Attempt, 0, len(q.shards))}
 
 	q.open = len(q.shards)
 	q.budget.Fill(len(q.shards), q.params.Service.Rules.ExtraLoadPermille)
 
 	for i := range q.shards {
-		if !q.send(now, uint32(i), "first", &s) {
-			q.lose(&q.shards[i], domain.CodeNoLiveSearcher)
+		sh := &q.shards[i]
+
+		if a, refusal := q.send(now, uint32(i), First, patience*q.left(now), &s); a == nil {
+			q.lose(sh, refusal)
 		}
 	}
 
@@ -133,12 +186,12 @@
 	q.router.Release(now, a.searcher, routing.Answered, latency, load)
 
 	if a.first {
-		q.hedger.Observe(latency)
+		q.hedger.Observe(a.estimate, latency)
 	}
 
-	sh := &q.shards[a.shard]
-	if !sh.included && sh.missing == "" {
+	if sh := &q.shards[a.shard]; !sh.settled() {
 		sh.included = true
+		q.included++
 		q.open--
 		q.cancel(now, a.shard, &s)
 	}
@@ -158,12 +211,10 @@
 	q.router.Release(now, a.searcher, outcome, now.Sub(a.sent), nil)
 
 	sh := &q.shards[a.shard]
-	if sh.included || sh.missing != "" || sh.active > 0 {
-		return q.finish(now, s)
-	}
+	sh.failure = code
 
-	if !q.retry(now, a.shard, &s) {
-		q.lose(sh, code)
+	if !sh.settled() && sh.active == 0 {
+		q.retry(now, a.shard, a.estimate.Total(), &s)
 	}
 
 	return q.finish(now, s)
@@ -175,8 +226,8 @@
 
 	if !now.Before(q.params.Deadline) || (!q.partial.IsZero() && !now.Before(q.partial)) {
 		for i := range q.shards {
-			if sh := &q.shards[i]; !sh.included && sh.missing == "" {
-				q.lose(sh, domain.CodeDeadline)
+			if sh := &q.shards[i]; !sh.settled() {
+				q.lose(sh, q.late(sh))
 			}
 		}
 
@@ -185,12 +236,15 @@
 
 	for i := range q.shards {
 		sh := &q.shards[i]
-		if sh.included || sh.missing != "" || sh.hedgeAt.IsZero() || now.Before(sh.hedgeAt) {
+		if sh.settled() || sh.nextAt.IsZero() || now.Before(sh.nextAt) {
 			continue
 		}
 
-		sh.hedgeAt = time.Time{}
-		q.extra(now, uint32(i), "hedge", &s)
+		if sh.active > 0 {
+			q.hedge(now, uint32(i), &s)
+		} else {
+			q.retry(now, uint32(i), 0, &s)
+		}
 	}
 
 	return q.finish(now, s)
@@ -198,18 +252,18 @@
 
 // Coverage states which shards are included so far.
 func (q *Query) Coverage() coverage.Coverage {
-	c := coverage.Coverage{Shards: uint32(len(q.shards))}
+	c := coverage.Coverage{Shards: uint32(len(q.shards)), Included: make([]uint32, 0, q.included)}
 
-	for i, sh := range q.shards {
-		n := uint32(i)
+	for i := range q.shards {
+		sh := &q.shards[i]
 
 		switch {
 		case sh.included:
-			c.Included = append(c.Included, n)
+			c.Included = append(c.Included, uint32(i))
 		case sh.missing != "":
-			c.Missing = append(c.Missing, coverage.Missing{Shard: n, Reason: sh.missing})
+			c.Missing = append(c.Missing, coverage.Missing{Shard: uint32(i), Reason: sh.missing})
 		default:
-			c.Missing = append(c.Missing, coverage.Missing{Shard: n, Reason: domain.CodeDeadline})
+			c.Missing = append(c.Missing, coverage.Missing{Shard: uint32(i), Reason: q.late(sh)})
 		}
 	}
 
@@ -219,53 +273,196 @@
 // Attempts returns how many attempts were sent.
 func (q *Query) Attempts() int { return len(q.attempts) }
 
-func (q *Query) send(now time.Time, shard uint32, reason string, s *Step) bool {
+// Included returns how many shards have answered.
+func (q *Query) Included() int { return q.included }
+
+// LostSnapshot reports whether a shard was given up because no usable searcher
+// holds the pinned snapshot any more.
+func (q *Query) LostSnapshot() bool { return q.gone }
+
+// Abandon ends the query without an outcome and cancels every attempt.
+func (q *Query) Abandon(now time.Time) Step {
+	var s Step
+
+	q.done = true
+
+	for i := range q.shards {
+		q.cancel(now, uint32(i), &s)
+	}
+
+	return s
+}
+
+// send sends one attempt, or returns why no searcher could be chosen.
+func (q *Query) send(now time.Time, shard uint32, reason Reason, within time.Duration, s *Step) (*Attempt, domain.Code) {
 	sh := &q.shards[shard]
+	q.sending = shard
 
 	c, ok := q.router.Choose(now, routing.Request{
-		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried, Nearby: q.params.Nearby,
-		Eligible: func(searcher string) bool { return q.params.Eligible(shard, searcher) },
+		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
+		Eligible: q.eligible, Extra: reason == Hedge, Within: within, Elsewhere: reason == Hedge && !q.again(now, sh),
 	})
 	if !ok {
-		return false
+		return nil, c.Refusal
 	}
 
 	id := uint32(len(q.attempts))
 	q.attempts = append(q.attempts, attemptState{
-		shard: shard, searcher: c.Searcher.ID, sent: now, first: len(sh.tried) == 0,
+		shard: shard, searcher: c.Searcher.ID, sent: now, first: reason == First,
+		estimate: hedging.Estimate{Before: c.Expected - c.Service, Service: c.Service},
 	})
 	s.Send = append(s.Send, Attempt{
-		ID: id, Shard: shard, Searcher: c.Searcher, Expected: c.Expected, Reason: reason, Tried: len(sh.tried),
+		ID: id, Shard: shard, Searcher: c.Searcher, Expected: c.Expected, Reason: reason, Tried: sh.sent, Probe: c.Probe,
 	})
-	sh.tried = append(sh.tried, c.Searcher.ID)
+
+	sh.tried[sh.sent], sh.ids[sh.sent] = c.Searcher.ID, id
+	sh.sent++
 	sh.active++
+	sh.nextAt = time.Time{}
 
-	if q.params.Service.Rules.Hedging && sh.active == 1 {
-		sh.hedgeAt = now.Add(q.hedger.Delay())
+	if q.params.Service.Rules.Hedging && q.mayTry(sh) {
+		// The hedge of a probe is sent early, since the searcher may be dead.
+		sh.nextAt = now.Add(q.hedger.Delay(q.attempts[id].estimate, reason == First && !c.Probe))
 	}
 
-	return true
+	return &s.Send[len(s.Send)-1], ""
 }
 
-func (q *Query) retry(now time.Time, shard uint32, s *Step) bool {
-	return q.extra(now, shard, "retry", s)
+// hedge sends a further attempt while others are at work, if that is likely to
+// answer sooner. If it can't be sent now, it is tried again later, because the
+// budget fills and queues shrink.
+func (q *Query) hedge(now time.Time, shard uint32, s *Step) {
+	sh := &q.shards[shard]
+	sh.nextAt = time.Time{}
+
+	if !q.params.Service.Rules.Hedging || !q.mayTry(sh) {
+		return
+	}
+
+	last := &q.attempts[sh.ids[sh.sent-1]]
+	within := min(q.left(now), q.hedger.Left(last.estimate, now.Sub(last.sent)))
+
+	kind := budget.Hedge
+	if sh.late || sh.sent > 1 {
+		kind = budget.LateHedge
+	}
+
+	if within > 0 && q.budget.Take(kind) {
+		if a, _ := q.send(now, shard, Hedge, within, s); a != nil {
+			q.replace(now, shard, a.Searcher.ID, s)
+
+			return
+		}
+
+		q.budget.Return()
+	}
+
+	sh.late = true
+	sh.nextAt = now.Add(q.hedger.Delay(last.estimate, false) / recheck)
 }
 
-func (q *Query) extra(now time.Time, shard uint32, reason string, s *Step) bool {
+// again reports whether a hedge may go to the searcher that has the last
+// attempt. What is late there is more often in the queue than in service, and
+// would be put back to its end.
+func (q *Query) again(now time.Time, sh *shardState) bool {
+	last := &q.attempts[sh.ids[sh.sent-1]]
+
+	return float64(now.Sub(last.sent)) >= againFactor*float64(q.hedger.Delay(last.estimate, true))
+}
+
+// replace cancels the attempts that the newest one repeats at the same
+// searcher. They would go on to hold the slots that it waits for.
+func (q *Query) replace(now time.Time, shard uint32, searcher string, s *Step) {
 	sh := &q.shards[shard]
-	if len(sh.tried) >= int(q.params.Service.Rules.MaxAttempts) {
-		return false
+
+	for _, id := range sh.ids[:sh.sent-1] {
+		if q.attempts[id].searcher == searcher {
+			q.giveUp(now, id, s)
+		}
 	}
+}
+
+// retry replaces attempts that have all failed, and gives the shard up when
+// that can't succeed in the time left.
+func (q *Query) retry(now time.Time, shard uint32, expected time.Duration, s *Step) {
+	sh := &q.shards[shard]
+	sh.nextAt = time.Time{}
+
+	if !q.mayTry(sh) {
+		q.lose(sh, sh.failure)
 
-	return q.budget.Take() && q.send(now, shard, reason, s)
+		return
+	}
+
+	if expected > 0 && sh.failure == domain.CodeOverloaded && q.allTried(sh) {
+		// Every searcher has just shed the request; a queue needs about one
+		// latency to get shorter.
+		sh.nextAt = now.Add(expected)
+
+		return
+	}
+
+	if !q.budget.Take(budget.Retry) {
+		sh.nextAt = now.Add(q.hedger.Delay(q.attempts[sh.ids[sh.sent-1]].estimate, false))
+
+		return
+	}
+
+	if a, refusal := q.send(now, shard, Retry, patience*q.left(now), s); a == nil {
+		q.budget.Return()
+		q.lose(sh, q.lost(sh, refusal))
+	}
 }
 
+// allTried reports whether no searcher of the shard is left untried.
+func (q *Query) allTried(sh *shardState) bool {
+	n := 0
+
+	for i := range sh.sent {
+		known := false
+		for j := range i {
+			known = known || sh.tried[j] == sh.tried[i]
+		}
+
+		if !known {
+			n++
+		}
+	}
+
+	return n >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.ids[0]].shard].Searchers)
+}
+
+// lost returns the code of a shard without a usable searcher: what its own
+// attempts met says more than what routing believes.
+func (q *Query) lost(sh *shardState, refusal domain.Code) domain.Code {
+	if sh.failure != "" && sh.failure != domain.CodeSearcherUnavailable {
+		return sh.failure
+	}
+
+	return refusal
+}
+
+// late returns the code of a shard that hasn't answered when time is up.
+func (q *Query) late(sh *shardState) domain.Code {
+	if sh.failure != "" && sh.active == 0 {
+		return sh.failure
+	}
+
+	return domain.CodeDeadline
+}
+
+func (q *Query) mayTry(sh *shardState) bool {
+	return sh.sent < min(int(q.params.Service.Rules.MaxAttempts), len(sh.ids))
+}
+
+func (q *Query) left(now time.Time) time.Duration { return q.params.Deadline.Sub(now) }
+
 func (q *Query) end(id uint32) *attemptState {
-	a := &q.attempts[id]
-	if a.ended {
+	if int(id) >= len(q.attempts) || q.attempts[id].ended {
 		return nil
 	}
 
+	a := &q.attempts[id]
 	a.ended = true
 	q.shards[a.shard].active--
 
@@ -273,21 +470,35 @@
 }
 
 func (q *Query) cancel(now time.Time, shard uint32, s *Step) {
-	for i := range q.attempts {
-		a := &q.attempts[i]
-		if a.ended || a.shard != shard {
-			continue
-		}
+	sh := &q.shards[shard]
+	if sh.active == 0 {
+		return
+	}
+
+	for _, id := range sh.ids[:sh.sent] {
+		q.giveUp(now, id, s)
+	}
+}
+
+func (q *Query) giveUp(now time.Time, id uint32, s *Step) {
+	a := q.end(id)
+	if a == nil {
+		return
+	}
 
-		a.ended = true
-		q.shards[shard].active--
-		q.router.Release(now, a.searcher, routing.Cancelled, now.Sub(a.sent), nil)
-		s.Cancel = append(s.Cancel, uint32(i))
+	elapsed := now.Sub(a.sent)
+	q.router.Release(now, a.searcher, routing.Cancelled, elapsed, nil)
+	s.Cancel = append(s.Cancel, id)
+
+	// An attempt that its hedge overtakes tells of the tail.
+	if a.first && q.shards[a.shard].sent > 1 && elapsed > a.estimate.Total() {
+		q.hedger.ObserveCensored(a.estimate, elapsed)
 	}
 }
 
 func (q *Query) lose(sh *shardState, code domain.Code) {
 	sh.missing = code
+	q.gone = q.gone || code == domain.CodeSnapshotGone
 	q.open--
 }
 
@@ -315,8 +526,7 @@
 func (q *Query) wake(now time.Time) time.Time {
 	w := q.params.Deadline
 
-	if wait := q.params.Service.Rules.PartialWait(); wait > 0 && q.partial.IsZero() &&
-		coverage.Accepts(q.params.Service.Rules, q.Coverage()) {
+	if wait := q.params.Service.Rules.PartialWait(); wait > 0 && q.partial.IsZero() && q.enough() {
 		q.partial = now.Add(wait)
 	}
 
@@ -325,24 +535,15 @@
 	}
 
 	for i := range q.shards {
-		sh := &q.shards[i]
-		if !sh.included && sh.missing == "" && !sh.hedgeAt.IsZero() && sh.hedgeAt.Before(w) {
-			w = sh.hedgeAt
+		if sh := &q.shards[i]; !sh.settled() && !sh.nextAt.IsZero() && sh.nextAt.Before(w) {
+			w = sh.nextAt
 		}
 	}
 
 	return w
 }
 
-// Abandon ends the query without an outcome and cancels every attempt.
-func (q *Query) Abandon(now time.Time) Step {
-	var s Step
-
-	q.done = true
-
-	for i := range q.shards {
-		q.cancel(now, uint32(i), &s)
-	}
-
-	return s
+// enough reports whether the rules accept the shards included so far.
+func (q *Query) enough() bool {
+	return coverage.AcceptsCount(q.params.Service.Rules, q.included, len(q.shards))
 }
--- /dev/null
+++ b/primrosed/internal/query/execution.go
@@ -0,0 +1,228 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"primrosespring.example/internal/admission"
+	"primrosespring.example/internal/coverage"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/scatter"
+)
+
+// execution is one query at work on one snapshot.
+type execution struct {
+	runner *Runner
+	cfg    *domain.Configuration
+	svc    *domain.Service
+	req    *pb.SearchRequest
+	snap   domain.Snapshot
+	state  *serviceState
+	ticket *admission.Ticket
+	// earlier is how many attempts were sent before the query was begun again.
+	earlier int
+	// mayRestart allows the query to be begun again; restart asks for it.
+	mayRestart bool
+	restart    bool
+
+	id       string
+	deadline time.Time
+	query    *scatter.Query
+	events   chan event
+	cancel   []context.CancelFunc
+	sentTo   []*domain.Searcher
+	hits     [][]*pb.Hit
+}
+
+// event is the end of one attempt.
+type event struct {
+	attempt uint32
+	shard   uint32
+	resp    *pb.RunResponse
+	err     error
+}
+
+func newExecution(r *Runner, cfg *domain.Configuration, svc *domain.Service, req *pb.SearchRequest,
+	snap domain.Snapshot, state *serviceState,
+) *execution {
+	shards := len(svc.PartitionMap.Shards)
+
+	return &execution{
+		runner: r, cfg: cfg, svc: svc, req: req, snap: snap, state: state, id: r.queryID(),
+		// The buffer holds every event, so that no attempt waits for a query
+		// that has ended.
+		events: make(chan event, shards*int(svc.Rules.MaxAttempts)),
+		cancel: make([]context.CancelFunc, 0, shards+1),
+		sentTo: make([]*domain.Searcher, 0, shards+1),
+		hits:   make([][]*pb.Hit, shards),
+	}
+}
+
+// loop runs the query to its end, or until it has to be begun again. It returns
+// an error only if the caller cancelled.
+func (x *execution) loop(ctx context.Context) error {
+	x.deadline, _ = ctx.Deadline()
+	x.query = scatter.New(scatter.Params{
+		Service: x.svc, Snapshot: x.snap, Deadline: x.deadline, Nearby: x.runner.instance.FailureDomain,
+		Eligible: func(shard uint32, searcher string) bool {
+			return x.runner.snapshots.Holds(x.svc.Name, shard, searcher, x.snap)
+		},
+	}, x.runner.routing, &x.state.delayer, &x.state.budget)
+
+	step := x.query.Start(time.Now())
+	x.state.gate.Started(x.ticket)
+
+	timer := time.NewTimer(time.Until(step.Wake))
+	defer timer.Stop()
+
+	for {
+		x.perform(ctx, step)
+
+		if x.superseded() {
+			x.restart = true
+			x.perform(ctx, x.query.Abandon(time.Now()))
+
+			return nil
+		}
+
+		if step.Done {
+			return nil
+		}
+
+		timer.Reset(time.Until(step.Wake))
+
+		select {
+		case e := <-x.events:
+			step = x.handle(e)
+		case <-timer.C:
+			step = x.query.Advance(time.Now())
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.Canceled) {
+				x.perform(ctx, x.query.Abandon(time.Now()))
+
+				return domain.Errorf(x.fate(), domain.CodeCancelled, "search", "the caller cancelled the request")
+			}
+
+			step = x.query.Advance(x.deadline)
+		}
+	}
+}
+
+func (x *execution) perform(ctx context.Context, s scatter.Step) {
+	for _, id := range s.Cancel {
+		x.cancel[id]()
+	}
+
+	for _, a := range s.Send {
+		x.logRoute(a)
+		x.state.metrics.attempt(a.Reason)
+
+		actx, cancel := context.WithCancel(ctx)
+		x.cancel = append(x.cancel, cancel)
+		x.sentTo = append(x.sentTo, a.Searcher)
+
+		go x.run(actx, a)
+	}
+}
+
+func (x *execution) run(ctx context.Context, a scatter.Attempt) {
+	resp, err := x.runner.searchers.Run(ctx, a.Searcher, &pb.RunRequest{
+		Service: x.svc.Name, QueryId: x.id, Attempt: a.ID, Shard: a.Shard, Query: x.req.GetQuery(),
+		Snapshot: &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
+	})
+	x.events <- event{attempt: a.ID, shard: a.Shard, resp: resp, err: err}
+}
+
+func (x *execution) handle(e event) scatter.Step {
+	now := time.Now()
+	x.cancel[e.attempt]()
+
+	defer x.runner.advance(x.svc, x.state)
+
+	if e.err == nil {
+		if x.hits[e.shard] == nil {
+			x.hits[e.shard] = e.resp.GetHits()
+		}
+
+		return x.query.Answered(now, e.attempt, loadOf(e.resp.GetLoad()))
+	}
+
+	outcome, code := classify(e.err)
+	if code == domain.CodeSnapshotGone {
+		x.runner.snapshots.Gone(x.svc.Name, e.shard, x.sentTo[e.attempt].ID, x.snap)
+	}
+
+	return x.query.Failed(now, e.attempt, outcome, code)
+}
+
+// superseded reports whether the pinned snapshot has gone from a shard while
+// another one is better, and the time left suffices to begin again.
+func (x *execution) superseded() bool {
+	if !x.mayRestart || !x.query.LostSnapshot() {
+		return false
+	}
+
+	_, svc := x.runner.latest(x.cfg, x.svc)
+
+	snap, ok := x.runner.snapshots.Choose(svc)
+	if !ok || snap == x.snap {
+		return false
+	}
+
+	now := time.Now()
+
+	return x.runner.pressure(now, svc, x.state).Wait < x.deadline.Sub(now)
+}
+
+// fate returns the fate of a query without an answer.
+func (x *execution) fate() domain.Fate {
+	switch {
+	case x.query.Included() > 0:
+		return domain.FateRan
+	case x.earlier+x.query.Attempts() > 0:
+		return domain.FateUnknown
+	default:
+		return domain.FateNotRun
+	}
+}
+
+func (x *execution) logRoute(a scatter.Attempt) {
+	if !x.runner.logRoutes {
+		return
+	}
+
+	x.runner.log.Info().Str("event", "route").Str("query_id", x.id).Uint32("attempt", a.ID).
+		Uint32("shard", a.Shard).Str("searcher", a.Searcher.ID).Str("reason", string(a.Reason)).
+		Int64("expected_us", a.Expected.Microseconds()).Bool("probe", a.Probe).Send()
+}
+
+func (x *execution) response(start time.Time) (*pb.SearchResponse, error) {
+	c := x.query.Coverage()
+	if !coverage.Accepts(x.svc.Rules, c) {
+		return nil, domain.Errorf(x.fate(), domain.CodeCoverage, "search",
+			"%d of %d shards answered; first missing shard: %d (%s)",
+			len(c.Included), c.Shards, c.Missing[0].Shard, c.Missing[0].Reason)
+	}
+
+	resp := &pb.SearchResponse{
+		RequestId: x.req.GetRequestId(), ConfigurationVersion: x.cfg.Version,
+		Snapshot:  &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
+		Coverage:  &pb.Coverage{Shards: c.Shards, Included: c.Included},
+		Results:   make([]*pb.ShardResult, 0, len(c.Included)),
+		ElapsedUs: uint64(max(time.Since(start), 0).Microseconds()),
+		Attempts:  uint32(x.earlier + x.query.Attempts()),
+		Instance:  x.runner.instance.ID,
+	}
+
+	for _, m := range c.Missing {
+		resp.Coverage.Missing = append(resp.Coverage.Missing, &pb.MissingShard{Shard: m.Shard, Reason: string(m.Reason)})
+	}
+
+	for _, shard := range c.Included {
+		resp.Results = append(resp.Results, &pb.ShardResult{Shard: shard, Hits: x.hits[shard]})
+	}
+
+	return resp, nil
+}
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -10,6 +10,7 @@
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/snapshot"
 )
 
@@ -23,26 +24,48 @@
 	Status(ctx context.Context, sr *domain.Searcher) (*pb.GetStatusResponse, error)
 }
 
-// Poller asks every searcher which snapshots it holds.
+// Configured is told which configuration is in force.
+type Configured interface {
+	Configure(c *domain.Configuration)
+}
+
+// Poller asks every searcher which snapshots it holds and how it is.
 type Poller struct {
 	log       zerolog.Logger
 	source    StatusSource
 	holder    *configuration.Holder
 	snapshots *snapshot.Table
+	routing   *routing.Table
+	version   uint64
+	targets   map[string]*target
+}
+
+// target is one searcher with the shards that it serves.
+type target struct {
+	searcher *domain.Searcher
+	shards   []servedShard
+}
+
+type servedShard struct {
+	service string
+	shard   uint32
 }
 
 // NewPoller returns a poller that isn't running.
-func NewPoller(log zerolog.Logger, source StatusSource, holder *configuration.Holder, snapshots *snapshot.Table) *Poller {
-	return &Poller{log: log, source: source, holder: holder, snapshots: snapshots}
+func NewPoller(log zerolog.Logger, source StatusSource, holder *configuration.Holder,
+	snapshots *snapshot.Table, rt *routing.Table,
+) *Poller {
+	return &Poller{log: log, source: source, holder: holder, snapshots: snapshots, routing: rt}
 }
 
-// Run polls until ctx ends.
+// Run polls until ctx ends. A new configuration is polled at once.
 func (p *Poller) Run(ctx context.Context) {
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 
 	for {
 		changed := p.holder.Changed()
+		p.configure(p.holder.Configuration())
 		p.round(ctx)
 
 		select {
@@ -54,47 +77,74 @@
 	}
 }
 
-func (p *Poller) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
+func (p *Poller) configure(c *domain.Configuration) {
+	if p.targets != nil && c.Version == p.version {
+		return
+	}
 
-	var wg sync.WaitGroup
+	p.version = c.Version
+	p.targets = make(map[string]*target)
 
-	for _, svc := range p.holder.Configuration().Services {
+	for _, svc := range c.Services {
 		for _, sh := range svc.PartitionMap.Shards {
 			for i := range sh.Searchers {
-				wg.Go(func() { p.poll(ctx, &sh.Searchers[i]) })
+				sr := &sh.Searchers[i]
+
+				g, ok := p.targets[sr.ID]
+				if !ok {
+					g = &target{searcher: sr}
+					p.targets[sr.ID] = g
+				}
+
+				g.shards = append(g.shards, servedShard{svc.Name, sh.Number})
 			}
 		}
 	}
 
+	p.snapshots.Retain(c)
+	p.routing.Configure(c)
+
+	if s, ok := p.source.(Configured); ok {
+		s.Configure(c)
+	}
+}
+
+func (p *Poller) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+
+	var wg sync.WaitGroup
+
+	for _, g := range p.targets {
+		wg.Go(func() { p.poll(ctx, g) })
+	}
+
 	wg.Wait()
+	p.routing.Review()
 }
 
-func (p *Poller) poll(ctx context.Context, sr *domain.Searcher) {
-	st, err := p.source.Status(ctx, sr)
+func (p *Poller) poll(ctx context.Context, g *target) {
+	st, err := p.source.Status(ctx, g.searcher)
 	if err != nil {
-		p.log.Debug().Str("event", "status_failed").Str("searcher", sr.ID).Err(err).Send()
+		p.log.Debug().Str("event", "status_failed").Str("searcher", g.searcher.ID).Err(err).Send()
+		p.routing.SetUnreachable(g.searcher.ID)
 
 		return
 	}
 
-	type key struct {
-		service string
-		shard   uint32
-	}
+	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), loadOf(st.GetLoad()))
 
-	held := make(map[key][]domain.Snapshot)
+	held := make(map[servedShard][]domain.Snapshot)
 
 	for _, h := range st.GetHeld() {
-		k := key{h.GetService(), h.GetShard()}
+		k := servedShard{h.GetService(), h.GetShard()}
 		held[k] = append(held[k], domain.Snapshot{
 			IndexVersion:        h.GetSnapshot().GetIndexVersion(),
 			PartitionMapVersion: h.GetSnapshot().GetPartitionMapVersion(),
 		})
 	}
 
-	for k, s := range held {
-		p.snapshots.Report(k.service, k.shard, sr.ID, s)
+	for _, k := range g.shards {
+		p.snapshots.Report(k.service, k.shard, g.searcher.ID, held[k])
 	}
 }
--- a/primrosed/internal/query/runner.go
+++ b/primrosed/internal/query/runner.go
@@ -14,13 +14,12 @@
 
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/admission"
 	"primrosespring.example/internal/budget"
-	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/hedging"
 	"primrosespring.example/internal/routing"
-	"primrosespring.example/internal/scatter"
 	"primrosespring.example/internal/snapshot"
 )
 
@@ -31,6 +30,11 @@
 
 // Runner runs queries. It is safe for concurrent use.
 type Runner struct {
+	// Current returns the configuration in force, for a query that is begun
+	// again; nil keeps the one that the query started with. It must be set
+	// before first use.
+	Current func() *domain.Configuration
+
 	log       zerolog.Logger
 	instance  domain.Instance
 	searchers Searchers
@@ -40,7 +44,7 @@
 	next      atomic.Uint64
 	logRoutes bool
 
-	mu       sync.Mutex // Guards services.
+	mu       sync.RWMutex // Guards services.
 	services map[string]*serviceState
 }
 
@@ -48,8 +52,13 @@
 type serviceState struct {
 	delayer hedging.Delayer
 	budget  budget.Budget
+	gate    admission.Gate
+	metrics *serviceMetrics
 }
 
+// maxStarts bounds how often one query is begun.
+const maxStarts = 3
+
 // NewRunner returns a runner for the instance.
 func NewRunner(log zerolog.Logger, instance domain.Instance, s Searchers,
 	rt *routing.Table, st *snapshot.Table, logRoutes bool,
@@ -70,6 +79,21 @@
 func (r *Runner) Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
 	start := time.Now()
 
+	svc, err := repeatable(cfg, req)
+	if err != nil {
+		countRefusal(err)
+
+		return nil, err
+	}
+
+	state := r.service(svc.Name)
+	resp, err := r.search(ctx, start, cfg, svc, state, req)
+	state.metrics.ended(time.Since(start), resp, err)
+
+	return resp, err
+}
+
+func repeatable(cfg *domain.Configuration, req *pb.SearchRequest) (*domain.Service, error) {
 	svc, ok := cfg.Service(req.GetService())
 	if !ok {
 		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "search", "service %q doesn't exist", req.GetService())
@@ -79,6 +103,12 @@
 		return nil, domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "search", "service %s takes no repeatable requests", svc.Name)
 	}
 
+	return svc, nil
+}
+
+func (r *Runner) search(ctx context.Context, start time.Time, cfg *domain.Configuration, svc *domain.Service,
+	state *serviceState, req *pb.SearchRequest,
+) (*pb.SearchResponse, error) {
 	timeout := svc.Rules.Timeout()
 	if t := time.Duration(req.GetTimeoutMs()) * time.Millisecond; t > 0 && t < timeout {
 		timeout = t
@@ -87,199 +117,146 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
-	snap, ok := r.snapshots.Choose(svc)
-	if !ok {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNoLiveSearcher, "choose snapshot",
-			"no searcher of %s is known to hold a snapshot", svc.Name)
-	}
-
-	run := newExecution(r, cfg, svc, req, snap)
-	deadline, _ := ctx.Deadline()
-
-	if err := run.loop(ctx, deadline); err != nil {
+	ticket, err := r.admit(ctx, cfg, svc, state, req.GetMember())
+	if err != nil {
 		return nil, err
 	}
 
-	return run.response(start)
-}
-
-func (r *Runner) service(name string) *serviceState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	s, ok := r.services[name]
-	if !ok {
-		s = &serviceState{}
-		r.services[name] = s
-	}
+	defer func() {
+		state.gate.Done(ticket)
+		r.advance(svc, state)
+	}()
 
-	return s
-}
+	attempts := 0
 
-func (r *Runner) queryID() string {
-	return r.prefix + strconv.FormatUint(r.next.Add(1), 36)
-}
+	for starts := 1; ; starts++ {
+		snap, ok := r.snapshots.Choose(svc)
+		if !ok {
+			return nil, noSnapshot(svc, attempts)
+		}
 
-// execution is one query at work.
-type execution struct {
-	runner *Runner
-	cfg    *domain.Configuration
-	svc    *domain.Service
-	req    *pb.SearchRequest
-	snap   domain.Snapshot
-	id     string
-	query  *scatter.Query
-	events chan event
-	cancel map[uint32]context.CancelFunc
-	hits   map[uint32][]*pb.Hit
-	state  *serviceState
-}
+		x := newExecution(r, cfg, svc, req, snap, state)
+		x.ticket, x.earlier, x.mayRestart = ticket, attempts, starts < maxStarts
 
-// event is the end of one attempt.
-type event struct {
-	attempt uint32
-	shard   uint32
-	resp    *pb.RunResponse
-	err     error
-}
+		if err := x.loop(ctx); err != nil {
+			return nil, err
+		}
 
-func newExecution(r *Runner, cfg *domain.Configuration, svc *domain.Service, req *pb.SearchRequest, snap domain.Snapshot) *execution {
-	shards := len(svc.PartitionMap.Shards)
+		if !x.restart {
+			return x.response(start)
+		}
 
-	return &execution{
-		runner: r, cfg: cfg, svc: svc, req: req, snap: snap, id: r.queryID(),
-		events: make(chan event, shards*int(svc.Rules.MaxAttempts)),
-		cancel: make(map[uint32]context.CancelFunc, shards),
-		hits:   make(map[uint32][]*pb.Hit, shards),
-		state:  r.service(svc.Name),
+		attempts += x.query.Attempts()
+		cfg, svc = r.latest(cfg, svc)
+		r.log.Info().Str("event", "query_restarted").Str("query_id", x.id).
+			Uint64("index_version", snap.IndexVersion).Uint64("partition_map_version", snap.PartitionMapVersion).Send()
 	}
 }
 
-func (x *execution) loop(ctx context.Context, deadline time.Time) error {
-	x.query = scatter.New(scatter.Params{
-		Service: x.svc, Snapshot: x.snap, Deadline: deadline, Nearby: x.runner.instance.FailureDomain,
-		Eligible: func(shard uint32, searcher string) bool {
-			return x.runner.snapshots.Holds(x.svc.Name, shard, searcher, x.snap)
-		},
-	}, x.runner.routing, &x.state.delayer, &x.state.budget)
-
-	step := x.query.Start(time.Now())
-
-	for {
-		x.perform(ctx, step)
-
-		if step.Done {
-			return nil
-		}
-
-		timer := time.NewTimer(time.Until(step.Wake))
-
-		select {
-		case e := <-x.events:
-			step = x.handle(e)
-		case <-timer.C:
-			step = x.query.Advance(time.Now())
-		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.Canceled) {
-				x.perform(ctx, x.query.Abandon(time.Now()))
-
-				return domain.Errorf(domain.FateUnknown, domain.CodeCancelled, "search", "the caller cancelled the request")
-			}
-
-			step = x.query.Advance(deadline)
-		}
+// admit waits for the gate and returns the place there.
+func (r *Runner) admit(ctx context.Context, cfg *domain.Configuration, svc *domain.Service, state *serviceState, member string,
+) (*admission.Ticket, error) {
+	now := time.Now()
+	deadline, _ := ctx.Deadline()
+	capacity := r.pressure(now, svc, state)
 
-		timer.Stop()
+	ticket, err := state.gate.Offer(now, admission.Request{
+		Member: member, Weight: cfg.Weight(member), Left: deadline.Sub(now),
+	}, capacity)
+	if err != nil {
+		return nil, err
 	}
-}
 
-func (x *execution) perform(ctx context.Context, s scatter.Step) {
-	for _, id := range s.Cancel {
-		x.cancel[id]()
+	select {
+	case <-ticket.Ready:
+		return ticket, nil
+	default:
 	}
 
-	for _, a := range s.Send {
-		x.logRoute(a)
+	timer := time.NewTimer(admission.MaxWait)
+	defer timer.Stop()
 
-		actx, cancel := context.WithCancel(ctx)
-		x.cancel[a.ID] = cancel
+	select {
+	case <-ticket.Ready:
+		return ticket, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 
-		go x.run(actx, a)
+	if err := state.gate.Withdraw(ticket, capacity); err != nil {
+		return nil, err
 	}
-}
 
-func (x *execution) run(ctx context.Context, a scatter.Attempt) {
-	resp, err := x.runner.searchers.Run(ctx, a.Searcher, &pb.RunRequest{
-		Service: x.svc.Name, QueryId: x.id, Attempt: a.ID, Shard: a.Shard, Query: x.req.GetQuery(),
-		Snapshot: &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
-	})
-	x.events <- event{attempt: a.ID, shard: a.Shard, resp: resp, err: err}
+	return ticket, nil
 }
 
-func (x *execution) handle(e event) scatter.Step {
-	now := time.Now()
-	x.cancel[e.attempt]()
+// pressure sums up the service's searchers for the gate and the budget.
+func (r *Runner) pressure(now time.Time, svc *domain.Service, state *serviceState) admission.Capacity {
+	snap, _ := r.snapshots.Choose(svc)
+	p := r.routing.Pressure(now, svc, r.instance.FailureDomain, func(shard uint32, searcher string) bool {
+		return r.snapshots.Holds(svc.Name, shard, searcher, snap)
+	})
+	state.budget.SetConditions(budget.Conditions{Degraded: p.Degraded, Saturation: p.Saturation})
 
-	if e.err == nil {
-		if _, ok := x.hits[e.shard]; !ok {
-			x.hits[e.shard] = e.resp.GetHits()
-		}
+	return admission.Capacity{Free: p.Free, Wait: p.Wait}
+}
 
-		return x.query.Answered(now, e.attempt, loadOf(e.resp.GetLoad()))
+// advance lets waiting queries in after places have become free.
+func (r *Runner) advance(svc *domain.Service, state *serviceState) {
+	if state.gate.Waiting() > 0 {
+		now := time.Now()
+		state.gate.Advance(now, r.pressure(now, svc, state))
 	}
-
-	outcome, code := classify(e.err)
-
-	return x.query.Failed(now, e.attempt, outcome, code)
 }
 
-func (x *execution) logRoute(a scatter.Attempt) {
-	if !x.runner.logRoutes {
-		return
+// latest returns the configuration and service to begin a query again with.
+func (r *Runner) latest(cfg *domain.Configuration, svc *domain.Service) (*domain.Configuration, *domain.Service) {
+	if r.Current == nil {
+		return cfg, svc
+	}
+
+	c := r.Current()
+	if s, ok := c.Service(svc.Name); ok && s.Rules.Repeatable {
+		return c, s
 	}
 
-	x.runner.log.Info().Str("event", "route").Str("query_id", x.id).Uint32("attempt", a.ID).
-		Uint32("shard", a.Shard).Str("searcher", a.Searcher.ID).Str("reason", a.Reason).
-		Int64("expected_us", a.Expected.Microseconds()).Send()
+	return cfg, svc
 }
 
-func (x *execution) response(start time.Time) (*pb.SearchResponse, error) {
-	c := x.query.Coverage()
-	if !coverage.Accepts(x.svc.Rules, c) {
-		return nil, domain.Errorf(domain.FateRan, domain.CodeCoverage, "search",
-			"%d of %d shards answered; first missing shard: %d (%s)",
-			len(c.Included), c.Shards, c.Missing[0].Shard, c.Missing[0].Reason)
-	}
+func (r *Runner) service(name string) *serviceState {
+	r.mu.RLock()
+	s, ok := r.services[name]
+	r.mu.RUnlock()
 
-	resp := &pb.SearchResponse{
-		RequestId: x.req.GetRequestId(), ConfigurationVersion: x.cfg.Version,
-		Snapshot:  &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
-		Coverage:  &pb.Coverage{Shards: c.Shards, Included: c.Included},
-		ElapsedUs: uint64(max(time.Since(start), 0).Microseconds()),
-		Attempts:  uint32(x.query.Attempts()),
-		Instance:  x.runner.instance.ID,
+	if ok {
+		return s
 	}
 
-	for _, m := range c.Missing {
-		resp.Coverage.Missing = append(resp.Coverage.Missing, &pb.MissingShard{Shard: m.Shard, Reason: string(m.Reason)})
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 
-	for _, shard := range c.Included {
-		resp.Results = append(resp.Results, &pb.ShardResult{Shard: shard, Hits: x.hits[shard]})
+	if s, ok := r.services[name]; ok {
+		return s
 	}
 
-	return resp, nil
+	s = &serviceState{metrics: newServiceMetrics(name)}
+	r.services[name] = s
+
+	return s
 }
 
-func loadOf(l *pb.SearcherLoad) *routing.Load {
-	if l == nil {
-		return nil
-	}
+func (r *Runner) queryID() string {
+	return r.prefix + strconv.FormatUint(r.next.Add(1), 36)
+}
 
-	return &routing.Load{
-		Running: l.GetRunning(), Queued: l.GetQueued(), Draining: l.GetDraining(),
-		Service: time.Duration(l.GetServiceUs()) * time.Microsecond,
+func noSnapshot(svc *domain.Service, attempts int) error {
+	fate := domain.FateNotRun
+	if attempts > 0 {
+		fate = domain.FateUnknown
 	}
+
+	return domain.Errorf(fate, domain.CodeNoLiveSearcher, "choose snapshot",
+		"no searcher of %s is known to hold a snapshot", svc.Name)
 }
 
 // classify tells routing how an attempt failed.
@@ -290,11 +267,30 @@
 	}
 
 	switch {
-	case e.Fate == domain.FateNotRun:
-		return routing.Shed, e.Code
+	case e.Code == domain.CodeSearcherUnavailable, e.Code == domain.CodeSearcherSilent:
+		return routing.Unreachable, e.Code
 	case e.Code == domain.CodeDeadline || e.Code == domain.CodeCancelled:
 		return routing.Cancelled, e.Code
-	default:
+	case e.Code == domain.CodeCorrupt:
+		return routing.Unreachable, e.Code
+	case e.Fate != domain.FateNotRun:
 		return routing.Unreachable, domain.CodeSearcherUnavailable
+	case e.Code == domain.CodeSearcherDraining, e.Code == domain.CodeStopping:
+		return routing.Draining, domain.CodeSearcherDraining
+	case e.Code == domain.CodeOverloaded || e.Code == domain.CodeRateLimited:
+		return routing.Shed, domain.CodeOverloaded
+	default:
+		return routing.Refused, e.Code
+	}
+}
+
+func loadOf(l *pb.SearcherLoad) *routing.Load {
+	if l == nil {
+		return nil
+	}
+
+	return &routing.Load{
+		Running: l.GetRunning(), Queued: l.GetQueued(), Draining: l.GetDraining(), Cold: l.GetCold(),
+		Service: time.Duration(l.GetServiceUs()) * time.Microsecond,
 	}
 }
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
@@ -26,7 +27,7 @@
 		func() *logline.Writer { return logline.New(logOut) },
 		newLogger,
 		func() *configuration.Holder { return &configuration.Holder{} },
-		func() *routing.Table { return &routing.Table{} },
+		func() *routing.Table { return &routing.Table{Random: rand.Uint64} },
 		func() *snapshot.Table { return &snapshot.Table{} },
 		func() *searcher.Pool { return &searcher.Pool{} },
 		func() *balancer.Health { return &balancer.Health{} },
@@ -57,12 +58,17 @@
 	return w.Logger().Level(level).With().Str("instance", s.ID).Logger(), nil
 }
 
-func newRunner(log zerolog.Logger, s settings.Settings, p *searcher.Pool, rt *routing.Table, st *snapshot.Table) *query.Runner {
-	return query.NewRunner(log, s.Instance(), p, rt, st, s.Log.Routing)
+func newRunner(log zerolog.Logger, s settings.Settings, h *configuration.Holder, p *searcher.Pool,
+	rt *routing.Table, st *snapshot.Table,
+) *query.Runner {
+	r := query.NewRunner(log, s.Instance(), p, rt, st, s.Log.Routing)
+	r.Current = h.Configuration
+
+	return r
 }
 
-func newPoller(log zerolog.Logger, p *searcher.Pool, h *configuration.Holder, st *snapshot.Table) *query.Poller {
-	return query.NewPoller(log, p, h, st)
+func newPoller(log zerolog.Logger, p *searcher.Pool, h *configuration.Holder, st *snapshot.Table, rt *routing.Table) *query.Poller {
+	return query.NewPoller(log, p, h, st, rt)
 }
 
 func newCallerHandler(h *configuration.Holder, r *query.Runner) *caller.Handler {
