searcher: probe, replace and bound connections

Cause: one transport for each searcher opened connections on the first request, never noticed one that had gone silent, and had no bound.

Change: a peer keeps 1 to 4 single connections from its share of the searcher's limit, opened when the configuration arrives, and the request takes the one with the fewest outstanding. A corrupt answer closes its connection. A removed searcher's connections close after their last answer. A refused connection is reported as not run.

Tests: go test ./primrosed/internal/searcher (in-memory connections in synctest bubbles; one test for each rule above).

--- a/primrosed/internal/searcher/pool.go
+++ b/primrosed/internal/searcher/pool.go
@@ -1,21 +1,19 @@
-// Package searcher speaks to searchers. A Pool keeps the connections to them,
+// Package searcher speaks to searchers. A Pool keeps a few connections to each,
 // HTTP/2 without TLS, so that a cancelled request resets its stream and leaves
-// the connection in use.
+// the connection in use. It finds out which connections have gone silent.
 package searcher
 
 import (
 	"context"
+	"errors"
 	"net"
-	"net/http"
+	"slices"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/refusal"
 )
 
@@ -23,34 +21,67 @@
 	dialTimeout = time.Second
 	// maxAnswerBytes bounds what one answer may hold.
 	maxAnswerBytes = 4 << 20
+
+	minConnections     = 1
+	defaultConnections = 2
+	maxConnections     = 4
+	// connectionShare is the part of a searcher's connection limit that the
+	// instances divide, in 1/1,000. The rest is for replacements.
+	connectionShare = 800
 )
 
-// Pool holds one client for each searcher address. Its zero value is ready to
-// use, and it is safe for concurrent use.
+// Pool holds the connections to searchers. Its zero value is ready to use, and
+// it is safe for concurrent use.
 type Pool struct {
-	mu      sync.Mutex // Guards clients.
-	clients map[string]*client
+	// Dial opens a connection; nil dials TCP. It must be set before first use.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu        sync.Mutex // Guards what follows and the peers in it.
+	peers     map[string]*peer
+	instances int
+	closed    bool
 }
 
-type client struct {
-	transport *http.Transport
-	rpc       primrosespringv1connect.SearcherServiceClient
+// peer is one searcher with the connections to it.
+type peer struct {
+	id      string
+	address string
+	size    int
+	conns   []*conn
+	opening int
+	// failure is why the last connection couldn't be opened.
+	failure error
+	// changed is closed when an opening ends.
+	changed chan struct{}
+	// usual is the mean latency of answered requests.
+	usual time.Duration
 }
 
+// errClosed says that the pool has been closed.
+var errClosed = errors.New("the pool is closed")
+
 // Run sends one attempt and returns its checked answer. The time left of ctx
-// goes along.
+// goes along. Errors are domain.Error; the fate is not run if nothing was sent.
 func (p *Pool) Run(ctx context.Context, sr *domain.Searcher, req *pb.RunRequest) (*pb.RunResponse, error) {
+	c, err := p.acquire(ctx, sr)
+	if err != nil {
+		return nil, err
+	}
+
 	if deadline, ok := ctx.Deadline(); ok {
 		req.TimeoutUs = uint64(max(time.Until(deadline), 0).Microseconds())
 	}
 
-	resp, err := p.client(sr).rpc.Run(ctx, req)
+	start := time.Now()
+	resp, err := c.rpc.Run(ctx, req)
+	p.release(c, time.Since(start), err == nil) //nolint:contextcheck // A replacement connection outlives the request.
+
 	if err != nil {
-		return nil, refusal.FromConnect(err, "run sub-query", sr.ID)
+		return nil, c.failure(err, "run sub-query", sr.ID)
 	}
 
 	if err := coverage.Check(req, resp); err != nil {
-		p.drop(sr)
+		p.discard(c, errCorrupt) //nolint:contextcheck // A replacement connection outlives the request.
 
 		return nil, err.WithPeer(sr.ID)
 	}
@@ -60,68 +91,256 @@
 
 // Status returns the searcher's word on itself.
 func (p *Pool) Status(ctx context.Context, sr *domain.Searcher) (*pb.GetStatusResponse, error) {
-	resp, err := p.client(sr).rpc.GetStatus(ctx, &pb.GetStatusRequest{})
+	c, err := p.acquire(ctx, sr)
+	if err != nil {
+		return nil, err
+	}
+
+	resp, err := c.rpc.GetStatus(ctx, &pb.GetStatusRequest{})
+	p.release(c, 0, false) //nolint:contextcheck // A replacement connection outlives the request.
+
 	if err != nil {
-		return nil, refusal.FromConnect(err, "get status", sr.ID)
+		return nil, c.failure(err, "get status", sr.ID)
 	}
 
 	return resp, nil
 }
 
+// SetInstances says how many instances divide the searchers' connection limits.
+// It counts from the next Configure on.
+func (p *Pool) SetInstances(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.instances = n
+}
+
+// Configure opens connections to the searchers of c ahead of need. A searcher
+// that c doesn't name gets no new request, and its connections are closed
+// after their last answer; one that drains keeps one connection for its status.
+func (p *Pool) Configure(c *domain.Configuration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	named := make(map[string]bool)
+
+	for _, svc := range c.Services {
+		for _, sh := range svc.PartitionMap.Shards {
+			for i := range sh.Searchers {
+				sr := &sh.Searchers[i]
+				named[sr.Address] = true
+
+				e := p.peer(sr)
+				e.size = p.size(sr)
+				p.fill(e)
+				p.trim(e)
+			}
+		}
+	}
+
+	for address, e := range p.peers {
+		if !named[address] {
+			e.size = 0
+			p.trim(e)
+			delete(p.peers, address)
+		}
+	}
+}
+
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.closed = true
+
+	var conns []*conn
+
+	for _, e := range p.peers {
+		conns = append(conns, e.conns...)
+		e.conns = nil
+	}
+	p.mu.Unlock()
+
+	for _, c := range conns {
+		c.close(errClosed)
+	}
+}
+
+// size returns how many connections this instance keeps to a searcher.
+func (p *Pool) size(sr *domain.Searcher) int {
+	if sr.Draining {
+		return minConnections
+	}
+
+	share := int(sr.Connections) * connectionShare / domain.Permille
+	if p.instances == 0 {
+		return max(min(defaultConnections, share), minConnections)
+	}
+
+	return max(min(share/p.instances, maxConnections), minConnections)
+}
+
+func (p *Pool) peer(sr *domain.Searcher) *peer {
+	e, ok := p.peers[sr.Address]
+	if !ok {
+		if p.peers == nil {
+			p.peers = make(map[string]*peer)
+		}
+
+		e = &peer{id: sr.ID, address: sr.Address, size: p.size(sr), changed: make(chan struct{}), usual: initialUsual}
+		p.peers[sr.Address] = e
+	}
+
+	return e
+}
+
+// acquire returns the connection with the fewest outstanding requests, and
+// waits for one to open if there is none.
+func (p *Pool) acquire(ctx context.Context, sr *domain.Searcher) (*conn, error) {
+	for waited := false; ; waited = true {
+		p.mu.Lock()
+
+		if p.closed {
+			p.mu.Unlock()
+
+			return nil, unavailable(sr, errClosed)
+		}
+
+		e := p.peer(sr)
 
-	for _, c := range p.clients {
-		c.transport.CloseIdleConnections()
+		c := e.best()
+		if c != nil {
+			c.acquired()
+		}
+
+		failure, changed := e.failure, e.changed
+
+		// A request that has waited for an opening takes its failure; the next
+		// request tries again.
+		if c != nil || !waited || failure == nil {
+			p.fill(e) //nolint:contextcheck // A connection outlives the request that needs it first.
+		}
+
+		p.mu.Unlock()
+
+		switch {
+		case c != nil:
+			return c, nil
+		case waited && failure != nil:
+			return nil, unavailable(sr, failure)
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			// Nothing was sent.
+			return nil, refusal.FromConnect(ctx.Err(), "connect", sr.ID).WithFate(domain.FateNotRun)
+		}
 	}
 }
 
-func (p *Pool) client(sr *domain.Searcher) *client {
+func (p *Pool) release(c *conn, latency time.Duration, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if c, ok := p.clients[sr.Address]; ok {
-		return c
+	if answered {
+		c.peer.usual += (min(latency, maxUsual) - c.peer.usual) / usualWeight
+	}
+
+	c.outstanding--
+
+	switch {
+	case c.http.Err() != nil:
+		p.remove(c)
+		p.fill(c.peer)
+	case c.retired && c.outstanding == 0:
+		go c.close(nil)
+	}
+}
+
+// discard closes a connection at once and opens another in its place.
+func (p *Pool) discard(c *conn, why error) {
+	p.mu.Lock()
+	p.remove(c)
+
+	if !p.closed {
+		p.fill(c.peer)
 	}
+	p.mu.Unlock()
+
+	c.close(why)
+}
+
+func (p *Pool) remove(c *conn) {
+	c.peer.conns = slices.DeleteFunc(c.peer.conns, func(o *conn) bool { return o == c })
+}
 
-	if p.clients == nil {
-		p.clients = make(map[string]*client)
+// trim retires the connections above the size: the idle ones are closed now and
+// the others after their last answer.
+func (p *Pool) trim(e *peer) {
+	for len(e.conns) > e.size {
+		c := e.conns[len(e.conns)-1]
+		e.conns = e.conns[:len(e.conns)-1]
+		c.retired = true
+
+		if c.outstanding == 0 {
+			go c.close(nil)
+		}
 	}
+}
 
-	c := newClient(sr.Address)
-	p.clients[sr.Address] = c
+// fill opens the missing connections of a peer.
+func (p *Pool) fill(e *peer) {
+	// The searcher may have closed some.
+	e.conns = slices.DeleteFunc(e.conns, func(c *conn) bool { return c.http.Err() != nil })
 
-	return c
+	for !p.closed && len(e.conns)+e.opening < e.size {
+		e.opening++
+
+		go p.open(e)
+	}
 }
 
-// drop closes the connections to a searcher once their requests have ended;
-// the next request opens new ones.
-func (p *Pool) drop(sr *domain.Searcher) {
+func (p *Pool) open(e *peer) {
+	c, err := dial(p, e)
+
 	p.mu.Lock()
-	c := p.clients[sr.Address]
-	delete(p.clients, sr.Address)
+
+	e.opening--
+	e.failure = err
+
+	surplus := err == nil && (p.closed || len(e.conns) >= e.size)
+	if err == nil && !surplus {
+		e.conns = append(e.conns, c)
+	}
+
+	close(e.changed)
+	e.changed = make(chan struct{})
 	p.mu.Unlock()
 
-	if c != nil {
-		c.transport.CloseIdleConnections()
+	if surplus {
+		c.close(nil)
 	}
 }
 
-func newClient(address string) *client {
-	var protocols http.Protocols
+// best returns the connection for the next request, or nil. One that is being
+// probed for silence is used only when there is no other.
+func (e *peer) best() *conn {
+	var best *conn
 
-	protocols.SetUnencryptedHTTP2(true)
+	for _, c := range e.conns {
+		if c.http.Err() != nil {
+			continue
+		}
 
-	t := &http.Transport{
-		Protocols:   &protocols,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		if best == nil || (best.suspect && !c.suspect) || (best.suspect == c.suspect && c.outstanding < best.outstanding) {
+			best = c
+		}
 	}
 
-	return &client{
-		transport: t,
-		rpc: primrosespringv1connect.NewSearcherServiceClient(
-			&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes)),
-	}
+	return best
+}
+
+func unavailable(sr *domain.Searcher, cause error) error {
+	return domain.Errorf(domain.FateNotRun, domain.CodeSearcherUnavailable, "connect", "no connection").
+		WithPeer(sr.ID).WithCause(cause)
 }
--- /dev/null
+++ b/primrosed/internal/searcher/pool_test.go
@@ -0,0 +1,319 @@
+package searcher
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+	"primrosespring.example/internal/integrity"
+)
+
+// server is a searcher on in-memory connections.
+type server struct {
+	primrosespringv1connect.UnimplementedSearcherServiceHandler
+
+	mu      sync.Mutex // Guards what follows.
+	conns   []*pipe
+	refuse  bool
+	service time.Duration
+	corrupt bool
+	accept  chan net.Conn
+}
+
+// pipe is the searcher's end of a connection. A frozen one neither reads nor
+// writes, and isn't closed.
+type pipe struct {
+	net.Conn
+
+	frozen chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	select {
+	case <-p.frozen:
+		<-p.closed
+
+		return 0, net.ErrClosed
+	default:
+		return p.Conn.Write(b)
+	}
+}
+
+func (p *pipe) Close() error {
+	p.once.Do(func() { close(p.closed) })
+
+	return p.Conn.Close()
+}
+
+func (s *server) dial(context.Context, string, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.refuse {
+		return nil, errors.New("connection refused")
+	}
+
+	near, far := net.Pipe()
+	p := &pipe{Conn: far, frozen: make(chan struct{}), closed: make(chan struct{})}
+	s.conns = append(s.conns, p)
+	s.accept <- p
+
+	return near, nil
+}
+
+func (s *server) Accept() (net.Conn, error) {
+	c, ok := <-s.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+
+	return c, nil
+}
+
+func (s *server) Close() error   { return nil }
+func (s *server) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *server) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.conns)
+}
+
+// open returns how many connections the pool hasn't closed.
+func (s *server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	n := 0
+
+	for _, c := range s.conns {
+		select {
+		case <-c.closed:
+		default:
+			n++
+		}
+	}
+
+	return n
+}
+
+func (s *server) Run(ctx context.Context, req *pb.RunRequest) (*pb.RunResponse, error) {
+	s.mu.Lock()
+	service, corrupt := s.service, s.corrupt
+	s.mu.Unlock()
+
+	select {
+	case <-time.After(service):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+
+	resp := &pb.RunResponse{QueryId: req.GetQueryId(), Attempt: req.GetAttempt(), Shard: req.GetShard(), Snapshot: req.GetSnapshot()}
+	resp.Checksum = integrity.RunChecksum(resp)
+
+	if corrupt {
+		resp.QueryId = "other"
+	}
+
+	return resp, nil
+}
+
+func (s *server) Ping(context.Context, *pb.PingRequest) (*pb.PingResponse, error) {
+	return &pb.PingResponse{}, nil
+}
+
+var testSearcher = domain.Searcher{ID: "s0", Address: "127.0.0.1:9000", Slots: 2, Connections: 25, FailureDomain: "d"}
+
+func configurationOf(searchers ...domain.Searcher) *domain.Configuration {
+	return &domain.Configuration{Version: 1, Services: []domain.Service{{
+		Name: "booking", PartitionMap: domain.PartitionMap{Version: 1, Shards: []domain.Shard{{Searchers: searchers}}},
+	}}}
+}
+
+// bubble runs f with a pool that is connected to a fake searcher.
+func bubble(t *testing.T, f func(p *Pool, s *server)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := &server{service: 5 * time.Millisecond, accept: make(chan net.Conn, 16)}
+		mux := http.NewServeMux()
+		mux.Handle(primrosespringv1connect.NewSearcherServiceHandler(s))
+
+		var protocols http.Protocols
+
+		protocols.SetUnencryptedHTTP2(true)
+
+		h := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: time.Minute}
+
+		var wg sync.WaitGroup
+
+		wg.Go(func() { _ = h.Serve(s) })
+
+		p := &Pool{Dial: s.dial}
+		f(p, s)
+		p.Close()
+		synctest.Wait()
+		close(s.accept)
+		_ = h.Close()
+		wg.Wait()
+	})
+}
+
+func run(p *Pool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	_, err := p.Run(ctx, &testSearcher, &pb.RunRequest{QueryId: "q", Snapshot: &pb.Snapshot{IndexVersion: 1}})
+
+	return err
+}
+
+func codeOf(t *testing.T, err error) domain.Code {
+	t.Helper()
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+
+	return e.Code
+}
+
+// Guards against the first query paying for the connection, and against more
+// connections than the searcher's limit allows each instance.
+func TestOpensAhead(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		p.Configure(configurationOf(testSearcher))
+		synctest.Wait()
+		require.Equal(t, 2, s.opened())
+
+		p.SetInstances(5)
+		p.Configure(configurationOf(testSearcher))
+		synctest.Wait()
+		require.Equal(t, 4, s.open(), "80% of 25 connections for 5 instances")
+
+		p.SetInstances(100)
+		p.Configure(configurationOf(testSearcher))
+		synctest.Wait()
+		require.Equal(t, 1, s.open())
+		require.NoError(t, run(p))
+	})
+}
+
+// Guards against requests that wait for a connection which will never answer.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		p.SetInstances(100)
+		require.NoError(t, run(p))
+		close(s.conns[0].frozen)
+
+		start := time.Now()
+		err := run(p)
+		require.Equal(t, domain.CodeSearcherSilent, codeOf(t, err))
+		require.Less(t, time.Since(start), time.Second)
+
+		require.NoError(t, run(p))
+		require.Equal(t, 2, s.opened())
+		require.Equal(t, 1, s.open())
+	})
+}
+
+// Guards against closing a connection because one request is slow.
+func TestSlowConnectionIsKept(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		p.SetInstances(100)
+		require.NoError(t, run(p))
+
+		s.mu.Lock()
+		s.service = 3 * time.Second
+		s.mu.Unlock()
+
+		require.NoError(t, run(p))
+		require.Equal(t, 1, s.opened())
+	})
+}
+
+// Guards against a connection that has crossed its answers staying in use.
+func TestCorruptAnswerClosesConnection(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		p.SetInstances(100)
+
+		s.mu.Lock()
+		s.corrupt = true
+		s.mu.Unlock()
+
+		require.Equal(t, domain.CodeCorrupt, codeOf(t, run(p)))
+		synctest.Wait()
+		require.Equal(t, 2, s.opened())
+		require.Equal(t, 1, s.open())
+	})
+}
+
+// Guards against a configuration change that interrupts requests, and against
+// connections to a searcher that has gone.
+func TestRemovedSearcherClosesAfterLastAnswer(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		s.service = time.Second
+
+		p.Configure(configurationOf(testSearcher))
+		synctest.Wait()
+
+		var (
+			wg  sync.WaitGroup
+			err error
+		)
+
+		wg.Go(func() { err = run(p) })
+		synctest.Wait()
+		p.Configure(&domain.Configuration{Version: 2})
+		synctest.Wait()
+		require.Equal(t, 1, s.open(), "the busy connection")
+		wg.Wait()
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Equal(t, 0, s.open())
+	})
+}
+
+// Guards against a refused connection that is reported as if the request might
+// have run.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		s.refuse = true
+
+		err := run(p)
+		require.Equal(t, domain.CodeSearcherUnavailable, codeOf(t, err))
+
+		var e *domain.Error
+
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.FateNotRun, e.Fate)
+	})
+}
+
+// Guards against a cancellation that costs the connection.
+func TestCancelKeepsConnection(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		p.SetInstances(100)
+		s.service = time.Second
+
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, err := p.Run(ctx, &testSearcher, &pb.RunRequest{QueryId: "q"})
+
+		cancel()
+		require.Equal(t, domain.CodeDeadline, codeOf(t, err))
+		require.NoError(t, run(p))
+		require.Equal(t, 1, s.opened())
+	})
+}
