scatter, routing: test properties and searcher trouble

Change: a rapid property drives a query with arbitrary answers, failures and time: each attempt ends and is released once, coverage is a partition of the shards, no shard has more attempts than the rule allows, the query is done exactly once and not after its deadline. Tests for each leaving sign, mistrusted hearsay, probes, overdue requests and distance.

--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,235 @@
+package routing
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testShard(n int) *domain.Shard {
+	sh := &domain.Shard{}
+	for i := range n {
+		sh.Searchers = append(sh.Searchers, domain.Searcher{ID: fmt.Sprintf("s%d", i), Slots: 2, FailureDomain: "near"})
+	}
+
+	return sh
+}
+
+func choose(t *testing.T, tb *Table, now time.Time, sh *domain.Shard) Choice {
+	t.Helper()
+
+	c, ok := tb.Choose(now, Request{Shard: sh, Nearby: "near"})
+	require.True(t, ok, "refused: %s", c.Refusal)
+
+	return c
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// kill fails requests at id until its probes have shown it dead.
+func kill(tb *Table, sh *domain.Shard, id string) time.Time {
+	now := start
+
+	for range knownDead {
+		for {
+			c, _ := tb.Choose(now, Request{Shard: sh, Nearby: "near"})
+			if c.Searcher.ID == id {
+				tb.Release(now, id, Unreachable, ms(1), nil)
+
+				break
+			}
+
+			tb.Release(now, c.Searcher.ID, Cancelled, 0, nil)
+
+			now = now.Add(ms(10))
+		}
+	}
+
+	return now
+}
+
+// Guards against a queue that only its reports show.
+func TestReportedQueueCounts(t *testing.T) {
+	var tb Table
+
+	sh := testShard(2)
+	c := choose(t, &tb, start, sh)
+	tb.Release(start.Add(ms(5)), c.Searcher.ID, Answered, ms(5), &Load{Running: 2, Queued: 6, Service: ms(5)})
+
+	other := choose(t, &tb, start.Add(ms(6)), sh)
+	require.NotEqual(t, c.Searcher.ID, other.Searcher.ID)
+	tb.Release(start.Add(ms(11)), other.Searcher.ID, Answered, ms(5), &Load{Service: ms(5)})
+
+	p := tb.Pressure(start.Add(ms(12)), &domain.Service{PartitionMap: domain.PartitionMap{Shards: []domain.Shard{*sh}}}, "near",
+		func(uint32, string) bool { return true })
+	require.Positive(t, p.Free)
+}
+
+// Guards against work for a searcher that leaves, by each of the signs.
+func TestLeavingSearcherGetsNoWork(t *testing.T) {
+	for name, leave := range map[string]func(tb *Table, sh *domain.Shard){
+		"operator":      func(_ *Table, sh *domain.Shard) { sh.Searchers[0].Draining = true },
+		"platform list": func(tb *Table, _ *domain.Shard) { tb.SetLeaving([]string{"s0"}) },
+		"status":        func(tb *Table, _ *domain.Shard) { tb.SetStatus(start, "s0", true, &Load{Draining: true}) },
+		"answer": func(tb *Table, sh *domain.Shard) {
+			for c := choose(t, tb, start, sh); ; c = choose(t, tb, start, sh) {
+				if c.Searcher.ID == "s0" {
+					tb.Release(start, "s0", Answered, ms(5), &Load{Draining: true})
+
+					return
+				}
+			}
+		},
+		"refusal": func(tb *Table, sh *domain.Shard) {
+			for c := choose(t, tb, start, sh); ; c = choose(t, tb, start, sh) {
+				if c.Searcher.ID == "s0" {
+					tb.Release(start, "s0", Draining, ms(1), nil)
+
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tb Table
+
+			sh := testShard(3)
+			leave(&tb, sh)
+
+			for range 20 {
+				require.NotEqual(t, "s0", choose(t, &tb, start.Add(ms(1)), sh).Searcher.ID)
+			}
+		})
+	}
+}
+
+// Guards against hearsay that takes a whole service out.
+func TestHearsayAboutMostSearchersIsIgnored(t *testing.T) {
+	var tb Table
+
+	sh := testShard(4)
+	tb.Configure(&domain.Configuration{Services: []domain.Service{{
+		Name: "booking", PartitionMap: domain.PartitionMap{Shards: []domain.Shard{*sh}},
+	}}})
+
+	seen := func() map[string]bool {
+		used := make(map[string]bool)
+
+		for range 40 {
+			c := choose(t, &tb, start, sh)
+			used[c.Searcher.ID] = true
+			tb.Release(start, c.Searcher.ID, Refused, 0, nil)
+		}
+
+		return used
+	}
+
+	tb.SetLeaving([]string{"s0", "s1"})
+	require.Len(t, seen(), 2, "half of the service is believed to leave")
+	tb.SetLeaving([]string{"s0", "s1", "s2"})
+	require.Len(t, seen(), 4, "more than half isn't believed")
+}
+
+// Guards against queries that each find a dead searcher dead, and against a
+// searcher that stays out after it has come back.
+func TestDeadSearcherGetsOneProbeAtATime(t *testing.T) {
+	var tb Table
+
+	sh := testShard(2)
+	now := kill(&tb, sh, "s0")
+
+	require.Equal(t, "s1", choose(t, &tb, now.Add(ms(1)), sh).Searcher.ID)
+
+	now = now.Add(maxBackoff)
+	probe := choose(t, &tb, now, sh)
+	require.Equal(t, "s0", probe.Searcher.ID)
+	require.True(t, probe.Probe)
+
+	for range 10 {
+		require.Equal(t, "s1", choose(t, &tb, now, sh).Searcher.ID, "a probe is at work")
+	}
+
+	tb.Release(now.Add(ms(5)), "s0", Answered, ms(5), &Load{Service: ms(5)})
+	require.Equal(t, "s0", choose(t, &tb, now.Add(ms(5)), sh).Searcher.ID)
+}
+
+// Guards against a silent searcher that is found out only by its connections.
+func TestOverdueRequestsMeanDead(t *testing.T) {
+	var tb Table
+
+	sh := testShard(1)
+	now := start
+
+	for range overdueRequests {
+		choose(t, &tb, now, sh)
+		now = now.Add(ms(50))
+		tb.Release(now, "s0", Cancelled, ms(50), nil)
+	}
+
+	for range knownDead {
+		now = now.Add(maxBackoff)
+		require.True(t, choose(t, &tb, now, sh).Probe)
+		now = now.Add(ms(50))
+		tb.Release(now, "s0", Cancelled, ms(50), nil)
+	}
+
+	c, ok := tb.Choose(now, Request{Shard: sh})
+	require.False(t, ok)
+	require.Equal(t, domain.CodeNoLiveSearcher, c.Refusal)
+}
+
+// Guards against a shard that one broken connection takes out.
+func TestOneFailureLeavesTheLastSearcher(t *testing.T) {
+	var tb Table
+
+	sh := testShard(1)
+
+	choose(t, &tb, start, sh)
+	tb.Release(start, "s0", Unreachable, ms(1), nil)
+	choose(t, &tb, start.Add(ms(1)), sh)
+}
+
+// Guards against requests that cross failure domains without need, and against
+// a near searcher that is preferred however long its queue.
+func TestDistanceCounts(t *testing.T) {
+	var tb Table
+
+	sh := testShard(2)
+	sh.Searchers[1].FailureDomain = "far"
+
+	for range 2 {
+		require.Equal(t, "s0", choose(t, &tb, start, sh).Searcher.ID)
+	}
+
+	used := make(map[string]int)
+	for range 8 {
+		used[choose(t, &tb, start, sh).Searcher.ID]++
+	}
+
+	require.Positive(t, used["s1"])
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{2, 5, 64} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var tb Table
+
+			sh := testShard(n)
+			r := Request{Shard: sh, Nearby: "near", Eligible: func(string) bool { return true }}
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				c, _ := tb.Choose(start, r)
+				tb.Release(start, c.Searcher.ID, Cancelled, 0, nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scatter/scatter_test.go
@@ -0,0 +1,216 @@
+package scatter
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/routing"
+)
+
+// counting is a Router that counts places taken and given back.
+type counting struct {
+	table routing.Table
+	open  map[string]int
+}
+
+func (c *counting) Choose(now time.Time, r routing.Request) (routing.Choice, bool) {
+	choice, ok := c.table.Choose(now, r)
+	if ok {
+		c.open[choice.Searcher.ID]++
+	}
+
+	return choice, ok
+}
+
+func (c *counting) Release(now time.Time, searcher string, o routing.Outcome, latency time.Duration, load *routing.Load) {
+	c.open[searcher]--
+	c.table.Release(now, searcher, o, latency, load)
+}
+
+func testService(shards, searchers int, rules domain.Rules) *domain.Service {
+	s := &domain.Service{Name: "booking", Rules: rules}
+
+	for i := range shards {
+		sh := domain.Shard{Number: uint32(i)}
+		for j := range searchers {
+			sh.Searchers = append(sh.Searchers, domain.Searcher{ID: fmt.Sprintf("s%d-%d", i, j), Slots: 2})
+		}
+
+		s.PartitionMap.Shards = append(s.PartitionMap.Shards, sh)
+	}
+
+	return s
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against places that are never released or released twice, shards that
+// are counted twice or not at all, attempts beyond the rule, and queries that
+// end twice or never, over arbitrary orders of answers, failures and time.
+func TestQueryProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := domain.Rules{
+			TimeoutMS: 200, MaxAttempts: rapid.Uint32Range(1, 4).Draw(t, "max attempts"), ExtraLoadPermille: 500,
+			MinCoveragePermille: 500, PartialWaitMS: rapid.SampledFrom([]uint32{0, 20}).Draw(t, "partial wait"),
+		}
+		rules.Hedging = rules.MaxAttempts > 1 && rapid.Bool().Draw(t, "hedging")
+		svc := testService(rapid.IntRange(1, 5).Draw(t, "shards"), rapid.IntRange(1, 3).Draw(t, "searchers"), rules)
+		deadline := start.Add(rules.Timeout())
+		r := &counting{open: make(map[string]int)}
+		q := New(Params{
+			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
+		}, r, &hedging.Delayer{}, &budget.Budget{})
+
+		var open []uint32
+
+		now, wake, done, ended := start, time.Time{}, 0, map[uint32]bool{}
+		sent := make([]int, len(svc.PartitionMap.Shards))
+		apply := func(s Step) {
+			for _, a := range s.Send {
+				open = append(open, a.ID)
+				sent[a.Shard]++
+			}
+
+			for _, id := range s.Cancel {
+				require.False(t, ended[id], "attempt %d ended twice", id)
+				ended[id] = true
+				open = slices.DeleteFunc(open, func(o uint32) bool { return o == id })
+			}
+
+			if s.Done {
+				done++
+			} else if done == 0 {
+				require.False(t, s.Wake.IsZero())
+				require.False(t, s.Wake.After(deadline))
+				wake = s.Wake
+			}
+		}
+
+		apply(q.Start(now))
+
+		for done == 0 {
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 30 * time.Millisecond}).Draw(t, "step"))
+
+			// The host calls Advance when it is due.
+			if len(open) == 0 || !now.Before(wake) {
+				now = wake
+				apply(q.Advance(now))
+
+				continue
+			}
+
+			id := rapid.SampledFrom(open).Draw(t, "attempt")
+			open = slices.DeleteFunc(open, func(o uint32) bool { return o == id })
+			ended[id] = true
+
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				apply(q.Failed(now, id, routing.Shed, domain.CodeOverloaded))
+			case 1:
+				apply(q.Failed(now, id, routing.Unreachable, domain.CodeSearcherUnavailable))
+			default:
+				apply(q.Answered(now, id, nil))
+			}
+		}
+
+		require.Empty(t, open, "attempts left open")
+		require.False(t, now.After(deadline), "ended after the deadline")
+
+		for id, n := range r.open {
+			require.Zero(t, n, "places at %s", id)
+		}
+
+		for _, n := range sent {
+			require.LessOrEqual(t, n, int(rules.MaxAttempts))
+		}
+
+		c := q.Coverage()
+		seen := slices.Clone(c.Included)
+
+		for _, m := range c.Missing {
+			require.NotEmpty(t, m.Reason)
+			seen = append(seen, m.Shard)
+		}
+
+		slices.Sort(seen)
+		require.Len(t, slices.Compact(seen), len(svc.PartitionMap.Shards), "coverage is a partition of the shards")
+		require.Equal(t, len(svc.PartitionMap.Shards), len(c.Included)+len(c.Missing))
+
+		// Late events change nothing.
+		for id := range ended {
+			require.False(t, q.Answered(now, id, nil).Done)
+		}
+
+		require.False(t, q.Advance(deadline).Done)
+		require.Equal(t, c, q.Coverage())
+	})
+}
+
+func query(t *testing.T, attempts uint32) (*Query, Step) {
+	t.Helper()
+
+	svc := testService(1, 2, domain.Rules{
+		TimeoutMS: 1000, MaxAttempts: attempts, ExtraLoadPermille: 50, Hedging: true, MinCoveragePermille: 1000,
+	})
+	q := New(Params{
+		Service: svc, Deadline: start.Add(time.Second), Eligible: func(uint32, string) bool { return true },
+	}, &routing.Table{}, &hedging.Delayer{}, &budget.Budget{})
+	s := q.Start(start)
+	require.Len(t, s.Send, 1)
+
+	return q, s
+}
+
+// Guards against a retry at the searcher that has just failed.
+func TestRetryGoesElsewhere(t *testing.T) {
+	q, first := query(t, 3)
+	s := q.Failed(start.Add(time.Millisecond), 0, routing.Unreachable, domain.CodeSearcherUnavailable)
+	require.Len(t, s.Send, 1)
+	require.Equal(t, Retry, s.Send[0].Reason)
+	require.NotEqual(t, first.Send[0].Searcher.ID, s.Send[0].Searcher.ID)
+}
+
+// Guards against a shard that is given up because its hedge failed while the
+// first attempt is still at work.
+func TestStragglerFinishesAfterItsHedgeFailed(t *testing.T) {
+	q, first := query(t, 2)
+	s := q.Advance(first.Wake)
+	require.Len(t, s.Send, 1)
+	require.Equal(t, Hedge, s.Send[0].Reason)
+
+	s = q.Failed(first.Wake.Add(time.Millisecond), s.Send[0].ID, routing.Unreachable, domain.CodeSearcherUnavailable)
+	require.False(t, s.Done)
+
+	s = q.Answered(first.Wake.Add(10*time.Millisecond), 0, nil)
+	require.True(t, s.Done)
+	require.True(t, q.Coverage().Whole())
+}
+
+// Guards against losers that keep their slots.
+func TestLoserIsCancelled(t *testing.T) {
+	q, first := query(t, 2)
+	hedge := q.Advance(first.Wake)
+	s := q.Answered(first.Wake.Add(5*time.Millisecond), hedge.Send[0].ID, nil)
+	require.True(t, s.Done)
+	require.Equal(t, []uint32{0}, s.Cancel)
+}
+
+// Guards against a deadline spent on a shard that has no searcher.
+func TestLostShardEndsAtOnce(t *testing.T) {
+	svc := testService(2, 1, domain.Rules{TimeoutMS: 1000, MaxAttempts: 3, MinCoveragePermille: 500})
+	svc.PartitionMap.Shards[1].Searchers[0].Draining = true
+	q := New(Params{
+		Service: svc, Deadline: start.Add(time.Second), Eligible: func(uint32, string) bool { return true },
+	}, &routing.Table{}, &hedging.Delayer{}, &budget.Budget{})
+	require.False(t, q.Start(start).Done)
+	require.True(t, q.Answered(start.Add(time.Millisecond), 0, nil).Done)
+	require.Equal(t, domain.CodeSearcherDraining, q.Coverage().Missing[0].Reason)
+}
