execute, platform: test under faults of the store and of searchers

Executors race on the same keys over a store that loses, delays and refuses answers and reads stale values; expiry workers race under pauses. The tests run in synctest bubbles. They found that a new holder's walk rarely reached the last buckets when holders change often; a walk now starts at a random bucket. A bucket's goroutine now ends as soon as nothing is left.

--- a/primrosed/internal/execute/batcher.go
+++ b/primrosed/internal/execute/batcher.go
@@ -175,12 +175,12 @@
 }
 
 func (q *queue) work() {
-	for {
+	for !q.idle() {
 		q.gather()
 
 		batch := q.take()
 		if len(batch) == 0 {
-			return
+			continue // Their waiters gave up.
 		}
 
 		metrics.GetOrCreateHistogram("primrosed_claim_batch_size").Update(float64(len(batch)))
@@ -200,14 +200,23 @@
 	}
 }
 
-// take empties the queue. If it was empty, the working goroutine must end.
+// idle reports whether nothing is left; the working goroutine must end then.
+func (q *queue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.running = len(q.pending) > 0
+
+	return !q.running
+}
+
+// take empties the queue.
 func (q *queue) take() []*waiting {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	batch := q.pending
 	q.pending = nil
-	q.running = len(batch) > 0
 
 	return batch
 }
--- /dev/null
+++ b/primrosed/internal/execute/execute_test.go
@@ -0,0 +1,419 @@
+package execute
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/routing"
+)
+
+// testKey returns a key of the present, so that it may be claimed.
+func testKey(r *rand.Rand) string {
+	var k claims.Key
+
+	ms := uint64(time.Now().UnixMilli())
+	for i := range 6 {
+		k[i] = byte(ms >> (40 - 8*i))
+	}
+
+	for i := 6; i < len(k); i++ {
+		k[i] = byte(r.Uint32())
+	}
+
+	k[6], k[8] = 0x70|k[6]&0x0f, 0x80|k[8]&0x3f
+
+	return k.String()
+}
+
+// told is what a caller was told.
+type told struct {
+	key, payload string
+	resp         *pb.ExecuteResponse
+	err          error
+}
+
+func (c told) fate() domain.Fate {
+	fate, _ := fateOf(c.err)
+
+	return fate
+}
+
+// settled reports whether the answer says that the key itself never runs,
+// rather than that this call wasn't sent.
+func (c told) settled() bool {
+	var e *domain.Error
+
+	return c.fate() == domain.FateNotRun && errors.As(c.err, &e) &&
+		(e.Step != "claim key" || e.Code == domain.CodeAlreadyClaimed) && e.Code != domain.CodeStopping
+}
+
+// check returns the first broken promise, or "".
+func check(calls []told, runs map[string][]ran) string {
+	for key, r := range runs {
+		if len(r) > 1 {
+			return fmt.Sprintf("key %s ran %d times", key, len(r))
+		}
+	}
+
+	for i, c := range calls {
+		r := runs[c.key]
+
+		switch {
+		case c.err == nil && (len(r) == 0 || c.resp.GetResult() != "did "+c.payload || r[0].payload != c.payload):
+			return fmt.Sprintf("call %d got %q for %q; runs: %v", i, c.resp.GetResult(), c.payload, r)
+		case c.err == nil && c.resp.GetReplayed() == (r[0].call == i):
+			return fmt.Sprintf("call %d has replayed = %t; runs: %v", i, c.resp.GetReplayed(), r)
+		case c.err != nil && c.fate() == domain.FateRan && len(r) == 0:
+			return fmt.Sprintf("call %d was told that it ran", i)
+		case c.err != nil && c.fate() == domain.FateNotRun && len(r) > 0 && r[0].call == i:
+			return fmt.Sprintf("call %d ran and was told: %v", i, c.err)
+		case c.err != nil && c.settled() && len(r) > 0:
+			return fmt.Sprintf("key of call %d ran and was told: %v", i, c.err)
+		}
+	}
+
+	return ""
+}
+
+// raceCalls is the number of calls before the faults end.
+const raceCalls = 24
+
+// race lets executors race on a few keys under faults; executors are
+// restarted on the way. It returns what callers were told and what ran.
+func race(t *testing.T, seed uint64, f faults) ([]told, map[string][]ran) {
+	t.Helper()
+
+	r := rand.New(rand.NewPCG(seed, 2))
+	store := newFakeStore(seed, f)
+	searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
+	cfg := testConfiguration()
+	keys := []string{testKey(r), testKey(r), testKey(r)}
+	executors := make([]*Executor, 3)
+
+	for i := range executors {
+		executors[i] = newTestExecutor(t, store, searchers)
+	}
+
+	var (
+		wg    sync.WaitGroup
+		calls = make([]told, raceCalls, raceCalls+len(keys))
+	)
+
+	for i := range calls {
+		c := &calls[i]
+		c.key, c.payload = keys[r.IntN(len(keys))], "p"
+
+		if r.IntN(10) == 0 {
+			c.payload = "other"
+		}
+
+		x := executors[r.IntN(len(executors))]
+		start, patience := time.Duration(r.Int64N(int64(2*time.Second))), time.Duration(r.Int64N(int64(2*time.Second)))
+
+		wg.Go(func() {
+			time.Sleep(start)
+
+			ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), callID{}, i), patience)
+			defer cancel()
+
+			c.resp, c.err = x.Execute(ctx, cfg, &pb.ExecuteRequest{Service: "garantias", Key: c.key, Payload: c.payload})
+		})
+	}
+
+	// One executor is stopped at work and gives up what it hasn't recorded.
+	time.Sleep(time.Duration(r.Int64N(int64(3 * time.Second))))
+
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+
+	_ = executors[0].Close(gone)
+
+	wg.Wait()
+	time.Sleep(time.Minute)
+	store.setFaults(faults{})
+
+	for _, x := range executors[1:] {
+		require.NoError(t, x.Close(context.Background()))
+	}
+
+	// Every key is repeated at a new instance when all is well again.
+	last := newTestExecutor(t, store, searchers)
+
+	for _, key := range keys {
+		ctx := context.WithValue(context.Background(), callID{}, len(calls))
+		resp, err := last.Execute(ctx, cfg, &pb.ExecuteRequest{Service: "garantias", Key: key, Payload: "p"})
+		calls = append(calls, told{key: key, payload: "p", resp: resp, err: err})
+	}
+
+	require.NoError(t, last.Close(context.Background()))
+	time.Sleep(time.Minute) // Late writes end.
+
+	return calls, searchers.runs
+}
+
+// Guards against a key that runs twice, a false "not run", an answer of another
+// request and a state that contradicts what happened, under lost and late
+// answers of the store, conflicts, outages, stale reads, pauses, restarts and
+// searchers that shed, break or lose their answers.
+func TestNothingRunsTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := func(name string, limit int) int {
+			return rapid.SampledFrom([]int{0, 0, limit / 4, limit}).Draw(rt, name)
+		}
+		f := faults{
+			lost: share("lost", 40), late: share("late", 40), refused: share("refused", 60), stale: share("stale", 40),
+			slow: share("slow", 30), pause: share("pause", 10),
+			shed: share("shed", 90), broken: share("broken", 40), answerLost: share("answer_lost", 40),
+		}
+		seed := rapid.Uint64().Draw(rt, "seed")
+		fault := ""
+
+		synctest.Test(t, func(t *testing.T) {
+			calls, runs := race(t, seed, f)
+			fault = check(calls, runs)
+		})
+
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+func execute(x *Executor, key, payload string) (*pb.ExecuteResponse, error) {
+	return x.Execute(context.Background(), testConfiguration(), &pb.ExecuteRequest{Service: "garantias", Key: key, Payload: payload})
+}
+
+func requireError(t *testing.T, err error, fate domain.Fate, code domain.Code) {
+	t.Helper()
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, fate, e.Fate, err)
+	require.Equal(t, code, e.Code, err)
+}
+
+// Guards against repeated keys that get less than what is recorded.
+func TestRepeatedKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, faults{})
+		searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
+		x, y := newTestExecutor(t, store, searchers), newTestExecutor(t, store, searchers)
+		r := rand.New(rand.NewPCG(1, 1))
+		small, large, shed, unheld := testKey(r), testKey(r), testKey(r), testKey(r)
+		long := strings.Repeat("x", claims.MaxAnswerBytes)
+
+		for _, c := range []struct{ key, payload string }{{small, "p"}, {large, long}} {
+			resp, err := execute(x, c.key, c.payload)
+			require.NoError(t, err)
+			require.False(t, resp.GetReplayed())
+		}
+
+		store.setFaults(faults{shed: 100})
+		_, err := execute(x, shed, "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeOverloaded)
+
+		store.setFaults(faults{})
+		x.options.Snapshots = &fakeSnapshots{none: true}
+		_, err = execute(x, unheld, "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeNoLiveSearcher)
+		require.NoError(t, x.Close(context.Background()))
+
+		_, err = execute(x, small, "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeStopping)
+
+		resp, err := execute(y, small, "p")
+		require.NoError(t, err)
+		require.True(t, resp.GetReplayed())
+		require.Equal(t, "did p", resp.GetResult())
+		require.Equal(t, uint64(3), resp.GetSnapshot().GetIndexVersion())
+
+		_, err = execute(y, large, long)
+		requireError(t, err, domain.FateRan, domain.CodeAlreadyClaimed)
+		_, err = execute(y, small, "another")
+		requireError(t, err, domain.FateUnknown, domain.CodeAlreadyClaimed)
+
+		for _, key := range []string{shed, unheld} {
+			_, err = execute(y, key, "p")
+			requireError(t, err, domain.FateNotRun, domain.CodeAlreadyClaimed)
+		}
+
+		require.Len(t, searchers.runs, 2)
+		require.NoError(t, y.Close(context.Background()))
+	})
+}
+
+// Guards against a request that waits for its deadline while the store is down,
+// and one that is refused as unknown though nothing was sent.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, faults{refused: 100})
+		searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
+		x := newTestExecutor(t, store, searchers)
+		start := time.Now()
+		_, err := execute(x, testKey(store.rand), "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeStoreUnavailable)
+		require.LessOrEqual(t, time.Since(start), 10*time.Millisecond)
+
+		_, err = execute(x, "3b241101-e2bb-4255-8caf-4136c566a962", "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeInvalid)
+		require.NoError(t, x.Close(context.Background()))
+	})
+}
+
+// Guards against a forwarded claim that is lost or applied twice when its
+// owner's answer doesn't come.
+func TestForwarding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, faults{})
+		searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
+		owner, x := newTestExecutor(t, store, searchers), newTestExecutor(t, store, searchers)
+		x.options.Forwarder = forwarderFunc(func(ctx context.Context, op claims.Operation) (claims.Result, error) {
+			_, _ = owner.Apply(ctx, op)
+
+			return claims.Result{}, errors.New("answer lost")
+		})
+
+		resp, err := execute(x, testKey(store.rand), "p")
+		require.NoError(t, err)
+		require.False(t, resp.GetReplayed())
+		require.NoError(t, x.Close(context.Background()))
+		require.NoError(t, owner.Close(context.Background()))
+	})
+}
+
+type forwarderFunc ForwardFunc
+
+func (f forwarderFunc) Owner(uint32) (bool, ForwardFunc) { return false, ForwardFunc(f) }
+
+// Guards against a write under a lapsed lease, and against claims that are
+// never dropped: workers race under faults and pauses, and a bucket's term must
+// never fall.
+func TestExpiryUnderLease(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		f := faults{lost: 10, late: rapid.IntRange(0, 20).Draw(rt, "late"), stale: 5, refused: 5, pause: 5}
+		fault := ""
+
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore(seed, f)
+			terms := make(map[string]uint64)
+			store.accepted = func(name string, value []byte) {
+				var b claims.Bucket
+				if json.Unmarshal(value, &b) == nil && strings.HasPrefix(name, claims.ObjectKind) {
+					if b.ExpiryTerm < terms[name] {
+						fault = fmt.Sprintf("%s went from term %d to %d", name, terms[name], b.ExpiryTerm)
+					}
+
+					terms[name] = b.ExpiryTerm
+				}
+			}
+
+			old := claims.Key{6: 0x70, 8: 0x80}
+			b, _, _ := claims.Bucket{}.Apply([]claims.Operation{{Key: old, ClaimID: "c"}})
+			data, _ := b.Encode()
+			name := claims.ObjectName(old.Bucket())
+			store.write(claims.ObjectKind+"/"+name, 0, data)
+
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+
+			var wg sync.WaitGroup
+
+			for i := range 3 {
+				e := NewExpirer(zerolog.Nop(), domain.Instance{ID: strconv.Itoa(i)}, store, store.jitter)
+
+				wg.Go(func() {
+					for ctx.Err() == nil { // The worker is stopped now and then.
+						part, cancel := context.WithTimeout(ctx, 5*time.Minute+store.jitter(10*time.Minute))
+						e.Run(part)
+						cancel()
+						time.Sleep(store.jitter(2 * time.Minute))
+					}
+				})
+			}
+
+			wg.Wait()
+			time.Sleep(time.Minute)
+
+			store.mu.Lock()
+			defer store.mu.Unlock()
+
+			h := store.history[claims.ObjectKind+"/"+name]
+			last, err := claims.Decode(h[len(h)-1].Value)
+			require.NoError(t, err)
+
+			if fault == "" && len(last.Claims) > 0 {
+				fault = "the old claim is still kept"
+			}
+		})
+
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// BenchmarkGroupCommit measures store writes and calls for each request, over
+// the buckets that the requests' keys fall into and the requests at once.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, buckets := range []uint32{1, 8, claims.Buckets} {
+		for _, clients := range []int{16, 256} {
+			b.Run(fmt.Sprintf("buckets=%d/clients=%d", buckets, clients), func(b *testing.B) { benchmark(b, buckets, clients) })
+		}
+	}
+}
+
+func benchmark(b *testing.B, buckets uint32, clients int) {
+	b.Helper()
+
+	store := newFakeStore(1, faults{})
+	searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
+	x := newTestExecutor(b, store, searchers)
+	x.options.Router = &routing.Table{}
+	keys := make(chan string, b.N)
+	r := rand.New(rand.NewPCG(1, 1))
+
+	for len(keys) < b.N {
+		k := testKey(r)
+		if parsed, _ := claims.ParseKey(k); parsed.Bucket() < buckets {
+			keys <- k
+		}
+	}
+
+	close(keys)
+	b.ResetTimer()
+
+	var wg sync.WaitGroup
+
+	for range clients {
+		wg.Go(func() {
+			for k := range keys {
+				if _, err := execute(x, k, "p"); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+
+	wg.Wait()
+	require.NoError(b, x.Close(context.Background()))
+	b.ReportMetric(float64(b.N)/float64(store.writes), "claims/write")
+	b.ReportMetric(float64(store.calls)/float64(b.N), "calls/request")
+}
--- a/primrosed/internal/execute/expiry.go
+++ b/primrosed/internal/execute/expiry.go
@@ -20,6 +20,8 @@
 	expiryStep = 500 * time.Millisecond
 	// walkInterval is the time between two walks over all buckets.
 	walkInterval = 10 * time.Minute
+	// retryWait bounds the random wait after a failure.
+	retryWait = 4 * expiryStep
 	// expiryDuty is the name of the lease.
 	expiryDuty = "claim-expiry"
 )
@@ -32,8 +34,9 @@
 	store  Store
 	jitter func(limit time.Duration) time.Duration
 	keeper *lease.Keeper
-	// next is the bucket to visit at due.
+	// next is the bucket to visit at due, and left how many this walk still has.
 	next uint32
+	left uint32
 	due  time.Time
 }
 
@@ -96,7 +99,8 @@
 	}
 
 	if next.Term != stored.Term {
-		e.next, e.due = 0, start
+		// The start is random, so that short tenures reach every bucket.
+		e.next, e.left, e.due = uint32(e.jitter(claims.Buckets-1)), claims.Buckets, start
 		e.log.Info().Str("event", "lease_taken").Str("duty", expiryDuty).Uint64("term", next.Term).Send()
 	}
 
@@ -136,7 +140,8 @@
 
 	switch {
 	case err == nil:
-		e.next++
+		e.next = (e.next + 1) % claims.Buckets
+		e.left--
 	case code == domain.CodeConflict:
 		// A claim was written meanwhile, or the term has lapsed; the next visit
 		// reads the bucket and the lease again.
@@ -144,11 +149,11 @@
 	default:
 		e.log.Warn().Str("event", "expiry_failed").Uint32("bucket", e.next).Uint64("term", term).Err(err).Send()
 
-		e.due = time.Now().Add(expiryStep + e.jitter(lease.RenewInterval))
+		e.due = time.Now().Add(expiryStep + e.jitter(retryWait))
 	}
 
-	if e.next >= claims.Buckets {
-		e.next, e.due = 0, time.Now().Add(walkInterval)
+	if e.left == 0 {
+		e.left, e.due = claims.Buckets, time.Now().Add(walkInterval)
 		e.log.Info().Str("event", "expiry_walked").Uint64("term", term).Send()
 	}
 }
--- /dev/null
+++ b/primrosed/internal/execute/fake_test.go
@@ -0,0 +1,233 @@
+package execute
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/routing"
+	"primrosespring.example/primrosed/internal/platform"
+)
+
+// faults are the shares of calls, in percent, that go wrong.
+type faults struct {
+	lost, late, refused, stale, slow, pause int
+	shed, broken, answerLost                int
+}
+
+// fakeStore is the platform's store in memory. All of the fake's randomness
+// comes from one seeded source.
+type fakeStore struct {
+	mu      sync.Mutex // Guards all below.
+	rand    *rand.Rand
+	faults  faults
+	history map[string][]platform.Object
+	calls   int
+	writes  int
+	// accepted is called for each write that takes effect.
+	accepted func(name string, value []byte)
+}
+
+func newFakeStore(seed uint64, f faults) *fakeStore {
+	return &fakeStore{rand: rand.New(rand.NewPCG(seed, 1)), faults: f, history: make(map[string][]platform.Object)}
+}
+
+func (s *fakeStore) rates() faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
+func (s *fakeStore) setFaults(f faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.faults = f
+}
+
+func (s *fakeStore) chance(percent int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.rand.IntN(100) < percent
+}
+
+func (s *fakeStore) jitter(limit time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return time.Duration(s.rand.Int64N(int64(limit) + 1))
+}
+
+// delay waits for the network, and sometimes for a paused process.
+func (s *fakeStore) delay() {
+	switch {
+	case s.chance(s.rates().pause):
+		time.Sleep(s.jitter(3 * time.Second))
+	case s.chance(s.rates().slow):
+		time.Sleep(s.jitter(300 * time.Millisecond))
+	default:
+		time.Sleep(time.Millisecond + s.jitter(2*time.Millisecond))
+	}
+}
+
+func storeError(fate domain.Fate, code domain.Code) error {
+	return domain.Errorf(fate, code, "call store", "fault").WithPeer("platform")
+}
+
+func (s *fakeStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	s.delay()
+
+	if s.chance(s.rates().refused) {
+		return platform.Object{}, storeError(domain.FateNotRun, domain.CodeStoreUnavailable)
+	}
+
+	stale := s.chance(s.rates().stale)
+
+	s.mu.Lock()
+	s.calls++
+	h := s.history[kind+"/"+name]
+	i := len(h) - 1
+
+	if stale && i > 0 {
+		i = s.rand.IntN(i)
+	}
+	s.mu.Unlock()
+	s.delay()
+
+	if i < 0 {
+		return platform.Object{}, nil
+	}
+
+	return h[i], nil
+}
+
+func (s *fakeStore) Put(_ context.Context, kind, name string, version uint64, value []byte) (uint64, error) {
+	s.delay()
+
+	switch {
+	case s.chance(s.rates().refused):
+		return 0, storeError(domain.FateNotRun, domain.CodeStoreUnavailable)
+	case s.chance(s.rates().late):
+		go func() {
+			time.Sleep(s.jitter(time.Second))
+			s.write(kind+"/"+name, version, value)
+		}()
+
+		return 0, storeError(domain.FateUnknown, domain.CodeStoreUnavailable)
+	}
+
+	ok := s.write(kind+"/"+name, version, value)
+	s.delay()
+
+	switch {
+	case s.chance(s.rates().lost):
+		return 0, storeError(domain.FateUnknown, domain.CodeStoreUnavailable)
+	case !ok:
+		return 0, storeError(domain.FateNotRun, domain.CodeConflict)
+	}
+
+	return version + 1, nil
+}
+
+func (s *fakeStore) write(name string, version uint64, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.calls++
+
+	h := s.history[name]
+	if uint64(len(h)) != version {
+		return false
+	}
+
+	if s.accepted != nil {
+		s.accepted(name, value)
+	}
+
+	s.writes++
+	s.history[name] = append(h, platform.Object{Version: version + 1, Value: value})
+
+	return true
+}
+
+// ran is one run at a searcher.
+type ran struct {
+	call    int
+	payload string
+}
+
+type callID struct{}
+
+// fakeSearchers are all searchers of the service.
+type fakeSearchers struct {
+	store *fakeStore // Source of randomness and delays.
+
+	mu   sync.Mutex // Guards runs.
+	runs map[string][]ran
+}
+
+func (f *fakeSearchers) Run(ctx context.Context, sr *domain.Searcher, req *pb.RunRequest) (*pb.RunResponse, error) {
+	f.store.delay()
+
+	switch {
+	case f.store.chance(f.store.rates().shed):
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "run", "shed").WithPeer(sr.ID)
+	case f.store.chance(f.store.rates().broken):
+		return nil, domain.Errorf(domain.FateUnknown, domain.CodePeerUnavailable, "run", "broken").WithPeer(sr.ID)
+	}
+
+	call, _ := ctx.Value(callID{}).(int)
+
+	f.mu.Lock()
+	f.runs[req.GetKey()] = append(f.runs[req.GetKey()], ran{call, req.GetPayload()})
+	f.mu.Unlock()
+
+	f.store.delay()
+
+	if f.store.chance(f.store.rates().answerLost) {
+		return nil, domain.Errorf(domain.FateUnknown, domain.CodePeerUnavailable, "run", "answer lost").WithPeer(sr.ID)
+	}
+
+	return &pb.RunResponse{Result: "did " + req.GetPayload()}, nil
+}
+
+type fakeSnapshots struct{ none bool }
+
+func (f *fakeSnapshots) Choose(*domain.Service) (domain.Snapshot, bool) {
+	return domain.Snapshot{IndexVersion: 3, PartitionMapVersion: 1}, !f.none
+}
+
+func (f *fakeSnapshots) Holds(string, uint32, string, domain.Snapshot) bool { return true }
+
+func testConfiguration() *domain.Configuration {
+	shards := make([]domain.Shard, 0, 2)
+
+	for i := range uint32(2) {
+		shards = append(shards, domain.Shard{Number: i, Searchers: []domain.Searcher{
+			{ID: "a" + strconv.Itoa(int(i)), Slots: 2}, {ID: "b" + strconv.Itoa(int(i)), Slots: 2},
+		}})
+	}
+
+	return &domain.Configuration{Version: 9, Services: []domain.Service{{
+		Name: "garantias", PartitionMap: domain.PartitionMap{Version: 1, Shards: shards},
+		Rules: domain.Rules{TimeoutMS: 2000, MaxAttempts: 3, NonRepeatable: true},
+	}}}
+}
+
+func newTestExecutor(tb testing.TB, s *fakeStore, f *fakeSearchers) *Executor {
+	tb.Helper()
+
+	return New(Options{
+		Log: zerolog.Nop(), Instance: domain.Instance{ID: "i"}, Store: s, Searchers: f,
+		Router: &routing.Table{}, Snapshots: &fakeSnapshots{}, Jitter: s.jitter,
+	})
+}
--- /dev/null
+++ b/primrosed/internal/platform/client_test.go
@@ -0,0 +1,295 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+)
+
+// fakePlatform serves HTTP over connections in memory, so that it runs in a
+// synctest bubble. The connections that are open when silence is called never
+// deliver anything again.
+type fakePlatform struct {
+	handler http.HandlerFunc
+	accept  chan net.Conn
+	closed  chan struct{}
+	refuse  atomic.Bool
+	dials   atomic.Int32
+
+	mu    sync.Mutex // Guards conns.
+	conns []*fakeConn
+}
+
+type fakeConn struct {
+	net.Conn
+
+	silent atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *fakeConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+
+	return c.Conn.Write(p)
+}
+
+func (c *fakeConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+
+	return c.Conn.Close()
+}
+
+func startPlatform(t *testing.T, h http.HandlerFunc) (*fakePlatform, *Client) {
+	t.Helper()
+
+	f := &fakePlatform{handler: h, accept: make(chan net.Conn), closed: make(chan struct{})}
+	s := &http.Server{Handler: h}
+
+	go func() { _ = s.Serve(f) }()
+
+	c := NewClientWithOptions(Options{
+		Address: "127.0.0.1:1", Dial: f.dial, Jitter: func(limit time.Duration) time.Duration { return limit },
+	})
+
+	t.Cleanup(func() {
+		c.Close()
+		_ = s.Close()
+	})
+
+	return f, c
+}
+
+func (f *fakePlatform) dial(context.Context, string, string) (net.Conn, error) {
+	f.dials.Add(1)
+
+	if f.refuse.Load() {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+
+	near, far := net.Pipe()
+	c := &fakeConn{Conn: near, closed: make(chan struct{})}
+
+	f.mu.Lock()
+	f.conns = append(f.conns, c)
+	f.mu.Unlock()
+
+	f.accept <- far
+
+	return c, nil
+}
+
+func (f *fakePlatform) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	for _, c := range f.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (f *fakePlatform) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.accept:
+		return c, nil
+	case <-f.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (f *fakePlatform) Close() error {
+	close(f.closed)
+
+	return nil
+}
+
+func (f *fakePlatform) Addr() net.Addr { return &net.TCPAddr{} }
+
+func answer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("ETag", `"7"`)
+	_, _ = w.Write([]byte("{}"))
+}
+
+func requireError(t *testing.T, err error, fate domain.Fate, code domain.Code) {
+	t.Helper()
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, fate, e.Fate, err)
+	require.Equal(t, code, e.Code, err)
+	require.Equal(t, peerName, e.Peer)
+	require.NotEmpty(t, e.Step)
+}
+
+// Guards against a keep-alive connection that went silent and fails every
+// later call, and against a lost answer taken for a write that didn't happen.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, c := startPlatform(t, answer)
+
+		_, err := c.Get(t.Context(), "k", "n")
+		require.NoError(t, err)
+
+		f.silence()
+
+		start := time.Now()
+		_, err = c.Put(t.Context(), "k", "n", 6, nil)
+		requireError(t, err, domain.FateUnknown, domain.CodeStoreUnavailable)
+		require.Equal(t, callTimeout, time.Since(start))
+
+		v, err := c.Put(t.Context(), "k", "n", 6, nil)
+		require.NoError(t, err)
+		require.Equal(t, uint64(7), v)
+		require.Equal(t, int32(2), f.dials.Load())
+		<-f.conns[0].closed
+	})
+}
+
+// Guards against a watch that hangs on a silent connection, so that changes
+// come into force late: it must be found and replaced at once.
+func TestSilentWatchIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var silent atomic.Bool
+
+		f, c := startPlatform(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("watch_after") && silent.Load() {
+				<-r.Context().Done()
+			}
+
+			answer(w, r)
+		})
+
+		_, err := c.Watch(t.Context(), "k", "n", 0)
+		require.NoError(t, err)
+
+		silent.Store(true)
+
+		start := time.Now()
+		_, err = c.Watch(t.Context(), "k", "n", 7)
+		requireError(t, err, domain.FateNotRun, domain.CodeStoreUnavailable)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		silent.Store(false)
+
+		_, err = c.Watch(t.Context(), "k", "n", 7)
+		require.NoError(t, err)
+		require.Equal(t, watchTimeout+watchGrace, time.Since(start))
+		require.Equal(t, int32(2), f.dials.Load())
+	})
+}
+
+// Guards against fates that are wrong: each answer of the platform to a write
+// has one.
+func TestFateOfWrites(t *testing.T) {
+	for _, tc := range []struct {
+		status int
+		fate   domain.Fate
+		code   domain.Code
+	}{
+		{http.StatusPreconditionFailed, domain.FateNotRun, domain.CodeConflict},
+		{http.StatusTooManyRequests, domain.FateNotRun, domain.CodeStoreUnavailable},
+		{http.StatusServiceUnavailable, domain.FateUnknown, domain.CodeStoreUnavailable},
+		{http.StatusOK, domain.FateUnknown, domain.CodeStoreUnavailable}, // It has no version.
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			_, c := startPlatform(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tc.status) })
+			_, err := c.Put(t.Context(), "k", "n", 1, nil)
+			requireError(t, err, tc.fate, tc.code)
+		})
+	}
+
+	synctest.Test(t, func(t *testing.T) {
+		f, c := startPlatform(t, answer)
+		f.refuse.Store(true)
+
+		_, err := c.Put(t.Context(), "k", "n", 1, nil)
+		requireError(t, err, domain.FateNotRun, domain.CodeStoreUnavailable)
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+
+		_, err = c.Put(t.Context(), "k", "n", 1, make([]byte, maxValueBytes+1))
+		requireError(t, err, domain.FateNotRun, domain.CodeInvalid)
+	})
+}
+
+// Guards against a platform that is called without pause while it is down, and
+// against requests that are held until their deadline instead of refused.
+func TestBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, c := startPlatform(t, answer)
+		f.refuse.Store(true)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+
+		for {
+			if _, err := c.Get(ctx, "k", "n"); errors.Is(err, errBackingOff) {
+				break
+			}
+		}
+
+		// 20 ms doubled up to 2 s, and then one call every 2 s.
+		require.LessOrEqual(t, f.dials.Load(), int32(18))
+		require.GreaterOrEqual(t, f.dials.Load(), int32(10))
+
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+
+		start := time.Now()
+		_, err := c.Put(short, "k", "n", 1, nil)
+		requireError(t, err, domain.FateNotRun, domain.CodeStoreUnavailable)
+		require.ErrorIs(t, err, errBackingOff)
+		require.Zero(t, time.Since(start))
+
+		f.refuse.Store(false)
+
+		_, err = c.Get(t.Context(), "k", "n")
+		require.NoError(t, err)
+	})
+}
+
+type fleetOf int
+
+func (f fleetOf) LiveInstances() int { return int(f) }
+
+// Guards against a fleet whose calls grow with it, and an instance that takes
+// the whole fleet's budget when it seems to be alone.
+func TestBudget(t *testing.T) {
+	for _, tc := range []struct{ live, writes int }{{0, 11}, {9, 11}, {100, 1}, {1, instanceWritesPerSecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			const seconds = 60
+
+			_, c := startPlatform(t, answer)
+			c.writes.fleet = fleetOf(tc.live)
+
+			ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
+			defer cancel()
+
+			n := 0
+
+			for ; ; n++ {
+				if _, err := c.Put(ctx, "k", "n", 1, nil); err != nil {
+					requireError(t, err, domain.FateNotRun, domain.CodeRateLimited)
+					require.NotErrorIs(t, err, errBackingOff)
+
+					break
+				}
+			}
+
+			require.LessOrEqual(t, n, (tc.writes+1)*(seconds+budgetBurst)+minBurst)
+			require.GreaterOrEqual(t, n, tc.writes*seconds)
+		})
+	}
+}
