--- a/primrosefake/internal/balancer/balancer_test.go
+++ b/primrosefake/internal/balancer/balancer_test.go
@@ -128,6 +128,7 @@
 		f.fail(nil, []string{"a"})
 		f.connect(2)
 		require.Equal(t, []string{"b", "b"}, f.reached)
+		require.Equal(t, Status{Backend{"a", "a", "a"}, false, 0, 0}, f.Statuses()[0])
 
 		f.fail(nil, []string{"a", "b"})
 
--- a/primrosefake/internal/faultproxy/link_test.go
+++ b/primrosefake/internal/faultproxy/link_test.go
@@ -106,6 +106,30 @@
 	})
 }
 
+// Guards against a schedule that forgets the later of two sleepers, or that
+// wakes one when another gives up.
+func TestSchedule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := virtualLink(t, Options{}).schedule
+		begin := time.Now()
+		woke := make(chan time.Duration, 3)
+		gone := make(chan struct{})
+
+		for i, done := range []chan struct{}{nil, gone, nil} {
+			go func() {
+				s.sleep(begin.Add(time.Duration(9-3*i)*time.Millisecond), done)
+				woke <- time.Since(begin)
+			}()
+			synctest.Wait()
+		}
+
+		close(gone)
+		require.Zero(t, <-woke)
+		require.Equal(t, 3*time.Millisecond, <-woke)
+		require.Equal(t, 9*time.Millisecond, <-woke)
+	})
+}
+
 // Guards against jitter and loss that reorder data, leave their bounds or don't
 // happen.
 func TestJitterAndLoss(t *testing.T) {
--- a/primrosefake/internal/faultproxy/pipe.go
+++ b/primrosefake/internal/faultproxy/pipe.go
@@ -16,7 +16,7 @@
 )
 
 // pipe is one direction of a session: a queue of pieces of data, each with the
-// time at which it is delivered. Data that is on its way doesn't hold up the
+// time before which it isn't delivered. They stay in order, as in TCP. Data that is on its way doesn't hold up the
 // reading of more, so a delay doesn't limit the throughput.
 type pipe struct {
 	session  *session
@@ -27,7 +27,6 @@
 	mu     sync.Mutex // Guards all below.
 	queue  []piece
 	queued int
-	last   time.Time // Delivery of the latest piece.
 	free   time.Time // When the latest piece has been sent.
 }
 
@@ -52,7 +51,7 @@
 
 	for {
 		n, err := p.from.Read(buffer)
-		if n > 0 && !p.session.silent.Load() {
+		if n > 0 {
 			p.push(append([]byte(nil), buffer[:n]...), false)
 		}
 
@@ -80,12 +79,6 @@
 
 	p.free = p.free.Add(sending)
 	due := p.free.Add(travel)
-
-	if due.Before(p.last) {
-		due = p.last // TCP delivers in order.
-	}
-
-	p.last = due
 	p.queue = append(p.queue, piece{due, data, isReset})
 	p.queued += len(data)
 	p.mu.Unlock()
--- a/primrosefake/internal/platform/instances.go
+++ b/primrosefake/internal/platform/instances.go
@@ -20,7 +20,7 @@
 	lag     time.Duration
 	visible map[string]json.RawMessage
 	version uint64
-	pending []listChange // In the order in which they become visible.
+	pending []listChange // In the order made; none overtakes an earlier one.
 }
 
 type listChange struct {
@@ -33,13 +33,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	at := now.Add(l.lag)
-	// A lag that was shortened doesn't change the order.
-	if n := len(l.pending); n > 0 && at.Before(l.pending[n-1].at) {
-		at = l.pending[n-1].at
-	}
-
-	l.pending = append(l.pending, listChange{at, id, value})
+	l.pending = append(l.pending, listChange{now.Add(l.lag), id, value})
 }
 
 // list returns the visible entries in the order of their ids, and the list's
--- a/primrosefake/internal/searcher/searcher_test.go
+++ b/primrosefake/internal/searcher/searcher_test.go
@@ -223,11 +223,16 @@
 
 		s.faults.Store(&Faults{CrossedShare: 1})
 
+		// The same query comes twice, as from two attempts.
 		for i := range 8 {
-			resp, err := s.Run(t.Context(), request(strconv.Itoa(i)))
+			resp, err := s.Run(t.Context(), request(strconv.Itoa(i/2)))
 			require.NoError(t, err)
 			require.Equal(t, integrity.RunChecksum(resp), resp.GetChecksum())
-			require.NotEqual(t, strconv.Itoa(i), resp.GetQueryId())
+			require.NotEqual(t, strconv.Itoa(i/2), resp.GetQueryId())
+
+			if i > 0 && i%2 == 0 {
+				require.Equal(t, strconv.Itoa(i/2-1), resp.GetQueryId(), "the answer of the request before")
+			}
 		}
 
 		s.faults.Store(&Faults{LateShare: 1, LateMS: 30})
