--- a/primrosefake/internal/command/workload.go
+++ b/primrosefake/internal/command/workload.go
@@ -29,7 +29,7 @@
 			})
 		},
 	}
-	cmd.AddCommand(workloadGenerateCommand(c), workloadApplyCommand())
+	cmd.AddCommand(workloadGenerateCommand(c), workloadRegisterCommand(), workloadApplyCommand())
 
 	return cmd
 }
@@ -63,6 +63,13 @@
 	return cmd
 }
 
+func workloadRegisterCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "register DIR", Short: "Put the generated instances on the platform's list", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return workload.Register(cmd.Context(), args[0]) },
+	}
+}
+
 func workloadApplyCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "apply DIR", Short: "Create the generated configuration and wait until it is in force", Args: cobra.ExactArgs(1),
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -77,8 +77,17 @@
 	HealthAddress   string `json:"health_address"`
 	DebugAddress    string `json:"debug_address"`
 	PlatformAddress string `json:"platform_address"`
+	Stop            stop   `json:"stop"`
 }
 
+type stop struct {
+	BalancerDelayMS uint32 `json:"balancer_delay_ms"`
+}
+
+// balancerDelayMS is enough for the stand-in of the balancer, which asks every
+// 200 ms and waits at most 500 ms.
+const balancerDelayMS = 1000
+
 // Configuration is what is created before the load.
 type Configuration struct {
 	Services []domain.Service `json:"services"`
@@ -91,8 +100,8 @@
 	t := &g.topology
 	t.Platform, t.FaultProxy, t.SearcherControl = g.address(), g.address(), g.address()
 
-	balancer := g.address()
-	t.Balancer = g.link("callers-balancer", balancer, g.workload.Delays.ToClientsUS)
+	t.BalancerListen, t.BalancerControl = g.address(), g.address()
+	t.Balancer = g.link("callers-balancer", t.BalancerListen, g.workload.Delays.ToClientsUS)
 
 	configuration := Configuration{Services: g.services()}
 	for _, m := range g.workload.Load.Members {
@@ -103,7 +112,7 @@
 		configuration.Instances = append(configuration.Instances, g.instance(in))
 	}
 
-	g.writeBalancer(balancer)
+	g.writeBackends()
 	g.writeJSON(ConfigurationFile, configuration)
 	g.writeJSON(WorkloadFile, g.workload)
 	g.writeJSON(TopologyFile, t)
@@ -166,7 +175,7 @@
 	f := instanceFile{
 		ID: in.ID, FailureDomain: in.FailureDomain, Region: g.region(in),
 		CallerAddress: g.address(), OperatorAddress: g.address(), PeerAddress: g.address(), HealthAddress: g.address(),
-		DebugAddress: g.address(), PlatformAddress: g.topology.Platform,
+		DebugAddress: g.address(), PlatformAddress: g.topology.Platform, Stop: stop{BalancerDelayMS: balancerDelayMS},
 	}
 	g.topology.Instances = append(g.topology.Instances, InstanceAddress{
 		ID: in.ID, Caller: f.CallerAddress, Operator: f.OperatorAddress, Health: f.HealthAddress, Debug: f.DebugAddress,
@@ -226,17 +235,33 @@
 	}
 }
 
-// writeBalancer writes what the script that starts the processes needs in
-// plain text: one line for each instance, and the balancer's arguments.
-func (g *generator) writeBalancer(address string) {
-	var lines strings.Builder
+// backendsFile is the file of the balancer.
+type backendsFile struct {
+	Backends []backend `json:"backends"`
+}
+
+type backend struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Health  string `json:"health"`
+}
+
+// writeBackends writes the instances for the balancer and, as plain text with
+// one line for each, for the script that starts the processes.
+func (g *generator) writeBackends() {
+	var (
+		file  backendsFile
+		lines strings.Builder
+	)
 
 	for _, i := range g.topology.Instances {
+		file.Backends = append(file.Backends, backend{ID: i.ID, Address: i.Caller, Health: i.Health})
+
 		fmt.Fprintf(&lines, "%s %s\n", i.ID, i.Health)
 	}
 
 	g.write(InstancesFile, []byte(lines.String()))
-	g.write(BalancerFile, []byte(address+"\n"))
+	g.writeJSON(BackendsFile, file)
 }
 
 func (g *generator) region(in Instance) string { return cmp.Or(in.Region, g.workload.Region) }
--- a/primrosefake/internal/workload/topology.go
+++ b/primrosefake/internal/workload/topology.go
@@ -17,7 +17,7 @@
 	SearchersFile     = "searchers.json"
 	LinksFile         = "links.json"
 	InstancesFile     = "instances.txt"
-	BalancerFile      = "balancer.txt"
+	BackendsFile      = "backends.json"
 )
 
 // Topology says where the processes of a run are.
@@ -25,6 +25,9 @@
 	Platform string `json:"platform"`
 	// Balancer is the address of the balancer as callers dial it.
 	Balancer string `json:"balancer"`
+	// BalancerListen and BalancerControl are the balancer's own addresses.
+	BalancerListen  string `json:"balancer_listen"`
+	BalancerControl string `json:"balancer_control"`
 	// FaultProxy is the control address of the fault proxy.
 	FaultProxy string `json:"fault_proxy"`
 	// SearcherControl is the control address of the searchers' process.
