--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -30,6 +30,9 @@
 	Configuration domain.Configuration `json:"configuration"`
 	// Recent lists the latest changes, oldest first.
 	Recent []Applied `json:"recent"`
+	// Last is the change that led to this version; peers that have the version
+	// before are sent only this.
+	Last *Change `json:"last,omitempty"`
 }
 
 // Decode returns the stored form in data, checked.
@@ -122,7 +125,7 @@
 		recent = recent[len(recent)-maxRecent:]
 	}
 
-	return &Stored{Configuration: next, Recent: recent}, nil
+	return &Stored{Configuration: next, Recent: recent, Last: &c}, nil
 }
 
 func apply(cfg domain.Configuration, c Change) (domain.Configuration, error) {
--- a/internal/configuration/holder.go
+++ b/internal/configuration/holder.go
@@ -4,19 +4,30 @@
 package configuration
 
 import (
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"primrosespring.example/internal/domain"
 )
 
+// maxChangesKept bounds the latest changes that are kept for peers that are a
+// few versions behind.
+const maxChangesKept = 32
+
 // Holder keeps the configuration in force. The zero value holds the empty
-// configuration of version 0. It is safe for concurrent use; readers take no
-// lock.
+// configuration of version 0, not loaded. It is safe for concurrent use;
+// readers take no lock.
 type Holder struct {
-	mu      sync.Mutex // Guards writes to current, and changed.
+	mu      sync.Mutex // Guards writes to current and loaded, and all below.
 	current atomic.Pointer[Stored]
+	loaded  atomic.Bool
 	changed chan struct{}
+	// changes holds the latest changes in stored form by their version.
+	changes map[uint64][]byte
+	whole   []byte
 }
 
 // Current returns the stored form in force. It must not be changed.
@@ -28,28 +39,81 @@
 	return &Stored{}
 }
 
+// Loaded reports whether the configuration in force came from the store or a
+// peer.
+func (h *Holder) Loaded() bool { return h.loaded.Load() }
+
 // Offer puts s in force if it is newer than what is in force, and reports
-// whether it did.
+// whether it did. The holder is loaded afterwards in any case.
 func (h *Holder) Offer(s *Stored) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if s.Configuration.Version <= h.Current().Configuration.Version {
-		return false
+	return h.offer(s)
+}
+
+// Take puts the result of u in force if it is newer, and reports whether it
+// did. It returns a Behind error if u doesn't apply to what is in force, and a
+// domain.Error of code corrupt_answer if u is damaged.
+func (h *Holder) Take(u Update) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	cur := h.Current()
+	if u.Version <= cur.Configuration.Version {
+		return false, nil
 	}
 
-	h.current.Store(s)
+	next, err := u.apply(cur)
+	if err != nil {
+		return false, err
+	}
 
-	if h.changed != nil {
-		close(h.changed)
-		h.changed = nil
+	return h.offer(next), nil
+}
+
+// Update returns what an instance at version have needs.
+func (h *Holder) Update(have uint64) (Update, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	cur := h.Current()
+	u := Update{From: have, Version: cur.Configuration.Version}
+
+	whole, err := h.encoded(cur)
+	if err != nil {
+		return Update{}, err
+	}
+
+	u.Checksum = xxhash.Sum64(whole)
+
+	if have > u.Version || u.Version-have > maxChangesKept {
+		u.Whole = whole
+
+		return u, nil
+	}
+
+	for v := have + 1; v <= u.Version; v++ {
+		c, ok := h.changes[v]
+		if !ok {
+			u.Whole, u.Changes = whole, nil
+
+			return u, nil
+		}
+
+		u.Changes = append(u.Changes, c)
 	}
 
-	return true
+	if u.Size() > len(whole) {
+		u.Whole, u.Changes = whole, nil
+	}
+
+	return u, nil
 }
 
 // Changed returns a channel that is closed when a newer version than the one
-// in force at the time of the call is put in force.
+// in force at the time of the call is put in force, or the holder becomes
+// loaded.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -63,3 +127,57 @@
 
 // Configuration returns the configuration in force. It must not be changed.
 func (h *Holder) Configuration() *domain.Configuration { return &h.Current().Configuration }
+
+func (h *Holder) offer(s *Stored) bool {
+	newer := s.Configuration.Version > h.Current().Configuration.Version
+	if newer {
+		h.current.Store(s)
+		h.whole = nil
+		h.keep(s)
+	}
+
+	first := !h.loaded.Swap(true)
+	if (newer || first) && h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
+
+	return newer
+}
+
+func (h *Holder) keep(s *Stored) {
+	version := s.Configuration.Version
+	for v := range h.changes {
+		if v+maxChangesKept <= version {
+			delete(h.changes, v)
+		}
+	}
+
+	if s.Last == nil {
+		return
+	}
+
+	if data, err := json.Marshal(s.Last); err == nil {
+		if h.changes == nil {
+			h.changes = make(map[uint64][]byte)
+		}
+
+		h.changes[version] = data
+	}
+}
+
+// encoded returns the stored form in force; the caller holds the lock.
+func (h *Holder) encoded(cur *Stored) ([]byte, error) {
+	if h.whole != nil {
+		return h.whole, nil
+	}
+
+	data, err := cur.Encode()
+	if err != nil {
+		return nil, err
+	}
+
+	h.whole = data
+
+	return data, nil
+}
--- /dev/null
+++ b/internal/configuration/schedule_test.go
@@ -0,0 +1,416 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespring.example/internal/domain"
+)
+
+var errLost = errors.New("answer lost")
+
+// object is one state of the stored object.
+type object struct {
+	version uint64
+	data    []byte
+}
+
+func (o object) stored(t *rapid.T) *Stored {
+	if o.version == 0 {
+		return &Stored{}
+	}
+
+	s, err := Decode(o.data)
+	require.NoError(t, err)
+
+	return s
+}
+
+// pending is a change at work at one instance.
+type pending struct {
+	write    *Write
+	id       string
+	instance int
+	read     *object
+	next     Next
+}
+
+// schedule is a system in which every step is drawn by chance.
+type schedule struct {
+	history  []object // Every state that the store had, the present one last.
+	late     []object // Writes under way; version is what they name.
+	updates  []Update // Pushes under way, in no order.
+	holders  []*Holder
+	pending  []*pending
+	accepted map[string]uint64
+	refused  map[string]bool
+	changes  int
+	highest  []uint64
+	contents map[uint64]uint64
+}
+
+func newSchedule() *schedule {
+	s := &schedule{
+		history: []object{{}}, accepted: make(map[string]uint64), refused: make(map[string]bool),
+		contents: make(map[uint64]uint64), highest: make([]uint64, 4),
+	}
+	for range s.highest {
+		s.holders = append(s.holders, &Holder{})
+	}
+
+	return s
+}
+
+func (s *schedule) put(o object) bool {
+	if o.version != s.history[len(s.history)-1].version {
+		return false
+	}
+
+	s.history = append(s.history, object{o.version + 1, o.data})
+
+	return true
+}
+
+func (s *schedule) instance(t *rapid.T) int {
+	return rapid.IntRange(0, len(s.holders)-1).Draw(t, "instance")
+}
+
+func (s *schedule) begin(t *rapid.T) {
+	s.changes++
+	i, id := s.instance(t), fmt.Sprintf("change-%d", s.changes)
+	c := Change{ID: id, SetMember: &domain.Member{Name: fmt.Sprintf("m%d", s.changes%5), Weight: uint32(s.changes)}}
+
+	if rapid.Bool().Draw(t, "delete") {
+		c = Change{ID: id, DeleteMember: &MemberRef{Name: c.SetMember.Name}}
+	}
+
+	s.pending = append(s.pending, &pending{write: NewWrite(c), id: id, instance: i})
+}
+
+// step advances one change by a read or a write, and may lose the answer.
+func (s *schedule) step(t *rapid.T) {
+	if len(s.pending) == 0 {
+		return
+	}
+
+	n := rapid.IntRange(0, len(s.pending)-1).Draw(t, "change")
+	p := s.pending[n]
+	outcome := rapid.SampledFrom([]string{"ok", "ok", "ok", "down", "lost", "late", "give up"}).Draw(t, "outcome")
+
+	if outcome == "give up" {
+		s.finish(n, p.write.Fate(errLost))
+
+		return
+	}
+
+	if p.read == nil {
+		s.read(t, n, p, outcome)
+
+		return
+	}
+
+	data, err := p.next.Stored.Encode()
+	require.NoError(t, err)
+
+	o := object{p.read.version, data}
+	p.read = nil
+
+	switch outcome {
+	case "ok":
+		if s.put(o) {
+			s.done(n, p, p.next)
+		} else {
+			p.write.Written(o.version, refuse(domain.CodeConflict, "conflict"))
+		}
+	case "down":
+		p.write.Written(o.version, errLost)
+	case "lost":
+		s.put(o)
+		p.write.Written(o.version, errLost)
+	case "late":
+		s.late = append(s.late, o)
+		p.write.Written(o.version, errLost)
+	}
+}
+
+func (s *schedule) read(t *rapid.T, n int, p *pending, outcome string) {
+	if outcome != "ok" {
+		return
+	}
+
+	o := s.history[len(s.history)-1]
+	next, err := p.write.Read(o.version, o.stored(t), s.holders[p.instance].Configuration().Version)
+
+	switch {
+	case err != nil:
+		s.finish(n, err)
+	case next.Done:
+		s.done(n, p, next)
+	default:
+		p.read, p.next = &o, next
+	}
+}
+
+func (s *schedule) done(n int, p *pending, next Next) {
+	s.holders[p.instance].Offer(next.Stored)
+	s.accepted[p.id] = next.Version
+	s.pending = append(s.pending[:n], s.pending[n+1:]...)
+}
+
+func (s *schedule) finish(n int, err error) {
+	var e *domain.Error
+	if errors.As(err, &e) && e.Fate == domain.FateNotRun {
+		s.refused[s.pending[n].id] = true
+	}
+
+	s.pending = append(s.pending[:n], s.pending[n+1:]...)
+}
+
+func (s *schedule) landLate(t *rapid.T) {
+	if len(s.late) > 0 {
+		n := rapid.IntRange(0, len(s.late)-1).Draw(t, "late write")
+		s.put(s.late[n])
+		s.late = append(s.late[:n], s.late[n+1:]...)
+	}
+}
+
+// watch gives an instance a state of the store, which may be an old one.
+func (s *schedule) watch(t *rapid.T) {
+	o := s.history[rapid.IntRange(0, len(s.history)-1).Draw(t, "state")]
+	s.holders[s.instance(t)].Offer(o.stored(t))
+}
+
+func (s *schedule) push(t *rapid.T) {
+	u, err := s.holders[s.instance(t)].Update(rapid.Uint64Range(0, uint64(s.changes)).Draw(t, "have"))
+	require.NoError(t, err)
+
+	s.updates = append(s.updates, u)
+}
+
+// receive delivers a push, which may be late or come twice.
+func (s *schedule) receive(t *rapid.T) {
+	if len(s.updates) == 0 {
+		return
+	}
+
+	u := s.updates[rapid.IntRange(0, len(s.updates)-1).Draw(t, "update")]
+	_, err := s.holders[s.instance(t)].Take(u)
+
+	var b *Behind
+	if err != nil && !errors.As(err, &b) {
+		require.NoError(t, err)
+	}
+}
+
+func (s *schedule) restart(t *rapid.T) {
+	i := s.instance(t)
+	s.holders[i], s.highest[i] = &Holder{}, 0
+	s.pending = removeOf(s.pending, i)
+}
+
+func removeOf(all []*pending, instance int) []*pending {
+	var out []*pending
+
+	for _, p := range all {
+		if p.instance != instance {
+			out = append(out, p)
+		}
+	}
+
+	return out
+}
+
+// check holds after each step.
+func (s *schedule) check(t *rapid.T) {
+	for i, h := range s.holders {
+		v := h.Configuration().Version
+		require.GreaterOrEqual(t, v, s.highest[i], "instance %d went back", i)
+		s.highest[i] = v
+
+		sum, err := h.Current().checksum()
+		require.NoError(t, err)
+
+		if known, ok := s.contents[v]; ok {
+			require.Equal(t, known, sum, "version %d has two contents", v)
+		}
+
+		s.contents[v] = sum
+	}
+
+	now := s.history[len(s.history)-1].stored(t)
+	for id, v := range s.accepted {
+		got, ok := now.AppliedVersion(id)
+		require.True(t, ok, "accepted change %s is lost", id)
+		require.Equal(t, v, got)
+	}
+
+	for id := range s.refused {
+		_, ok := now.AppliedVersion(id)
+		require.False(t, ok, "change %s was refused as not run and took effect", id)
+	}
+}
+
+// Guards against an instance that goes back to an older version, two contents
+// of one version, an accepted change that is lost, and a change refused as not
+// run that takes effect, over schedules of racing operators, restarts, store
+// outages, lost answers, late writes, stale watches and late pushes.
+func TestSchedules(t *testing.T) {
+	for range 20 {
+		rapid.Check(t, func(t *rapid.T) {
+			s := newSchedule()
+
+			t.Repeat(map[string]func(*rapid.T){
+				"begin": s.begin, "step": s.step, "step again": s.step, "land late": s.landLate, "watch": s.watch,
+				"push": s.push, "receive": s.receive, "restart": s.restart, "": s.check,
+			})
+		})
+	}
+}
+
+// Guards against a writer that builds on a store which was set back, and so
+// gives out versions that are already in force.
+func TestWriteRefusesARevertedStore(t *testing.T) {
+	cur := &Stored{Configuration: domain.Configuration{Version: 3}}
+	_, err := NewWrite(Change{ID: "a", DeleteMember: &MemberRef{Name: "m"}}).Read(9, cur, 4)
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, domain.CodeStoreReverted, e.Code)
+	require.Equal(t, domain.FateNotRun, e.Fate)
+}
+
+// Guards against damaged updates that are put in force.
+func TestTakeRefusesDamage(t *testing.T) {
+	var from, to Holder
+
+	s := &Stored{}
+	for i := range 3 {
+		next, err := Apply(s, Change{ID: fmt.Sprintf("c%d", i), SetMember: &domain.Member{Name: "m", Weight: uint32(i + 1)}})
+		require.NoError(t, err)
+
+		s = next
+		from.Offer(s)
+	}
+
+	good, err := from.Update(0)
+	require.NoError(t, err)
+	require.Len(t, good.Changes, 3)
+
+	for name, damage := range map[string]func(u *Update){
+		"checksum": func(u *Update) { u.Checksum++ },
+		"version":  func(u *Update) { u.Version++ },
+		"change":   func(u *Update) { u.Changes = [][]byte{u.Changes[0], u.Changes[2], u.Changes[1]} },
+		"no json":  func(u *Update) { u.Changes = [][]byte{[]byte("{")} },
+		"whole":    func(u *Update) { u.Changes, u.Whole = nil, []byte("{}") },
+	} {
+		u := good
+		damage(&u)
+
+		_, err := to.Take(u)
+
+		var e *domain.Error
+
+		require.ErrorAs(t, err, &e, name)
+		require.Equal(t, domain.CodeCorrupt, e.Code)
+		require.Zero(t, to.Configuration().Version)
+	}
+
+	took, err := to.Take(good)
+	require.NoError(t, err)
+	require.True(t, took)
+	require.Equal(t, s.Configuration, *to.Configuration())
+
+	var b *Behind
+
+	behind := Update{From: 7, Version: 9, Changes: [][]byte{[]byte("{}")}}
+	_, err = to.Take(behind)
+	require.ErrorAs(t, err, &b)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"configuration":{"version":1,"services":[],"members":[{"name":"m","weight":1}]},"recent":[]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Decode(data)
+		if err != nil {
+			return
+		}
+
+		require.NoError(t, s.Configuration.Validate())
+
+		_, err = json.Marshal(s)
+		require.NoError(t, err)
+	})
+}
+
+// twoYears returns a configuration of the size planned for in two years: 22
+// services of 59 shards with 2 searchers each.
+func twoYears() *Stored {
+	s := &Stored{Configuration: domain.Configuration{Version: 1}}
+
+	for i := range 22 {
+		svc := domain.Service{Name: fmt.Sprintf("service-%02d", i), Version: 1, Rules: domain.Rules{
+			TimeoutMS: 1000, MaxAttempts: 3, ExtraLoadPermille: 50, Hedging: true, MinCoveragePermille: 1000, Repeatable: true,
+		}}
+		svc.PartitionMap.Version = 1
+
+		for n := range 59 {
+			shard := domain.Shard{Number: uint32(n)}
+			for r := range 2 {
+				shard.Searchers = append(shard.Searchers, domain.Searcher{
+					ID: fmt.Sprintf("searcher-%02d-%02d-%d", i, n, r), Address: fmt.Sprintf("10.%d.%d.%d:7000", i, n, r),
+					FailureDomain: "gt-centro-a", Slots: 2, Connections: 25,
+				})
+			}
+
+			svc.PartitionMap.Shards = append(svc.PartitionMap.Shards, shard)
+		}
+
+		s.Configuration = s.Configuration.WithService(svc)
+	}
+
+	return s
+}
+
+// BenchmarkTake measures what an instance spends on one pushed change at the
+// size of two years, and the bytes of the push against the whole.
+func BenchmarkTake(b *testing.B) {
+	base := twoYears()
+	update := base.Configuration.Services[3]
+
+	for name, c := range map[string]Change{
+		"drain":          {ID: "0190c7a0-0000-7000-8000-000000000001", DrainSearcher: &Drain{Service: "service-03", Searcher: "searcher-03-10-1", Draining: true}},
+		"update service": {ID: "0190c7a0-0000-7000-8000-000000000002", UpdateService: &update},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var from Holder
+
+			next, err := Apply(base, c)
+			require.NoError(b, err)
+			from.Offer(base)
+			from.Offer(next)
+
+			u, err := from.Update(1)
+			require.NoError(b, err)
+
+			whole, err := next.Encode()
+			require.NoError(b, err)
+
+			for b.Loop() {
+				var to Holder
+
+				to.Offer(base)
+				_, err := to.Take(u)
+				require.NoError(b, err)
+			}
+
+			b.ReportMetric(float64(u.Size()), "push-bytes")
+			b.ReportMetric(float64(len(whole)), "whole-bytes")
+		})
+	}
+}
--- a/internal/domain/fate.go
+++ b/internal/domain/fate.go
@@ -59,6 +59,7 @@
 	CodeSnapshotGone        Code = "snapshot_gone"
 	CodeCorrupt             Code = "corrupt_answer"
 	CodeStoreUnavailable    Code = "store_unavailable"
+	CodeStoreReverted       Code = "store_reverted"
 	CodePeerUnavailable     Code = "peer_unavailable"
 	CodeAlreadyClaimed      Code = "already_claimed"
 	CodeNotReady            Code = "not_ready"
