--- a/primrosefake/internal/load/control.go
+++ b/primrosefake/internal/load/control.go
@@ -165,7 +165,12 @@
 }
 
 func (c *control) storeOutage(ctx context.Context, down bool) error {
-	return c.call(ctx, http.MethodPut, "http://"+c.topology.Platform+"/fake/faults", map[string]bool{"down": down}, nil)
+	mode := "up"
+	if down {
+		mode = "down"
+	}
+
+	return c.call(ctx, http.MethodPut, "http://"+c.topology.Platform+"/fake/faults", map[string]string{"mode": mode}, nil)
 }
 
 // runs returns how many runs the searchers began, and how many for each key.
