--- a/internal/configuration/holder.go
+++ b/internal/configuration/holder.go
@@ -53,7 +53,7 @@
 }
 
 // Take puts the result of u in force if it is newer, and reports whether it
-// did. It returns a Behind error if u doesn't apply to what is in force, and a
+// did. It returns a BehindError error if u doesn't apply to what is in force, and a
 // domain.Error of code corrupt_answer if u is damaged.
 func (h *Holder) Take(u Update) (bool, error) {
 	h.mu.Lock()
--- a/internal/configuration/schedule_test.go
+++ b/internal/configuration/schedule_test.go
@@ -201,7 +201,7 @@
 	u := s.updates[rapid.IntRange(0, len(s.updates)-1).Draw(t, "update")]
 	_, err := s.holders[s.instance(t)].Take(u)
 
-	var b *Behind
+	var b *BehindError
 	if err != nil && !errors.As(err, &b) {
 		require.NoError(t, err)
 	}
@@ -326,7 +326,7 @@
 	require.True(t, took)
 	require.Equal(t, s.Configuration, *to.Configuration())
 
-	var b *Behind
+	var b *BehindError
 
 	behind := Update{From: 7, Version: 9, Changes: [][]byte{[]byte("{}")}}
 	_, err = to.Take(behind)
--- a/internal/configuration/update.go
+++ b/internal/configuration/update.go
@@ -31,14 +31,14 @@
 	return n
 }
 
-// Behind says that an update doesn't apply to the version in force, so that
+// BehindError says that an update doesn't apply to the version in force, so that
 // the instance must fetch.
-type Behind struct {
+type BehindError struct {
 	Have, Need uint64
 }
 
 // Error implements error.
-func (b *Behind) Error() string {
+func (b *BehindError) Error() string {
 	return fmt.Sprintf("update applies to version %d, not %d", b.Need, b.Have)
 }
 
@@ -58,7 +58,7 @@
 	}
 
 	if cur.Configuration.Version != u.From {
-		return nil, &Behind{Have: cur.Configuration.Version, Need: u.From}
+		return nil, &BehindError{Have: cur.Configuration.Version, Need: u.From}
 	}
 
 	next := cur
