peer: add the mesh between instances

Instances had no way to speak to each other. A Mesh keeps yamux sessions with the overlay neighbours for heartbeats, membership deltas and the configuration, and opens others on demand to relay queries and claims. A frame that isn't one closes its session with a FrameError; an answer must have the frame id, query id and checksum of its request.

The schema forwards operations on claims and not executions, as package execute asks its owner for the decision only.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -73,7 +73,16 @@
 		return domain.Instance{}, false
 	}
 
-	return s.instances[s.ranked(key, s.all())[0]], true
+	best := 0
+	k := xxhash.Sum64String(key)
+
+	for i, h := range s.hashes {
+		if mix(k, h) > mix(k, s.hashes[best]) {
+			best = i
+		}
+	}
+
+	return s.instances[best], true
 }
 
 // Watchers returns the instances that watch the store.
--- /dev/null
+++ b/primrosed/internal/peer/mesh.go
@@ -0,0 +1,686 @@
+// Package peer speaks to the other entry instances: yamux sessions over TCP
+// that carry protobuf frames. A Mesh keeps sessions with the overlay
+// neighbours for heartbeats, membership and the configuration, and opens
+// others on demand to relay requests.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/configuration"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/membership"
+	"primrosespring.example/primrosed/internal/platform"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// sessionGrace is how long a session stays that this instance dialled and
+	// doesn't want: the first exchange of state takes less.
+	sessionGrace = 5 * time.Second
+	// silentSession is longer than the silence that the table acts on, so that
+	// the table probes first.
+	silentSession = membership.SilentAfter + membership.HeartbeatInterval
+	minRedial     = 100 * time.Millisecond
+	maxRedial     = 2 * time.Second
+	// seedInterval is how often one instance that isn't live is tried, so that
+	// the sides of a partition find each other.
+	seedInterval = 3 * time.Second
+	// listInterval is how often a watcher reads the platform's list. Leaving
+	// instances must be known within 3 s.
+	listInterval = 2 * time.Second
+	// reportInterval is how often the gauges are set.
+	reportInterval = time.Second
+)
+
+// Searcher runs a query on this instance.
+type Searcher interface {
+	Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error)
+}
+
+// ClaimApplier applies an operation on a claim in a bucket that this instance
+// owns.
+type ClaimApplier interface {
+	Apply(ctx context.Context, op claims.Operation) (claims.Result, error)
+}
+
+// Lister reads the platform's list of instances.
+type Lister interface {
+	Instances(ctx context.Context) ([]platform.ListedInstance, error)
+}
+
+// Options are what a mesh depends on.
+type Options struct {
+	Log    zerolog.Logger
+	Table  *membership.Table
+	Holder *configuration.Holder
+	// Seeds are the addresses of instances to ask first.
+	Seeds []string
+	// Lister may be nil.
+	Lister Lister
+	// Jitter returns a random duration from zero up to limit.
+	Jitter func(limit time.Duration) time.Duration
+}
+
+// Mesh keeps the sessions with other instances. It is safe for concurrent use.
+type Mesh struct {
+	options  Options
+	listener net.Listener
+	local    Searcher
+	claims   ClaimApplier
+	fetching atomic.Bool
+	nextID   atomic.Uint64
+
+	mu       sync.Mutex // Guards all below.
+	sessions map[string][]*session
+	relays   map[string]*session
+	redial   map[string]*backoff
+	all      map[*session]bool
+	seeds    []domain.Instance
+	closed   bool
+	// relayDials has a channel for each relay session being opened; it is
+	// closed when that is over.
+	relayDials map[string]chan struct{}
+	// working counts the relayed requests at work here; drained is closed when
+	// it reaches zero after draining began.
+	working  int
+	draining bool
+	drained  chan struct{}
+
+	wg sync.WaitGroup
+}
+
+// backoff is the state of dialling one peer.
+type backoff struct {
+	dialling bool
+	wait     time.Duration
+	next     time.Time
+}
+
+// NewMesh returns a mesh that isn't running.
+func NewMesh(o Options) *Mesh {
+	return &Mesh{
+		options: o, sessions: make(map[string][]*session), relays: make(map[string]*session),
+		redial: make(map[string]*backoff), all: make(map[*session]bool),
+		relayDials: make(map[string]chan struct{}), drained: make(chan struct{}),
+	}
+}
+
+// Serve sets what answers relayed requests; it is called before Listen.
+func (m *Mesh) Serve(s Searcher, c ClaimApplier) { m.local, m.claims = s, c }
+
+// Listen takes connections at address until Run ends.
+func (m *Mesh) Listen(ctx context.Context, address string) error {
+	var lc net.ListenConfig
+
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+
+	m.listener = l
+
+	return nil
+}
+
+// Run keeps the sessions until ctx ends, and then closes them.
+func (m *Mesh) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	m.goRun(func() { m.acceptLoop(ctx) })
+	m.goRun(func() { m.spreadLoop(ctx) })
+	m.goRun(func() { m.listLoop(ctx) })
+	m.tickLoop(ctx)
+
+	_ = m.listener.Close()
+
+	m.mu.Lock()
+	m.closed = true
+	open := m.all
+	m.all = make(map[*session]bool)
+	m.mu.Unlock()
+
+	for s := range open {
+		s.close()
+	}
+
+	m.wg.Wait()
+}
+
+// Leave tells the connected peers that this instance stops.
+func (m *Mesh) Leave() {
+	m.perform(m.options.Table.Leave(time.Now()))
+}
+
+// goRun starts f unless the mesh is closed, and reports whether it did.
+func (m *Mesh) goRun(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.closed {
+		return false
+	}
+
+	m.wg.Go(f)
+
+	return true
+}
+
+func (m *Mesh) acceptLoop(ctx context.Context) {
+	for {
+		raw, err := m.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+
+			// Accept fails for a while when descriptors run out.
+			m.pause(ctx, minRedial)
+
+			continue
+		}
+
+		if !m.goRun(func() { m.serve(ctx, raw) }) {
+			_ = raw.Close()
+
+			return
+		}
+	}
+}
+
+func (m *Mesh) serve(ctx context.Context, raw net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+
+	s, err := m.accept(raw)
+	if err != nil {
+		m.logFrameError(err)
+
+		return
+	}
+
+	m.runSession(ctx, s)
+}
+
+func (m *Mesh) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (m *Mesh) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+
+	var nextSeed, nextReport time.Time
+
+	for {
+		now := time.Now()
+		m.options.Table.SetLoad(m.workingCount())
+		m.perform(m.options.Table.Tick(now))
+		m.closeStale(ctx, now)
+		m.dialNeighbours(ctx, now)
+
+		if now.After(nextSeed) {
+			nextSeed = now.Add(m.dialSeed(ctx))
+		}
+
+		if now.After(nextReport) {
+			nextReport = now.Add(reportInterval)
+			m.report()
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// perform carries out what the table decided.
+func (m *Mesh) perform(r membership.Result) {
+	for _, c := range r.Changes {
+		e := m.options.Log.Info().Str("event", "member_changed").Str("member", c.Record.Instance.ID).
+			Stringer("state", c.Record.State).Uint64("incarnation", c.Record.Incarnation)
+		if c.Known {
+			e = e.Stringer("from", c.From)
+		}
+
+		e.Send()
+	}
+
+	for _, id := range r.Reset {
+		for _, s := range m.sessionsOf(id) {
+			silentSessions.Inc()
+			m.options.Log.Warn().Str("event", "session_silent").Str("peer", id).Send()
+			s.close()
+		}
+	}
+
+	for _, o := range r.Send {
+		if all := m.sessionsOf(o.To); len(all) > 0 {
+			all[len(all)-1].send(o.Frame)
+		}
+	}
+}
+
+func (m *Mesh) sessionsOf(id string) []*session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return slices.Clone(m.sessions[id])
+}
+
+func (m *Mesh) sessionCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return len(m.all)
+}
+
+// closeStale closes sessions that went silent, that nobody wants any more, or
+// that were left idle.
+func (m *Mesh) closeStale(ctx context.Context, now time.Time) {
+	wanted := make(map[string]bool)
+	for _, n := range m.options.Table.View().Neighbours {
+		wanted[n.ID] = true
+	}
+
+	m.mu.Lock()
+	open := make([]*session, 0, len(m.all))
+
+	for s := range m.all {
+		open = append(open, s)
+	}
+	m.mu.Unlock()
+
+	for _, s := range open {
+		if s.kind != pb.SessionKind_SESSION_KIND_CONTROL {
+			m.checkRelay(ctx, s, now)
+
+			continue
+		}
+
+		switch {
+		case s.conn.silence(now) > silentSession:
+			silentSessions.Inc()
+			m.options.Log.Warn().Str("event", "session_silent").Str("peer", s.id()).Send()
+			s.close()
+		case s.dialled && !wanted[s.id()] && now.Sub(s.opened) > sessionGrace:
+			s.close()
+		}
+	}
+}
+
+func (m *Mesh) dialNeighbours(ctx context.Context, now time.Time) {
+	for _, n := range m.options.Table.View().Neighbours {
+		m.mu.Lock()
+		connected := len(m.sessions[n.ID]) > 0
+		m.mu.Unlock()
+
+		if !connected {
+			m.dialControl(ctx, now, n.ID, n.PeerAddress)
+		}
+	}
+}
+
+// dialSeed tries one instance that isn't live, and returns the time until the
+// next try. Without any session every seed is tried.
+func (m *Mesh) dialSeed(ctx context.Context) time.Duration {
+	candidates := m.seedCandidates()
+
+	m.mu.Lock()
+	lonely := len(m.sessions) == 0
+	m.mu.Unlock()
+
+	if lonely {
+		for _, a := range candidates {
+			m.dialControl(ctx, time.Now(), a, a)
+		}
+
+		return m.options.Jitter(2 * minRedial)
+	}
+
+	if len(candidates) > 0 {
+		n := int(m.options.Jitter(time.Duration(len(candidates) - 1)))
+		m.dialControl(ctx, time.Now(), candidates[n], candidates[n])
+	}
+
+	return seedInterval/2 + m.options.Jitter(seedInterval)
+}
+
+// seedCandidates returns the addresses of instances that are known of and
+// aren't live.
+func (m *Mesh) seedCandidates() []string {
+	var out []string
+
+	self := m.options.Table.Self().Instance.PeerAddress
+	live := map[string]bool{self: true}
+	add := func(address string) {
+		if address != "" && !live[address] && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+
+	records := m.options.Table.Records()
+	for _, r := range records {
+		if r.State != membership.Dead {
+			live[r.Instance.PeerAddress] = true
+		}
+	}
+
+	for _, a := range m.options.Seeds {
+		add(a)
+	}
+
+	m.mu.Lock()
+	listed := m.seeds
+	m.mu.Unlock()
+
+	for _, in := range listed {
+		add(in.PeerAddress)
+	}
+
+	for _, r := range records {
+		if r.State == membership.Dead {
+			add(r.Instance.PeerAddress)
+		}
+	}
+
+	return out
+}
+
+// dialControl opens a control session in the background, unless one is being
+// opened or the last try was a moment ago.
+func (m *Mesh) dialControl(ctx context.Context, now time.Time, key, address string) {
+	m.mu.Lock()
+
+	b := m.redial[key]
+	if b == nil {
+		b = &backoff{}
+		m.redial[key] = b
+	}
+
+	if m.closed || b.dialling || now.Before(b.next) {
+		m.mu.Unlock()
+
+		return
+	}
+
+	b.dialling = true
+	m.mu.Unlock()
+
+	m.goRun(func() {
+		s, err := m.dial(ctx, address, pb.SessionKind_SESSION_KIND_CONTROL)
+		m.dialled(key, err)
+
+		if err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				m.perform(m.options.Table.Unreachable(time.Now(), key))
+			}
+
+			m.options.Log.Debug().Str("event", "dial_failed").Str("peer", key).Err(err).Send()
+
+			return
+		}
+
+		m.runSession(ctx, s)
+	})
+}
+
+func (m *Mesh) dialled(key string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	b := m.redial[key]
+	b.dialling = false
+
+	if err == nil {
+		delete(m.redial, key)
+
+		return
+	}
+
+	b.wait = min(max(2*b.wait, minRedial), maxRedial)
+	b.next = time.Now().Add(m.options.Jitter(b.wait))
+}
+
+// runSession serves a session until it is closed.
+func (m *Mesh) runSession(ctx context.Context, s *session) {
+	if s.id() == m.options.Table.Self().Instance.ID {
+		s.close()
+
+		return
+	}
+
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	defer s.close()
+
+	if !m.register(s) {
+		return
+	}
+	defer m.unregister(s)
+
+	m.goRun(func() { m.acceptStreams(ctx, s) })
+
+	switch s.kind {
+	case pb.SessionKind_SESSION_KIND_CONTROL:
+		m.runControl(ctx, s)
+	case pb.SessionKind_SESSION_KIND_RELAY:
+		<-s.mux.CloseChan()
+	case pb.SessionKind_SESSION_KIND_PROBE, pb.SessionKind_SESSION_KIND_UNSPECIFIED:
+		// The hello was the answer; the other end closes.
+		m.waitClosed(s, helloTimeout)
+	}
+}
+
+func (m *Mesh) waitClosed(s *session, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+
+	select {
+	case <-s.mux.CloseChan():
+	case <-t.C:
+	}
+}
+
+func (m *Mesh) register(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.closed {
+		return false
+	}
+
+	m.all[s] = true
+	if s.kind == pb.SessionKind_SESSION_KIND_CONTROL {
+		m.sessions[s.id()] = append(m.sessions[s.id()], s)
+	}
+
+	return true
+}
+
+func (m *Mesh) unregister(s *session) {
+	m.mu.Lock()
+	delete(m.all, s)
+
+	if m.relays[s.id()] == s {
+		delete(m.relays, s.id())
+	}
+
+	last := false
+
+	if s.kind == pb.SessionKind_SESSION_KIND_CONTROL {
+		rest := slices.DeleteFunc(m.sessions[s.id()], func(o *session) bool { return o == s })
+		m.sessions[s.id()] = rest
+
+		if last = len(rest) == 0; last {
+			delete(m.sessions, s.id())
+		}
+	}
+	m.mu.Unlock()
+
+	if last {
+		m.options.Table.Disconnected(s.id())
+	}
+}
+
+// runControl exchanges frames on a control session.
+func (m *Mesh) runControl(ctx context.Context, s *session) {
+	m.goRun(s.write)
+	m.perform(m.options.Table.Connected(time.Now(), s.peer, s.digest, s.dialled))
+	m.catchUp(ctx, s)
+
+	for {
+		f, err := readFrame(s.stream, s.id(), maxControlFrame)
+		if err == nil {
+			countFrame(f, "received")
+			err = m.receive(ctx, s, f)
+		}
+
+		if err != nil {
+			m.logFrameError(err)
+
+			return
+		}
+	}
+}
+
+// receive takes one frame of a control session. An error closes the session.
+func (m *Mesh) receive(ctx context.Context, s *session, f *pb.PeerFrame) error {
+	now := time.Now()
+
+	switch b := f.GetBody().(type) {
+	case *pb.PeerFrame_Heartbeat:
+		m.perform(m.options.Table.Heartbeat(now, s.id(), b.Heartbeat))
+		s.version.Store(b.Heartbeat.GetConfigurationVersion())
+		m.catchUp(ctx, s)
+	case *pb.PeerFrame_Membership:
+		r, err := m.options.Table.Delta(now, s.id(), b.Membership)
+		if err != nil {
+			return &FrameError{Peer: s.id(), Reason: "membership delta", Cause: err}
+		}
+
+		m.perform(r)
+	case *pb.PeerFrame_Sync:
+		m.perform(m.options.Table.Sync(s.id(), b.Sync))
+	case *pb.PeerFrame_Configuration:
+		m.takePush(ctx, s, b.Configuration)
+	case *pb.PeerFrame_Probe:
+		m.goRun(func() { m.probeFor(ctx, s, b.Probe) })
+	case *pb.PeerFrame_ProbeAnswer:
+		m.options.Table.Probed(now, b.ProbeAnswer.GetInstance(), b.ProbeAnswer.GetReached())
+	default:
+		return &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't expected on a control stream", b)}
+	}
+
+	return nil
+}
+
+// probeFor reaches an instance on behalf of a peer. It answers only if it did.
+func (m *Mesh) probeFor(ctx context.Context, s *session, p *pb.ProbeRequest) {
+	if domain.CheckAddress("peer_address", p.GetPeerAddress()) != nil {
+		return
+	}
+
+	target, err := m.dial(ctx, p.GetPeerAddress(), pb.SessionKind_SESSION_KIND_PROBE)
+	if err != nil {
+		return
+	}
+	defer target.close()
+
+	if target.id() != p.GetInstance() {
+		return
+	}
+
+	s.send(&pb.PeerFrame{Body: &pb.PeerFrame_ProbeAnswer{ProbeAnswer: &pb.ProbeAnswer{
+		Reached: true, Instance: p.GetInstance(),
+	}}})
+}
+
+// listLoop reads the platform's list: at the start, while this instance has no
+// session, and as a watcher.
+func (m *Mesh) listLoop(ctx context.Context) {
+	if m.options.Lister == nil {
+		return
+	}
+
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		lonely := len(m.sessions) == 0
+		m.mu.Unlock()
+
+		if lonely || m.IsWatcher() {
+			m.readList(ctx)
+		}
+
+		m.pause(ctx, listInterval/2+m.options.Jitter(listInterval/2))
+	}
+}
+
+func (m *Mesh) readList(ctx context.Context) {
+	listCalls.Inc()
+
+	list, err := m.options.Lister.Instances(ctx)
+	if err != nil {
+		m.options.Log.Debug().Str("event", "instance_list_failed").Err(err).Send()
+
+		return
+	}
+
+	leaving := make(map[string]bool)
+
+	var entries []domain.Instance
+
+	for _, l := range list {
+		in := domain.Instance{ID: l.ID, PeerAddress: l.Address, FailureDomain: l.FailureDomain, Region: l.Region}
+		if l.Role != "entry" || in.Validate() != nil {
+			continue
+		}
+
+		entries = append(entries, in)
+		if l.Leaving {
+			leaving[l.ID] = true
+		}
+	}
+
+	r, seeds := m.options.Table.Listed(time.Now(), entries, leaving)
+
+	m.mu.Lock()
+	m.seeds = seeds
+	m.mu.Unlock()
+
+	m.perform(r)
+}
+
+// IsWatcher reports whether this instance watches the store.
+func (m *Mesh) IsWatcher() bool {
+	return m.options.Table.View().Live.IsWatcher(m.options.Table.Self().Instance.ID)
+}
+
+func (m *Mesh) logFrameError(err error) {
+	var fe *FrameError
+	if errors.As(err, &fe) {
+		badFrames.Inc()
+		m.options.Log.Warn().Str("event", "bad_frame").Str("peer", fe.Peer).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/primrosed/internal/peer/peer_test.go
@@ -0,0 +1,507 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"primrosespring.example/internal/claims"
+	"primrosespring.example/internal/configuration"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/membership"
+)
+
+// waitLimit bounds the waits on conditions; it is far above what they take.
+const waitLimit = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// searchFunc is a local searcher.
+type searchFunc func(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error)
+
+func (f searchFunc) Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	return f(ctx, cfg, req)
+}
+
+// Apply implements ClaimApplier.
+func (searchFunc) Apply(_ context.Context, op claims.Operation) (claims.Result, error) {
+	return claims.Result{Outcome: claims.Granted, Claim: claims.Claim{State: claims.StateClaimed, ClaimID: op.ClaimID, Digest: op.Digest}}, nil
+}
+
+// node is one instance on loopback.
+type node struct {
+	*Mesh
+
+	instance domain.Instance
+	stop     func()
+}
+
+func testJitter(d time.Duration) time.Duration { return rand.N(d + 1) }
+
+func start(t *testing.T, id, failureDomain string, search searchFunc, seeds ...*node) *node {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	in := domain.Instance{ID: id, PeerAddress: l.Addr().String(), FailureDomain: failureDomain, Region: "region"}
+	o := Options{
+		Log: zerolog.Nop(), Holder: &configuration.Holder{}, Jitter: testJitter,
+		Table: membership.New(in, 1, rand.New(rand.NewPCG(1, 1))),
+	}
+
+	for _, s := range seeds {
+		o.Seeds = append(o.Seeds, s.instance.PeerAddress)
+	}
+
+	n := &node{Mesh: NewMesh(o), instance: in}
+	n.Serve(search, search)
+	n.listener = l
+
+	ctx, cancel := context.WithCancel(context.Background())
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { n.Run(ctx) })
+	n.stop = func() { cancel(); wg.Wait() }
+	t.Cleanup(n.stop)
+
+	return n
+}
+
+func (n *node) live() int { return n.options.Table.View().Live.Len() }
+
+func (n *node) version() uint64 { return n.options.Holder.Configuration().Version }
+
+func (n *node) change(t *testing.T, i int) {
+	t.Helper()
+
+	next, err := configuration.Apply(n.options.Holder.Current(), configuration.Change{
+		ID: fmt.Sprintf("change-%d", i), SetMember: &domain.Member{Name: "member", Weight: uint32(i)},
+	})
+	require.NoError(t, err)
+	require.True(t, n.options.Holder.Offer(next))
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, waitLimit, 10*time.Millisecond, what)
+}
+
+func echo(_ context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	return &pb.SearchResponse{RequestId: req.GetRequestId(), ConfigurationVersion: cfg.Version}, nil
+}
+
+// Guards against instances that don't find each other from one seed, changes
+// that don't reach everyone, a new instance that needs the store although its
+// peers have the configuration, and a killed instance that stays in the table.
+func TestFleetFindsItselfAndSpreadsChanges(t *testing.T) {
+	first := start(t, "entry-0", "a", echo)
+	all := []*node{first}
+
+	for i := 1; i < 6; i++ {
+		all = append(all, start(t, fmt.Sprintf("entry-%d", i), string(rune('a'+i%3)), echo, first))
+	}
+
+	for _, n := range all {
+		eventually(t, "everyone knows everyone", func() bool { return n.live() == len(all) })
+	}
+
+	first.options.Holder.Offer(&configuration.Stored{})
+
+	for i := 1; i <= 20; i++ {
+		all[i%6].change(t, i)
+
+		for _, n := range all {
+			eventually(t, "the change is in force everywhere", func() bool { return n.version() == uint64(i) })
+		}
+	}
+
+	late := start(t, "entry-9", "a", echo, all[3])
+	eventually(t, "the new instance has the configuration", func() bool {
+		return late.options.Holder.Loaded() && late.version() == 20
+	})
+
+	all[4].stop()
+	eventually(t, "the stopped instance is dead", func() bool { return first.live() == 6 })
+}
+
+// Guards against a fleet that waits for the store although a peer has loaded
+// the empty configuration.
+func TestEmptyConfigurationIsFetched(t *testing.T) {
+	first := start(t, "entry-0", "a", echo)
+	first.options.Holder.Offer(&configuration.Stored{})
+
+	second := start(t, "entry-1", "a", echo, first)
+	eventually(t, "the second instance has loaded", second.options.Holder.Loaded)
+}
+
+// Guards against bytes that aren't frames: they must close the session with a
+// typed error and leave the instance working.
+func TestBadFramesCloseTheSession(t *testing.T) {
+	n := start(t, "entry-0", "a", echo)
+	before := badFrames.Get()
+
+	oversized := binary.BigEndian.AppendUint32(nil, maxControlFrame+1)
+	garbage := append(binary.BigEndian.AppendUint32(nil, 4), 0xff, 0xff, 0xff, 0xff)
+	empty := binary.BigEndian.AppendUint32(nil, 0)
+
+	for _, bad := range [][]byte{oversized, garbage, empty} {
+		conn, err := net.Dial("tcp", n.instance.PeerAddress)
+		require.NoError(t, err)
+
+		mux, err := yamux.Client(conn, muxConfig())
+		require.NoError(t, err)
+
+		stream, err := mux.OpenStream()
+		require.NoError(t, err)
+
+		// The session may be closed before the write returns.
+		_, _ = stream.Write(bad)
+		_ = stream.SetReadDeadline(time.Now().Add(waitLimit))
+
+		_, err = stream.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.NotErrorIs(t, err, yamux.ErrTimeout, "the session stays open")
+		require.NoError(t, mux.Close())
+	}
+
+	eventually(t, "the bad frames are counted", func() bool { return badFrames.Get() == before+3 })
+}
+
+// stub is a peer that speaks the protocol by hand.
+func stub(t *testing.T, id string, serve func(s *session)) domain.Instance {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	in := domain.Instance{ID: id, PeerAddress: l.Addr().String(), FailureDomain: "a", Region: "region"}
+	m := NewMesh(Options{
+		Log: zerolog.Nop(), Holder: &configuration.Holder{}, Jitter: testJitter,
+		Table: membership.New(in, 1, rand.New(rand.NewPCG(1, 1))),
+	})
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			stop := context.AfterFunc(t.Context(), func() { _ = conn.Close() })
+
+			wg.Go(func() {
+				defer stop()
+
+				if s, err := m.accept(conn); err == nil {
+					serve(s)
+					s.close()
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+
+		wg.Wait()
+	})
+
+	return in
+}
+
+// Guards against a peer whose session is open but silent: it must be closed,
+// and the peer counted as dead when nobody reaches it.
+func TestSilentSessionIsClosed(t *testing.T) {
+	var sessions sync.Map
+
+	silent := stub(t, "entry-9", func(s *session) {
+		sessions.Store(s, true)
+		<-s.mux.CloseChan()
+	})
+	n := start(t, "entry-0", "a", echo, &node{instance: silent})
+
+	eventually(t, "the peer is known", func() bool { return n.live() == 2 })
+	eventually(t, "the silent session is closed and dialled again", func() bool {
+		count := 0
+
+		sessions.Range(func(any, any) bool { count++; return true })
+
+		return count >= 2
+	})
+}
+
+func searchRequest(id string) *pb.SearchRequest {
+	return &pb.SearchRequest{Service: "service", RequestId: id}
+}
+
+// Guards against a relayed query that ignores the time left, the configuration
+// version or the identity of its request.
+func TestRelayedSearch(t *testing.T) {
+	type seen struct {
+		left    time.Duration
+		version uint64
+	}
+
+	got := make(chan seen, 1)
+	holder := start(t, "entry-0", "a", func(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+		d, _ := ctx.Deadline()
+		got <- seen{time.Until(d), cfg.Version}
+
+		return echo(ctx, cfg, req)
+	})
+	other := start(t, "entry-1", "a", echo, holder)
+	eventually(t, "they know each other", func() bool { return other.live() == 2 && holder.live() == 2 })
+
+	// The holder is behind: the change comes into force at the sender only
+	// now, and the relayed query may overtake it.
+	other.change(t, 1)
+
+	resp, err := other.RelaySearch(t.Context(), holder.instance, 1, 900*time.Millisecond, "q", searchRequest("r"))
+	require.NoError(t, err)
+	require.Equal(t, "r", resp.GetRequestId())
+
+	s := <-got
+	require.LessOrEqual(t, s.left, 900*time.Millisecond)
+	require.Equal(t, uint64(1), s.version)
+}
+
+// Guards against a claim that is decided for another operation.
+func TestForwardedClaim(t *testing.T) {
+	owner := start(t, "entry-0", "a", echo)
+	other := start(t, "entry-1", "a", echo)
+	key, err := claims.ParseKey("0190c7a0-0000-7000-8000-000000000001")
+	require.NoError(t, err)
+
+	result, err := other.ApplyClaim(t.Context(), owner.instance, claims.Operation{Key: key, ClaimID: "claim-7", Digest: 9})
+	require.NoError(t, err)
+	require.Equal(t, claims.Granted, result.Outcome)
+	require.Equal(t, "claim-7", result.Claim.ClaimID)
+}
+
+// Guards against a cancelled relayed query that goes on at the holder, and
+// against a planned stop that interrupts one.
+func TestCancelAndDrain(t *testing.T) {
+	entered, cancelled := make(chan struct{}), make(chan struct{})
+	release := make(chan struct{})
+	holder := start(t, "entry-0", "a", func(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+		entered <- struct{}{}
+
+		select {
+		case <-ctx.Done():
+			close(cancelled)
+
+			return nil, ctx.Err()
+		case <-release:
+			return echo(ctx, cfg, req)
+		}
+	})
+	other := start(t, "entry-1", "a", echo)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+
+	go func() {
+		_, err := other.RelaySearch(ctx, holder.instance, 0, waitLimit, "q", searchRequest("r"))
+		failed <- err
+	}()
+
+	<-entered
+	cancel()
+	<-cancelled
+
+	var e *domain.Error
+
+	require.ErrorAs(t, <-failed, &e)
+	require.Equal(t, domain.FateUnknown, e.Fate)
+
+	go func() {
+		_, err := other.RelaySearch(t.Context(), holder.instance, 0, waitLimit, "q", searchRequest("r"))
+		failed <- err
+	}()
+
+	<-entered
+
+	drained := make(chan error, 1)
+
+	go func() { drained <- holder.Drain(t.Context()) }()
+
+	eventually(t, "new relayed queries are refused as not run", func() bool {
+		quick, done := context.WithTimeout(t.Context(), time.Second)
+		defer done()
+
+		holder.mu.Lock()
+		draining := holder.draining
+		holder.mu.Unlock()
+
+		if !draining {
+			return false
+		}
+
+		_, err := other.RelaySearch(quick, holder.instance, 0, time.Second, "q2", searchRequest("r2"))
+
+		return errors.As(err, &e) && e.Fate == domain.FateNotRun && e.Code == domain.CodeStopping
+	})
+	require.Empty(t, drained, "the drain ends before the query")
+	close(release)
+	require.NoError(t, <-failed)
+	require.NoError(t, <-drained)
+}
+
+// Guards against a failure before the request was sent that isn't told as not
+// run, and against answers that are damaged or crossed.
+func TestRelayFailures(t *testing.T) {
+	n := start(t, "entry-0", "a", echo)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	gone := domain.Instance{ID: "entry-8", PeerAddress: l.Addr().String(), FailureDomain: "a", Region: "region"}
+	require.NoError(t, l.Close())
+
+	_, err = n.RelaySearch(t.Context(), gone, 0, time.Second, "q", searchRequest("r"))
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, domain.FateNotRun, e.Fate)
+	require.Equal(t, domain.CodePeerUnavailable, e.Code)
+
+	content, err := proto.Marshal(&pb.SearchResponse{RequestId: "r"})
+	require.NoError(t, err)
+
+	for name, damage := range map[string]func(f *pb.PeerFrame, a *pb.RelaySearchAnswer){
+		"frame id":   func(f *pb.PeerFrame, _ *pb.RelaySearchAnswer) { f.Id++ },
+		"query id":   func(_ *pb.PeerFrame, a *pb.RelaySearchAnswer) { a.QueryId = "q9" },
+		"content":    func(_ *pb.PeerFrame, a *pb.RelaySearchAnswer) { a.Response = append(a.GetResponse(), 0x10, 1) },
+		"request id": func(_ *pb.PeerFrame, a *pb.RelaySearchAnswer) { a.Response, _, a.Checksum = sealed("q", nil, nil) },
+	} {
+		liar := stub(t, "entry-7", func(s *session) {
+			stream, err := s.mux.AcceptStream()
+			if err != nil {
+				return
+			}
+
+			f, err := readFrame(stream, "entry-0", maxRelayFrame)
+			if err != nil {
+				return
+			}
+
+			a := &pb.RelaySearchAnswer{QueryId: "q"}
+			a.Response, _, a.Checksum = sealed("q", append([]byte(nil), content...), nil)
+			out := &pb.PeerFrame{Id: f.GetId(), Body: &pb.PeerFrame_RelaySearchAnswer{RelaySearchAnswer: a}}
+			damage(out, a)
+
+			_ = writeFrame(stream, out, maxRelayFrame)
+			<-s.mux.CloseChan()
+		})
+
+		n.mu.Lock()
+		old := n.relays[liar.ID]
+		delete(n.relays, liar.ID)
+		n.mu.Unlock()
+
+		if old != nil {
+			old.close()
+		}
+
+		_, err := n.RelaySearch(t.Context(), liar, 0, time.Second, "q", searchRequest("r"))
+		require.ErrorAs(t, err, &e, name)
+		require.Equal(t, domain.FateUnknown, e.Fate, name)
+	}
+}
+
+// Guards against a holder that takes queries of a service although its
+// searchers' connections belong to others, a query that is lost with one
+// holder, and a relay that ignores the holder's refusal.
+func TestRelayGoesToAHolder(t *testing.T) {
+	svc := domain.Service{
+		Name: "service", Version: 1,
+		Rules: domain.Rules{TimeoutMS: 5000, MaxAttempts: 2, MinCoveragePermille: 1000, Repeatable: true},
+		PartitionMap: domain.PartitionMap{Version: 1, Shards: []domain.Shard{{Searchers: []domain.Searcher{
+			// 80% of 3 connections leaves two holders.
+			{ID: "s", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1, Connections: 3},
+		}}}},
+	}
+	nodes := make(map[string]*node)
+	relays := make(map[string]*Relay)
+
+	var first *node
+
+	for i, fd := range []string{"a", "b", "c", "a"} {
+		id := fmt.Sprintf("entry-%d", i)
+		local := searchFunc(func(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+			resp, err := echo(ctx, cfg, req)
+			resp.Instance = id
+
+			return resp, err
+		})
+
+		var seeds []*node
+		if first != nil {
+			seeds = append(seeds, first)
+		}
+
+		n := start(t, id, fd, local, seeds...)
+		if first == nil {
+			first = n
+		}
+
+		nodes[id] = n
+		relays[id] = NewRelay(zerolog.Nop(), n.Mesh, NewPlacement(zerolog.Nop(), n.options.Table), local)
+	}
+
+	for _, n := range nodes {
+		eventually(t, "everyone knows everyone", func() bool { return n.live() == 4 })
+	}
+
+	next, err := configuration.Apply(&configuration.Stored{}, configuration.Change{ID: "c", CreateService: &svc})
+	require.NoError(t, err)
+	first.options.Holder.Offer(next)
+
+	for _, n := range nodes {
+		eventually(t, "the service is in force", func() bool { return n.version() == 1 })
+	}
+
+	cfg := first.options.Holder.Configuration()
+	holders := relays["entry-0"].placement.Holders(cfg, "service")
+	require.Len(t, holders, 2)
+
+	for id, r := range relays {
+		resp, err := r.Search(t.Context(), cfg, searchRequest("r"))
+		require.NoError(t, err)
+		require.Contains(t, []string{holders[0].ID, holders[1].ID}, resp.GetInstance())
+
+		if r.placement.Holds(cfg, "service") {
+			require.Equal(t, id, resp.GetInstance())
+		}
+	}
+
+	// One holder stops: the query goes to the other before anyone has noticed.
+	nodes[holders[0].ID].stop()
+
+	for id, r := range relays {
+		if id == holders[0].ID {
+			continue
+		}
+
+		resp, err := r.Search(t.Context(), cfg, searchRequest("r"))
+		require.NoError(t, err)
+		require.NotEqual(t, holders[0].ID, resp.GetInstance())
+	}
+}
--- /dev/null
+++ b/primrosed/internal/peer/placement.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/membership"
+	"primrosespring.example/internal/placement"
+)
+
+// connectionsPerHolder is how many connections a holder keeps to a searcher:
+// HTTP/2 needs one.
+const connectionsPerHolder = 1
+
+// Placement tells which instances hold the searcher connections of which
+// services now. It is safe for concurrent use.
+type Placement struct {
+	log   zerolog.Logger
+	table *membership.Table
+
+	mu         sync.Mutex // Guards all below.
+	view       *membership.View
+	cfg        *domain.Configuration
+	assignment *placement.Assignment
+}
+
+// NewPlacement returns the placement that follows from the table.
+func NewPlacement(log zerolog.Logger, table *membership.Table) *Placement {
+	return &Placement{log: log, table: table}
+}
+
+// Holders returns the instances that hold the connections of a service.
+func (p *Placement) Holders(cfg *domain.Configuration, service string) []domain.Instance {
+	return p.current(cfg).Holders(service)
+}
+
+// Holds reports whether this instance holds the connections of a service.
+func (p *Placement) Holds(cfg *domain.Configuration, service string) bool {
+	return p.current(cfg).Holds(service, p.table.Self().Instance.ID)
+}
+
+// current returns the assignment of the present view. A leaving instance keeps
+// its last one: it has the connections until its requests are finished.
+func (p *Placement) current(cfg *domain.Configuration) *placement.Assignment {
+	view := p.table.View()
+	self := p.table.Self()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.assignment != nil && p.cfg == cfg && (p.view == view || self.State == membership.Leaving) {
+		return p.assignment
+	}
+
+	next := view.Live.Assign(cfg, connectionsPerHolder)
+	p.logChanges(cfg, next, self.Instance.ID, view)
+	p.view, p.cfg, p.assignment = view, cfg, next
+
+	return next
+}
+
+func (p *Placement) logChanges(cfg *domain.Configuration, next *placement.Assignment, self string, view *membership.View) {
+	for i := range cfg.Services {
+		name := cfg.Services[i].Name
+		held := p.assignment != nil && p.assignment.Holds(name, self)
+
+		if holds := next.Holds(name, self); holds != held {
+			p.log.Info().Str("event", "placement").Str("service", name).Bool("holds", holds).
+				Int("holders", len(next.Holders(name))).Int("live", view.Live.Len()).Uint64("version", cfg.Version).Send()
+		}
+	}
+}
+
+// BucketOwner returns the owner of a bucket of claims, and whether it is this
+// instance. An owner under suspicion is passed over: ownership saves writes and
+// isn't needed for safety.
+func (p *Placement) BucketOwner(bucket uint32) (owner domain.Instance, self bool) {
+	view := p.table.View()
+
+	in, ok := view.Live.Owner("claims/" + strconv.FormatUint(uint64(bucket), 10))
+	if !ok || view.Suspects[in.ID] {
+		return domain.Instance{}, true
+	}
+
+	return in, in.ID == p.table.Self().Instance.ID
+}
--- /dev/null
+++ b/primrosed/internal/peer/session.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/membership"
+)
+
+const (
+	dialTimeout = time.Second
+	// helloTimeout bounds the exchange of hellos on a new connection.
+	helloTimeout = time.Second
+	writeTimeout = 2 * time.Second
+	// closeTimeout is how long a half-closed stream keeps its state.
+	closeTimeout = 10 * time.Second
+	streamWindow = 1 << 20
+	maxBacklog   = 4096
+	// maxQueued bounds the frames that wait for a slow peer; beyond it the
+	// session is closed, and a new one starts with an exchange of state.
+	maxQueued = 1024
+)
+
+// session is one connection to a peer with its multiplexer.
+type session struct {
+	peer    membership.Record
+	kind    pb.SessionKind
+	dialled bool
+	opened  time.Time
+	conn    *countedConn
+	mux     *yamux.Session
+	stream  *yamux.Stream
+	out     chan *pb.PeerFrame
+	// digest is the peer's membership digest when the session was opened.
+	digest uint64
+	// version is the configuration version that the peer is known to have.
+	version atomic.Uint64
+	// open counts the requests under way on a relay session.
+	open     atomic.Int64
+	lastUsed atomic.Int64
+	probing  atomic.Bool
+
+	once   sync.Once
+	closed chan struct{}
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	// Heartbeats find silent sessions, and pings silent relays.
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamOpenTimeout = writeTimeout
+	c.StreamCloseTimeout = closeTimeout
+	c.MaxStreamWindowSize = streamWindow
+	c.AcceptBacklog = maxBacklog
+	c.LogOutput = io.Discard
+
+	return c
+}
+
+// dial opens a session to address and exchanges hellos.
+func (m *Mesh) dial(ctx context.Context, address string, kind pb.SessionKind) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout+helloTimeout)
+	defer cancel()
+
+	d := net.Dialer{Timeout: dialTimeout}
+
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+
+	conn := newCountedConn(raw)
+	conn.relay.Store(kind == pb.SessionKind_SESSION_KIND_RELAY)
+
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+
+	s, err := m.greet(ctx, conn, mux, kind)
+	if err != nil {
+		return nil, errors.Join(err, mux.Close())
+	}
+
+	return s, nil
+}
+
+// greet is the dialler's part of the hello exchange.
+func (m *Mesh) greet(ctx context.Context, conn *countedConn, mux *yamux.Session, kind pb.SessionKind) (*session, error) {
+	stream, err := mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	defer stop()
+
+	if err := writeFrame(stream, m.hello(kind), maxControlFrame); err != nil {
+		return nil, err
+	}
+
+	return readHello(conn, mux, stream, true)
+}
+
+// accept is the other end's part.
+func (m *Mesh) accept(raw net.Conn) (*session, error) {
+	conn := newCountedConn(raw)
+
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+
+	timer := time.AfterFunc(helloTimeout, func() { _ = mux.Close() })
+	defer timer.Stop()
+
+	stream, err := mux.AcceptStream()
+	if err != nil {
+		return nil, errors.Join(err, mux.Close())
+	}
+
+	s, err := readHello(conn, mux, stream, false)
+	if err != nil {
+		return nil, errors.Join(err, mux.Close())
+	}
+
+	conn.relay.Store(s.kind == pb.SessionKind_SESSION_KIND_RELAY)
+
+	if err := writeFrame(stream, m.hello(s.kind), maxControlFrame); err != nil {
+		return nil, errors.Join(err, mux.Close())
+	}
+
+	return s, nil
+}
+
+func readHello(conn *countedConn, mux *yamux.Session, stream *yamux.Stream, dialled bool) (*session, error) {
+	address := conn.RemoteAddr().String()
+
+	f, err := readFrame(stream, address, maxControlFrame)
+	if err != nil {
+		return nil, err
+	}
+
+	h := f.GetHello()
+	if h == nil {
+		return nil, &FrameError{Peer: address, Reason: "first frame isn't a hello"}
+	}
+
+	rec, err := membership.FromProto(h.GetInstance())
+	if err != nil {
+		return nil, &FrameError{Peer: address, Reason: "hello", Cause: err}
+	}
+
+	if rec.Instance.PeerAddress == "" {
+		return nil, &FrameError{Peer: address, Reason: "hello has no address"}
+	}
+
+	s := &session{
+		peer: rec, kind: h.GetKind(), dialled: dialled, opened: time.Now(), conn: conn, mux: mux, stream: stream,
+		digest: h.GetMembershipDigest(), out: make(chan *pb.PeerFrame, maxQueued), closed: make(chan struct{}),
+	}
+	s.version.Store(rec.ConfigurationVersion)
+	s.lastUsed.Store(time.Now().UnixNano())
+
+	return s, nil
+}
+
+func newCountedConn(raw net.Conn) *countedConn {
+	c := &countedConn{Conn: raw}
+	c.lastRead.Store(time.Now().UnixNano())
+
+	return c
+}
+
+func (m *Mesh) hello(kind pb.SessionKind) *pb.PeerFrame {
+	rec := m.options.Table.Self()
+	rec.ConfigurationVersion = m.options.Holder.Configuration().Version
+
+	return &pb.PeerFrame{Body: &pb.PeerFrame_Hello{Hello: &pb.Hello{
+		Instance: rec.ToProto(), Kind: kind, MembershipDigest: m.options.Table.Digest(),
+	}}}
+}
+
+func (s *session) id() string { return s.peer.Instance.ID }
+
+// close ends the session; it may be called more than once.
+func (s *session) close() {
+	s.once.Do(func() {
+		close(s.closed)
+		_ = s.mux.Close()
+	})
+}
+
+// send queues a frame for the control stream. A peer that doesn't read loses
+// the session.
+func (s *session) send(f *pb.PeerFrame) {
+	select {
+	case s.out <- f:
+	case <-s.closed:
+	default:
+		s.close()
+	}
+}
+
+// write sends the queued frames until the session is closed.
+func (s *session) write() {
+	defer s.close()
+
+	for {
+		select {
+		case f := <-s.out:
+			if err := writeFrame(s.stream, f, maxControlFrame); err != nil {
+				return
+			}
+
+			countFrame(f, "sent")
+		case <-s.closed:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/primrosed/internal/peer/stream.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+)
+
+const (
+	// requestTimeout bounds the arrival of a request on a new stream.
+	requestTimeout = 5 * time.Second
+	// relayIdle is how long an unused relay session stays open.
+	relayIdle = time.Minute
+	// relaySilence is the silence, with requests under way, after which a relay
+	// session is pinged; pingTimeout is the time for the answer.
+	relaySilence = 300 * time.Millisecond
+	pingTimeout  = 400 * time.Millisecond
+)
+
+// exchange sends a request frame on a stream of its own and returns the answer
+// frame. sent reports whether the peer may have got the request.
+func (m *Mesh) exchange(ctx context.Context, s *session, req *pb.PeerFrame, limit int) (answer *pb.PeerFrame, sent bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, err
+	}
+
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, false, err
+	}
+
+	// Closing the stream cancels the request at the peer.
+	defer func() { _ = stream.Close() }()
+
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	req.Id = m.nextID.Add(1)
+
+	if err := writeFrame(stream, req, limit); err != nil {
+		var fe *FrameError
+
+		return nil, !errors.As(err, &fe), err
+	}
+
+	answer, err = readFrame(stream, s.id(), limit)
+	if err != nil {
+		m.logFrameError(err)
+
+		if ctx.Err() != nil {
+			return nil, true, ctx.Err()
+		}
+
+		return nil, true, err
+	}
+
+	if answer.GetId() != req.GetId() {
+		s.close()
+
+		return nil, true, &FrameError{Peer: s.id(), Reason: fmt.Sprintf("answer is for request %d, not %d", answer.GetId(), req.GetId())}
+	}
+
+	return answer, true, nil
+}
+
+// acceptStreams answers the requests of a peer until the session is closed.
+func (m *Mesh) acceptStreams(ctx context.Context, s *session) {
+	defer s.close()
+
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+
+		if !m.goRun(func() { m.serveStream(ctx, s, stream) }) {
+			return
+		}
+	}
+}
+
+func (m *Mesh) serveStream(ctx context.Context, s *session, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+
+	s.lastUsed.Store(time.Now().UnixNano())
+	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
+
+	f, err := readFrame(stream, s.id(), maxRelayFrame)
+	if err != nil {
+		var fe *FrameError
+		if errors.As(err, &fe) {
+			m.logFrameError(err)
+			s.close()
+		}
+
+		return
+	}
+
+	_ = stream.SetReadDeadline(time.Time{})
+
+	switch f.GetBody().(type) {
+	case *pb.PeerFrame_Fetch:
+		err = m.answerFetch(stream, f)
+	case *pb.PeerFrame_RelaySearch, *pb.PeerFrame_ClaimApply:
+		err = m.answerRelay(ctx, s, stream, f)
+	default:
+		err = &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't a request", f.GetBody())}
+		m.logFrameError(err)
+		s.close()
+	}
+
+	if err != nil {
+		m.options.Log.Debug().Str("event", "answer_failed").Str("peer", s.id()).Err(err).Send()
+	}
+}
+
+// hangup returns a context that ends when the peer closes the stream, and a
+// function that ends the watch.
+func (m *Mesh) hangup(ctx context.Context, stream *yamux.Stream) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		defer cancel()
+
+		var b [1]byte
+
+		_, _ = stream.Read(b[:])
+	}()
+
+	return ctx, func() {
+		_ = stream.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		cancel()
+	}
+}
+
+// relaySession returns the open relay session with an instance or dials one.
+func (m *Mesh) relaySession(ctx context.Context, to domain.Instance) (*session, error) {
+	for {
+		m.mu.Lock()
+
+		if s := m.relays[to.ID]; s != nil && !s.mux.IsClosed() {
+			m.mu.Unlock()
+
+			return s, nil
+		}
+
+		if m.closed {
+			m.mu.Unlock()
+
+			return nil, errors.New("the mesh is closed")
+		}
+
+		dialling, ok := m.relayDials[to.ID]
+		if !ok {
+			dialling = make(chan struct{})
+			m.relayDials[to.ID] = dialling
+			m.mu.Unlock()
+
+			return m.dialRelay(ctx, to, dialling)
+		}
+		m.mu.Unlock()
+
+		select {
+		case <-dialling:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (m *Mesh) dialRelay(ctx context.Context, to domain.Instance, done chan struct{}) (*session, error) {
+	s, err := m.dial(ctx, to.PeerAddress, pb.SessionKind_SESSION_KIND_RELAY)
+	if err == nil && s.id() != to.ID {
+		s.close()
+
+		err = fmt.Errorf("%s answers at %s", s.id(), to.PeerAddress)
+	}
+
+	m.mu.Lock()
+	delete(m.relayDials, to.ID)
+	close(done)
+
+	if err == nil {
+		m.relays[to.ID] = s
+	}
+	m.mu.Unlock()
+
+	if err != nil {
+		return nil, err
+	}
+
+	// The session outlives the request that it was opened for.
+	background := context.WithoutCancel(ctx)
+	if !m.goRun(func() { m.runSession(background, s) }) {
+		s.close()
+
+		return nil, errors.New("the mesh is closed")
+	}
+
+	return s, nil
+}
+
+// checkRelay closes a relay session that is idle, and pings one that is silent
+// while requests are under way.
+func (m *Mesh) checkRelay(_ context.Context, s *session, now time.Time) {
+	if s.kind != pb.SessionKind_SESSION_KIND_RELAY || !s.dialled {
+		return
+	}
+
+	if s.open.Load() == 0 {
+		if now.Sub(time.Unix(0, s.lastUsed.Load())) > relayIdle {
+			s.close()
+		}
+
+		return
+	}
+
+	if s.conn.silence(now) < relaySilence || now.Sub(time.Unix(0, s.lastUsed.Load())) < relaySilence ||
+		!s.probing.CompareAndSwap(false, true) {
+		return
+	}
+
+	m.goRun(func() { m.ping(s) })
+}
+
+func (m *Mesh) ping(s *session) {
+	defer s.probing.Store(false)
+
+	answered := make(chan error, 1)
+
+	go func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	}()
+
+	t := time.NewTimer(pingTimeout)
+	defer t.Stop()
+
+	select {
+	case err := <-answered:
+		if err == nil {
+			return
+		}
+	case <-t.C:
+	case <-s.closed:
+		return
+	}
+
+	silentSessions.Inc()
+	m.options.Log.Warn().Str("event", "session_silent").Str("peer", s.id()).Str("kind", "relay").Send()
+	s.close()
+}
