server: join the fleet, get ready by store or peer, stop in order

An instance knew no other, was ready before it had a configuration, and slept through its stop. It now keeps a mesh, relays queries to holders, forwards operations on claims, watches the store only as one of the watchers that placement chooses, and is not ready, with the reason, until the store or a peer gave a configuration. A planned stop tells the balancer and the peers first, ends keep-alive connections and operators' streams, and then finishes own and relayed requests.

The changer reads back after a lost answer, bounds tries, time and rate, and refuses to build on a store that was set back.

go test -race ./internal/server: an instance is ready from a peer while the store is down; an open change is finished during a stop; goleak is clean.

--- a/primrosed/internal/balancer/balancer.go
+++ b/primrosed/internal/balancer/balancer.go
@@ -3,7 +3,10 @@
 package balancer
 
 import (
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/go-chi/chi/v5"
@@ -11,17 +14,27 @@
 
 // Health is what the balancer is told. The zero value is alive and ready.
 type Health struct {
-	mu     sync.Mutex // Guards reason.
-	reason string
+	mu      sync.Mutex // Guards reasons.
+	reasons map[string]string
 }
 
-// SetNotReady makes the instance not ready for the given reason; an empty
-// reason makes it ready.
-func (h *Health) SetNotReady(reason string) {
+// Set names a reason for not being ready, by the part that has it; an empty
+// reason takes it back. The instance is ready when no part has one.
+func (h *Health) Set(part, reason string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	h.reason = reason
+	if reason == "" {
+		delete(h.reasons, part)
+
+		return
+	}
+
+	if h.reasons == nil {
+		h.reasons = make(map[string]string)
+	}
+
+	h.reasons[part] = reason
 }
 
 // NotReady returns why the instance isn't ready, or an empty string.
@@ -29,7 +42,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	return h.reason
+	return strings.Join(slices.Sorted(maps.Values(h.reasons)), "; ")
 }
 
 // Handler serves /livez and /readyz.
--- a/primrosed/internal/operator/changer.go
+++ b/primrosed/internal/operator/changer.go
@@ -3,15 +3,29 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/primrosed/internal/platform"
 )
 
-// maxWriteTries bounds how often a change is made again after another
-// operator's write came first.
-const maxWriteTries = 8
+const (
+	// maxWriteTries bounds how often a change is made again after another
+	// operator's write came first.
+	maxWriteTries = 16
+	// changeTimeout bounds one change for callers that wait longer.
+	changeTimeout = 5 * time.Second
+	minRetryWait  = 10 * time.Millisecond
+	maxRetryWait  = 500 * time.Millisecond
+	// changesPerSecond and changeBurst bound the changes taken by one instance;
+	// 1,300 changes a day of the whole fleet are far below.
+	changesPerSecond = 20
+	changeBurst      = 40
+)
 
 // Store reads and writes the platform's objects.
 type Store interface {
@@ -20,116 +34,112 @@
 }
 
 // StoreChanger makes changes by conditional update of the configuration
-// object.
+// object. It is safe for concurrent use.
 type StoreChanger struct {
-	store  Store
-	holder *configuration.Holder
+	store   Store
+	holder  *configuration.Holder
+	limiter *rate.Limiter
 }
 
 // NewStoreChanger returns a changer that puts what it wrote in force in holder.
 func NewStoreChanger(store Store, holder *configuration.Holder) *StoreChanger {
-	return &StoreChanger{store: store, holder: holder}
+	return &StoreChanger{store: store, holder: holder, limiter: rate.NewLimiter(changesPerSecond, changeBurst)}
 }
 
 // Change makes c durable and returns the version that it brought about. The
-// fate of an error says whether the change may have been made.
+// fate of an error says whether the change may have been made: after a lost
+// answer it is read back, and it is unknown only if that fails too.
 func (s *StoreChanger) Change(ctx context.Context, c configuration.Change) (uint64, error) {
+	if !s.limiter.Allow() {
+		return 0, &domain.Error{
+			Fate: domain.FateNotRun, Code: domain.CodeRateLimited, Step: "change configuration",
+			Message: "too many changes at this instance", RetryAfter: time.Second,
+		}
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+
+	w := configuration.NewWrite(c)
+	wait := minRetryWait
+
 	var last error
 
 	for range maxWriteTries {
-		version, err := s.try(ctx, c)
+		version, final, err := s.try(ctx, w)
 		if err == nil {
 			return version, nil
 		}
 
-		last = err
-
-		if !isConflict(err) {
+		if last = err; final || !sleep(ctx, rand.N(wait)) {
 			break
 		}
+
+		wait = min(2*wait, maxRetryWait)
 	}
 
-	return 0, last
+	return 0, w.Fate(last)
 }
 
-func (s *StoreChanger) try(ctx context.Context, c configuration.Change) (uint64, error) {
+// try makes one read and one write. final reports whether another try is no
+// use.
+func (s *StoreChanger) try(ctx context.Context, w *configuration.Write) (version uint64, final bool, err error) {
 	obj, err := s.store.Get(ctx, configuration.ObjectKind, configuration.ObjectName)
 	if err != nil {
-		return 0, err
+		// Nothing may have been written: there is no use in waiting.
+		return 0, isNotRun(w.Fate(err)), err
 	}
 
-	cur := &configuration.Stored{}
-	if obj.Version > 0 {
-		if cur, err = configuration.Decode(obj.Value); err != nil {
-			return 0, err
-		}
+	cur, err := decodeObject(obj)
+	if err != nil {
+		return 0, true, err
 	}
 
-	if v, ok := cur.AppliedVersion(c.ID); ok {
-		s.holder.Offer(cur)
-
-		return v, nil
+	next, err := w.Read(obj.Version, cur, s.holder.Configuration().Version)
+	if err != nil {
+		return 0, true, err
 	}
 
-	next, err := configuration.Apply(cur, c)
-	if err != nil {
-		return 0, err
+	if next.Done {
+		s.holder.Offer(next.Stored)
+
+		return next.Version, true, nil
 	}
 
-	data, err := next.Encode()
+	data, err := next.Stored.Encode()
 	if err != nil {
-		return 0, err
+		return 0, true, err
 	}
 
 	if _, err := s.store.Put(ctx, configuration.ObjectKind, configuration.ObjectName, obj.Version, data); err != nil {
-		return 0, err
+		w.Written(obj.Version, err)
+
+		return 0, isNotRun(w.Fate(err)) && !isConflict(err), err
 	}
 
-	s.holder.Offer(next)
+	s.holder.Offer(next.Stored)
 
-	return next.Configuration.Version, nil
+	return next.Version, true, nil
 }
 
-// Watcher brings newer configurations from the store into force.
-type Watcher struct {
-	store interface {
-		Watch(ctx context.Context, kind, name string, after uint64) (platform.Object, error)
+func decodeObject(obj platform.Object) (*configuration.Stored, error) {
+	if obj.Version == 0 {
+		return &configuration.Stored{}, nil
 	}
-	holder *configuration.Holder
-}
 
-// NewWatcher returns a watcher that isn't running.
-func NewWatcher(client *platform.Client, holder *configuration.Holder) *Watcher {
-	return &Watcher{store: client, holder: holder}
-}
-
-// Run watches until ctx ends. wait is called after each failed call.
-func (w *Watcher) Run(ctx context.Context, wait func(error)) {
-	var after uint64
-
-	for ctx.Err() == nil {
-		obj, err := w.store.Watch(ctx, configuration.ObjectKind, configuration.ObjectName, after)
-		if err != nil {
-			wait(err)
-
-			continue
-		}
-
-		if obj.Version == 0 {
-			continue
-		}
-
-		after = obj.Version
+	s, err := configuration.Decode(obj.Value)
+	if err != nil {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeCorrupt, "decode stored configuration",
+			"object version %d isn't a configuration", obj.Version).WithPeer("platform").WithCause(err)
+	}
 
-		stored, err := configuration.Decode(obj.Value)
-		if err != nil {
-			wait(domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "decode configuration", "%v", err))
+	return s, nil
+}
 
-			continue
-		}
+func isNotRun(err error) bool {
+	var e *domain.Error
 
-		w.holder.Offer(stored)
-	}
+	return errors.As(err, &e) && e.Fate == domain.FateNotRun
 }
 
 // isConflict reports whether err says that the object's version had changed.
@@ -138,3 +148,16 @@
 
 	return errors.As(err, &e) && e.Code == domain.CodeConflict
 }
+
+// sleep waits for d and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/primrosed/internal/operator/watcher.go
@@ -0,0 +1,145 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/configuration"
+	"primrosespring.example/primrosed/internal/platform"
+)
+
+const (
+	// peerGrace is how long a new instance waits for the configuration of a
+	// peer before it asks the store.
+	peerGrace = 300 * time.Millisecond
+	// dutyInterval is how often an instance looks whether it has to watch.
+	dutyInterval = 500 * time.Millisecond
+	minStoreWait = 100 * time.Millisecond
+	maxStoreWait = 5 * time.Second
+)
+
+// WatchStore is the part of the store that a watcher needs.
+type WatchStore interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Watch(ctx context.Context, kind, name string, after uint64) (platform.Object, error)
+}
+
+// Duty says whether this instance is one of those that watch the store.
+type Duty interface {
+	IsWatcher() bool
+}
+
+// Watcher brings the configuration from the store into force: at the start if
+// no peer has it, and then while it is this instance's duty.
+type Watcher struct {
+	log    zerolog.Logger
+	store  WatchStore
+	holder *configuration.Holder
+	duty   Duty
+	jitter func(time.Duration) time.Duration
+	wait   time.Duration
+}
+
+// NewWatcher returns a watcher that isn't running.
+func NewWatcher(log zerolog.Logger, store WatchStore, holder *configuration.Holder, duty Duty,
+	jitter func(time.Duration) time.Duration,
+) *Watcher {
+	return &Watcher{log: log, store: store, holder: holder, duty: duty, jitter: jitter}
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.load(ctx)
+
+	var after uint64
+
+	for ctx.Err() == nil {
+		if !w.duty.IsWatcher() {
+			sleep(ctx, dutyInterval)
+
+			continue
+		}
+
+		obj, err := w.store.Watch(ctx, configuration.ObjectKind, configuration.ObjectName, after)
+		if err != nil {
+			w.failed(ctx, err)
+
+			continue
+		}
+
+		w.wait = 0
+
+		if obj.Version > 0 {
+			after = obj.Version
+			w.take(obj)
+		}
+	}
+}
+
+// load waits for a peer's configuration and then asks the store until either
+// has given one.
+func (w *Watcher) load(ctx context.Context) {
+	changed := w.holder.Changed()
+
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	case <-time.After(peerGrace):
+	}
+
+	for ctx.Err() == nil && !w.holder.Loaded() {
+		obj, err := w.store.Get(ctx, configuration.ObjectKind, configuration.ObjectName)
+		if err != nil {
+			w.failed(ctx, err)
+
+			continue
+		}
+
+		w.wait = 0
+		w.take(obj)
+	}
+}
+
+func (w *Watcher) take(obj platform.Object) {
+	s, err := decodeObject(obj)
+	if err != nil {
+		w.log.Error().Str("event", "store_corrupt").Err(err).Send()
+
+		return
+	}
+
+	stored, inForce := s.Configuration.Version, w.holder.Configuration().Version
+	if stored < inForce {
+		w.log.Error().Str("event", "store_reverted").Uint64("stored_version", stored).Uint64("version", inForce).Send()
+
+		return
+	}
+
+	if w.holder.Offer(s) {
+		w.log.Info().Str("event", "configuration_read").Uint64("version", stored).Send()
+	}
+}
+
+// failed waits longer after each failure in a row, with full jitter. A newer
+// configuration from a peer ends the wait.
+func (w *Watcher) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+
+	w.log.Warn().Str("event", "store_failed").Err(err).Send()
+
+	w.wait = min(max(2*w.wait, minStoreWait), maxStoreWait)
+	changed := w.holder.Changed()
+
+	t := time.NewTimer(w.jitter(w.wait))
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
--- a/primrosed/internal/platform/budget.go
+++ b/primrosed/internal/platform/budget.go
@@ -143,3 +143,10 @@
 
 	b.limit, b.until = 0, time.Time{}
 }
+
+func (b *backoff) clear() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.limit == 0
+}
--- a/primrosed/internal/platform/client.go
+++ b/primrosed/internal/platform/client.go
@@ -114,6 +114,9 @@
 	c.watches.CloseIdleConnections()
 }
 
+// Available reports whether the platform answered the last call.
+func (c *Client) Available() bool { return c.backoff.clear() }
+
 // Get returns an object. Its version is 0 if it doesn't exist.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	return c.read(ctx, call{kind: "read", step: "get object", url: c.path(kind, name), timeout: callTimeout, http: c.calls})
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -10,13 +10,16 @@
 
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/membership"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/snapshot"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
 	"primrosespring.example/primrosed/internal/execute"
 	"primrosespring.example/primrosed/internal/operator"
+	"primrosespring.example/primrosed/internal/peer"
 	"primrosespring.example/primrosed/internal/platform"
 	"primrosespring.example/primrosed/internal/query"
 	"primrosespring.example/primrosed/internal/searcher"
@@ -34,16 +37,21 @@
 		func() *snapshot.Table { return &snapshot.Table{} },
 		func() *searcher.Pool { return &searcher.Pool{} },
 		func() *balancer.Health { return &balancer.Health{} },
-		func() *platform.Client {
-			return platform.NewClientWithOptions(platform.Options{Address: s.PlatformAddress, Jitter: jitter})
+		newTable,
+		func(t *membership.Table) fleetView { return fleetView{table: t} },
+		func(f fleetView) *platform.Client {
+			return platform.NewClientWithOptions(platform.Options{Address: s.PlatformAddress, Jitter: jitter, Fleet: f})
 		},
 		newRunner,
 		newPoller,
 		newExecutor,
 		newExpirer,
+		newMesh,
+		newPlacement,
+		newRelay,
 		newCallerHandler,
 		newOperatorHandler,
-		operator.NewWatcher,
+		newWatcher,
 		newInstance,
 	}
 
@@ -73,9 +81,12 @@
 	return query.NewPoller(log, p, h, st)
 }
 
-func newExecutor(log zerolog.Logger, s settings.Settings, c *platform.Client, p *searcher.Pool, rt *routing.Table, st *snapshot.Table) *execute.Executor {
+func newExecutor(log zerolog.Logger, s settings.Settings, c *platform.Client, p *searcher.Pool, rt *routing.Table,
+	st *snapshot.Table, r *peer.Relay,
+) *execute.Executor {
 	return execute.New(execute.Options{
 		Log: log, Instance: s.Instance(), Store: c, Searchers: p, Router: rt, Snapshots: st, Jitter: jitter,
+		Forwarder: forwarder{r},
 	})
 }
 
@@ -86,28 +97,93 @@
 // jitter returns a random duration from zero up to limit.
 func jitter(limit time.Duration) time.Duration { return rand.N(limit + 1) }
 
-func newCallerHandler(h *configuration.Holder, r *query.Runner, x *execute.Executor) *caller.Handler {
+// newTable returns the membership table. The time of the start is the first
+// incarnation, so that a new process supersedes an earlier one of its id; if
+// the clock went back, the first contact corrects it.
+func newTable(s settings.Settings) *membership.Table {
+	return membership.New(s.Instance(), uint64(time.Now().UnixMilli()), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+func newMesh(log zerolog.Logger, s settings.Settings, t *membership.Table, h *configuration.Holder, c *platform.Client) *peer.Mesh {
+	return peer.NewMesh(peer.Options{Log: log, Table: t, Holder: h, Seeds: s.Seeds, Lister: c, Jitter: jitter})
+}
+
+func newPlacement(log zerolog.Logger, t *membership.Table) *peer.Placement {
+	return peer.NewPlacement(log, t)
+}
+
+func newRelay(log zerolog.Logger, m *peer.Mesh, p *peer.Placement, r *query.Runner) *peer.Relay {
+	return peer.NewRelay(log, m, p, r)
+}
+
+func newCallerHandler(h *configuration.Holder, r *peer.Relay, x *execute.Executor) *caller.Handler {
 	return caller.NewHandler(h, r, x)
 }
 
+func newWatcher(log zerolog.Logger, c *platform.Client, h *configuration.Holder, m *peer.Mesh) *operator.Watcher {
+	return operator.NewWatcher(log, c, h, m, jitter)
+}
+
 func newOperatorHandler(log zerolog.Logger, s settings.Settings, h *configuration.Holder, p *platform.Client,
-	r *query.Runner,
+	f fleetView, q *query.Runner, r *peer.Relay,
 ) *operator.Handler {
-	return operator.NewHandler(log, s.Instance(), h, operator.NewStoreChanger(p, h), soloFleet{s.Instance(), h}, r)
+	f.holder, f.client = h, p
+
+	return operator.NewHandler(log, s.Instance(), h, operator.NewStoreChanger(p, h), f, explainer{q, r})
 }
 
-// soloFleet is the fleet of an instance that knows no other.
-type soloFleet struct {
-	instance domain.Instance
-	holder   *configuration.Holder
+// fleetView tells the other packages what the membership table says.
+type fleetView struct {
+	table  *membership.Table
+	holder *configuration.Holder
+	client *platform.Client
 }
 
+// LiveInstances implements platform.Fleet.
+func (f fleetView) LiveInstances() int { return f.table.View().Live.Len() }
+
 // Instances implements operator.Fleet.
-func (f soloFleet) Instances() []operator.InstanceStatus {
-	return []operator.InstanceStatus{{
-		Instance: f.instance, State: "alive", ConfigurationVersion: f.holder.Configuration().Version,
-	}}
+func (f fleetView) Instances() []operator.InstanceStatus {
+	records := f.table.Records()
+	out := make([]operator.InstanceStatus, len(records))
+
+	for i, r := range records {
+		out[i] = operator.InstanceStatus{
+			Instance: r.Instance, State: r.State.String(), ConfigurationVersion: r.ConfigurationVersion,
+		}
+
+		if r.Instance.ID == f.table.Self().Instance.ID {
+			out[i].ConfigurationVersion = f.holder.Configuration().Version
+		}
+	}
+
+	return out
 }
 
 // StoreAvailable implements operator.Fleet.
-func (f soloFleet) StoreAvailable() bool { return true }
+func (f fleetView) StoreAvailable() bool { return f.client.Available() }
+
+// forwarder sends operations on claims to the owners of their buckets.
+type forwarder struct{ relay *peer.Relay }
+
+// Owner implements execute.Forwarder.
+func (f forwarder) Owner(bucket uint32) (bool, execute.ForwardFunc) {
+	self, forward := f.relay.Owner(bucket)
+
+	return self, forward
+}
+
+// explainer adds the placement to what the runner explains.
+type explainer struct {
+	runner *query.Runner
+	relay  *peer.Relay
+}
+
+// Explain implements operator.Explainer.
+func (x explainer) Explain(cfg *domain.Configuration, service *domain.Service) *pb.ExplainResponse {
+	e := x.runner.Explain(cfg, service)
+	e.Holders = nil
+	x.relay.Explain(cfg, service.Name, e)
+
+	return e
+}
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -13,13 +12,18 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
+	"go.uber.org/dig"
 
+	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/membership"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
 	"primrosespring.example/primrosed/internal/execute"
 	"primrosespring.example/primrosed/internal/operator"
+	"primrosespring.example/primrosed/internal/peer"
+	"primrosespring.example/primrosed/internal/platform"
 	"primrosespring.example/primrosed/internal/query"
 	"primrosespring.example/primrosed/internal/searcher"
 	"primrosespring.example/primrosed/internal/settings"
@@ -27,8 +31,8 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	minStoreWait      = 200 * time.Millisecond
-	maxStoreWait      = 10 * time.Second
+	// lastWait bounds the end of the servers that tell the instance's state.
+	lastWait = time.Second
 )
 
 // Instance is an entry instance with all of its parts.
@@ -37,33 +41,51 @@
 	logs     *logline.Writer
 	settings settings.Settings
 	health   *balancer.Health
-	caller   *caller.Handler
-	operator *operator.Handler
-	watcher  *operator.Watcher
-	poller   *query.Poller
-	pool     *searcher.Pool
-	executor *execute.Executor
-	expirer  *execute.Expirer
+	parts    parts
+	// stopping is closed when a planned stop begins.
+	stopping chan struct{}
 }
 
-func newInstance(log zerolog.Logger, logs *logline.Writer, s settings.Settings, h *balancer.Health,
-	c *caller.Handler, o *operator.Handler, w *operator.Watcher, p *query.Poller, pool *searcher.Pool,
-	x *execute.Executor, e *execute.Expirer,
-) *Instance {
-	return &Instance{
-		log: log, logs: logs, settings: s, health: h, caller: c, operator: o, watcher: w, poller: p, pool: pool,
-		executor: x, expirer: e,
-	}
+// parts are what an instance runs, for the container to fill in.
+type parts struct {
+	dig.In
+
+	Holder   *configuration.Holder
+	Caller   *caller.Handler
+	Operator *operator.Handler
+	Watcher  *operator.Watcher
+	Poller   *query.Poller
+	Runner   *query.Runner
+	Pool     *searcher.Pool
+	Executor *execute.Executor
+	Expirer  *execute.Expirer
+	Mesh     *peer.Mesh
+	Table    *membership.Table
+	Client   *platform.Client
+}
+
+func newInstance(log zerolog.Logger, logs *logline.Writer, s settings.Settings, h *balancer.Health, p parts) *Instance {
+	p.Mesh.Serve(p.Runner, p.Executor)
+
+	return &Instance{log: log, logs: logs, settings: s, health: h, parts: p, stopping: make(chan struct{})}
 }
 
 // Run serves until ctx ends and then stops in order: not ready for the
-// balancer, open requests finished, background work ended.
+// balancer, peers told, open and relayed requests finished, duties handed
+// over, sessions closed. No request is interrupted within the limit of the
+// settings.
 func (i *Instance) Run(ctx context.Context) error {
 	defer func() { _ = i.logs.Close() }()
 
+	i.health.Set("configuration", "no configuration from the store or a peer yet")
+
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
+	if err := i.parts.Mesh.Listen(ctx, i.settings.PeerAddress); err != nil {
+		return err
+	}
+
 	servers, err := i.serve()
 	if err != nil {
 		return err
@@ -71,66 +93,178 @@
 
 	var wg sync.WaitGroup
 
-	wg.Go(func() { i.poller.Run(background) })
-	wg.Go(func() { i.expirer.Run(background) })
-	wg.Go(func() { i.watcher.Run(background, i.storeBackoff(background)) })
+	wg.Go(func() { i.parts.Mesh.Run(background) })
+	wg.Go(func() { i.parts.Poller.Run(background) })
+	wg.Go(func() { i.parts.Expirer.Run(background) })
+	wg.Go(func() { i.parts.Watcher.Run(background) })
+	wg.Go(func() { i.awaitConfiguration(background) })
 
 	i.log.Info().Str("event", "started").Str("caller_address", i.settings.CallerAddress).Send()
 	<-ctx.Done()
-	i.log.Info().Str("event", "stopping").Send()
+	i.stop(background, servers)
 
-	i.health.SetNotReady("stopping")
-	time.Sleep(time.Duration(i.settings.Stop.BalancerDelayMS) * time.Millisecond)
+	stop()
+	wg.Wait()
 
-	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(i.settings.Stop.MaxWaitMS)*time.Millisecond)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWait)
 	defer cancel()
 
-	for _, s := range servers {
-		if err := s.Shutdown(shutdown); err != nil {
-			i.log.Error().Str("event", "stop_incomplete").Err(err).Send()
+	servers.shutdown(last, i.log, servers.last)
+	i.parts.Pool.Close()
+	i.parts.Client.Close()
+	i.log.Info().Str("event", "stopped").Send()
+
+	return nil
+}
+
+// awaitConfiguration makes the instance ready when it has a configuration.
+func (i *Instance) awaitConfiguration(ctx context.Context) {
+	for {
+		changed := i.parts.Holder.Changed()
+
+		if i.parts.Holder.Loaded() {
+			i.health.Set("configuration", "")
+			i.log.Info().Str("event", "configuration_loaded").Uint64("version", i.parts.Holder.Configuration().Version).Send()
+
+			return
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
 		}
 	}
+}
+
+// stop goes from the first sign of a planned stop to the end of the last
+// request.
+func (i *Instance) stop(ctx context.Context, servers *servers) {
+	i.log.Info().Str("event", "stopping").Send()
+	i.health.Set("server", "stopping")
+	close(i.stopping)
+	i.parts.Mesh.Leave()
+
+	// The balancer and the callers see that the instance isn't ready while it
+	// still takes requests.
+	delay := time.NewTimer(time.Duration(i.settings.Stop.BalancerDelayMS) * time.Millisecond)
+	defer delay.Stop()
 
-	if err := i.executor.Close(shutdown); err != nil {
+	<-delay.C
+
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(i.settings.Stop.MaxWaitMS)*time.Millisecond)
+	defer cancel()
+
+	servers.shutdown(ctx, i.log, servers.first)
+
+	if err := i.parts.Mesh.Drain(ctx); err != nil {
 		i.log.Error().Str("event", "stop_incomplete").Err(err).Send()
 	}
 
-	stop()
-	wg.Wait()
-	i.pool.Close()
-	i.log.Info().Str("event", "stopped").Send()
+	if err := i.parts.Executor.Close(ctx); err != nil {
+		i.log.Error().Str("event", "stop_incomplete").Err(err).Send()
+	}
+}
 
-	return nil
+// servers are the HTTP servers of an instance: those for requests end first,
+// and those that tell its state last.
+type servers struct {
+	first []*http.Server
+	last  []*http.Server
 }
 
-func (i *Instance) serve() ([]*http.Server, error) {
+func (s *servers) shutdown(ctx context.Context, log zerolog.Logger, which []*http.Server) {
+	var wg sync.WaitGroup
+
+	for _, h := range which {
+		wg.Go(func() {
+			if err := h.Shutdown(ctx); err != nil {
+				log.Error().Str("event", "stop_incomplete").Str("address", h.Addr).Err(err).Send()
+
+				_ = h.Close()
+			}
+		})
+	}
+
+	wg.Wait()
+}
+
+func (i *Instance) serve() (*servers, error) {
 	callers, operators := chi.NewRouter(), chi.NewRouter()
-	path, h := primrosespringv1connect.NewSearchServiceHandler(i.caller)
+	callers.Use(i.closeWhenStopping)
+	operators.Use(i.closeWhenStopping, i.endStreamsWhenStopping)
+
+	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller)
 	callers.Mount(path, h)
 
-	path, h = primrosespringv1connect.NewAdminServiceHandler(i.operator)
+	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator)
 	operators.Mount(path, h)
 
-	var servers []*http.Server
+	out := &servers{}
 
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		list    *[]*http.Server
 	}{
-		{i.settings.CallerAddress, callers},
-		{i.settings.OperatorAddress, operators},
-		{i.settings.HealthAddress, i.health.Handler()},
-		{i.settings.DebugAddress, debugHandler()},
+		{i.settings.CallerAddress, callers, &out.first},
+		{i.settings.OperatorAddress, operators, &out.first},
+		{i.settings.HealthAddress, i.health.Handler(), &out.last},
+		{i.settings.DebugAddress, debugHandler(), &out.last},
 	} {
 		s, err := i.listen(l.address, l.handler)
 		if err != nil {
 			return nil, err
 		}
 
-		servers = append(servers, s)
+		*l.list = append(*l.list, s)
 	}
 
-	return servers, nil
+	return out, nil
+}
+
+// closeWhenStopping tells callers on HTTP/1 to open their next connection
+// elsewhere. HTTP/2 has its own sign for this.
+func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-i.stopping:
+			if r.ProtoMajor == 1 {
+				w.Header().Set("Connection", "close")
+			}
+		default:
+		}
+
+		next.ServeHTTP(w, r)
+	})
+}
+
+// endStreamsWhenStopping ends the watches of operators, which have no end of
+// their own.
+func (i *Instance) endStreamsWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != primrosespringv1connect.AdminServiceWatchConfigurationProcedure {
+			next.ServeHTTP(w, r)
+
+			return
+		}
+
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+
+		done := make(chan struct{})
+		defer close(done)
+
+		go func() {
+			select {
+			case <-i.stopping:
+				cancel()
+			case <-done:
+			}
+		}()
+
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
 }
 
 func (i *Instance) listen(address string, h http.Handler) (*http.Server, error) {
@@ -144,7 +278,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 
-	s := &http.Server{Handler: h, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Addr: address, Handler: h, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
 
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -155,23 +289,6 @@
 	return s, nil
 }
 
-// storeBackoff returns a function that waits longer after each failure in a
-// row, with full jitter.
-func (i *Instance) storeBackoff(ctx context.Context) func(error) {
-	wait := minStoreWait
-
-	return func(err error) {
-		i.log.Warn().Str("event", "store_failed").Err(err).Send()
-
-		select {
-		case <-ctx.Done():
-		case <-time.After(rand.N(wait)):
-		}
-
-		wait = min(2*wait, maxStoreWait)
-	}
-}
-
 func debugHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
--- /dev/null
+++ b/primrosed/internal/server/server_test.go
@@ -0,0 +1,307 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/dig"
+	"go.uber.org/goleak"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+	"primrosespring.example/primrosed/internal/settings"
+)
+
+// waitLimit bounds the waits on conditions; it is far above what they take.
+const waitLimit = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// store is a platform of one object.
+type store struct {
+	mu      sync.Mutex // Guards all below.
+	version uint64
+	value   []byte
+	down    bool
+	entered chan struct{} // If set, each write is announced and waits.
+	release chan struct{}
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down, entered := s.down, s.entered
+	s.mu.Unlock()
+
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+
+		return
+	}
+
+	if !strings.HasPrefix(r.URL.Path, "/v1/objects/configuration/") {
+		w.Header().Set("ETag", `"1"`)
+		_, _ = io.WriteString(w, `{"instances":[]}`)
+
+		return
+	}
+
+	if r.Method == http.MethodPut && entered != nil {
+		entered <- struct{}{}
+		<-s.release
+	}
+
+	after, err := strconv.ParseUint(r.URL.Query().Get("watch_after"), 10, 64)
+	if watching := err == nil; watching && !s.above(r.Context(), after) {
+		w.WriteHeader(http.StatusNotModified)
+
+		return
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if r.Method == http.MethodPut {
+		if r.Header.Get("If-Match") != strconv.Quote(strconv.FormatUint(s.version, 10)) {
+			w.WriteHeader(http.StatusPreconditionFailed)
+
+			return
+		}
+
+		s.value, _ = io.ReadAll(r.Body)
+		s.version++
+	}
+
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(s.version, 10)))
+
+	if s.version == 0 {
+		w.WriteHeader(http.StatusNotFound)
+
+		return
+	}
+
+	_, _ = w.Write(s.value)
+}
+
+// above waits a little for a version above after.
+func (s *store) above(ctx context.Context, after uint64) bool {
+	timeout := time.After(500 * time.Millisecond)
+
+	for {
+		s.mu.Lock()
+		version := s.version
+		s.mu.Unlock()
+
+		if version > after {
+			return true
+		}
+
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timeout:
+			return false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+type running struct {
+	settings settings.Settings
+	stop     context.CancelFunc
+	done     chan struct{}
+	client   *http.Client
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+
+	return l.Addr().String()
+}
+
+func startInstance(t *testing.T, id, platform string, seeds ...string) *running {
+	t.Helper()
+
+	s := settings.Settings{
+		ID: id, FailureDomain: "a", Region: "region", PlatformAddress: platform, Seeds: seeds,
+		CallerAddress: freeAddress(t), OperatorAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		HealthAddress: freeAddress(t), DebugAddress: freeAddress(t),
+		Log: settings.Log{Level: "info"}, Stop: settings.Stop{BalancerDelayMS: 300, MaxWaitMS: 20000},
+	}
+	require.NoError(t, s.Validate())
+
+	c := dig.New()
+	require.NoError(t, provide(c, s, io.Discard))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{}
+	r := &running{settings: s, stop: cancel, done: make(chan struct{}), client: &http.Client{Transport: transport}}
+
+	go func() {
+		defer close(r.done)
+
+		if err := c.Invoke(func(i *Instance) error { return i.Run(ctx) }); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-r.done
+		transport.CloseIdleConnections()
+	})
+
+	return r
+}
+
+func (r *running) ready() string {
+	resp, err := r.client.Get("http://" + r.settings.HealthAddress + "/readyz")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	body, _ := io.ReadAll(resp.Body)
+
+	return strings.TrimSpace(string(body))
+}
+
+func (r *running) admin() primrosespringv1connect.AdminServiceClient {
+	return primrosespringv1connect.NewAdminServiceClient(r.client, "http://"+r.settings.OperatorAddress)
+}
+
+func (r *running) setMember(weight uint32) (uint64, error) {
+	resp, err := r.admin().SetMember(context.Background(), &pb.SetMemberRequest{
+		Member: &pb.Member{Name: "member", Weight: weight}, Options: &pb.ChangeOptions{ChangeId: uuid.NewString(), Operator: "test"},
+	})
+
+	return resp.GetResult().GetConfigurationVersion(), err
+}
+
+func (r *running) version() uint64 {
+	resp, err := r.admin().GetConfiguration(context.Background(), &pb.GetConfigurationRequest{})
+	if err != nil {
+		return 0
+	}
+
+	return resp.GetVersion()
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, waitLimit, 10*time.Millisecond, what)
+}
+
+func servePlatform(t *testing.T, s *store) string {
+	t.Helper()
+
+	h := httptest.NewServer(s)
+	t.Cleanup(h.Close)
+
+	return strings.TrimPrefix(h.URL, "http://")
+}
+
+// Guards against an instance that says it is ready without a configuration,
+// one that needs the store although a peer has the configuration, and a change
+// that is accepted while the store is down.
+func TestStartWithTheStoreDown(t *testing.T) {
+	s := &store{}
+	address := servePlatform(t, s)
+	first := startInstance(t, "entry-0", address)
+	eventually(t, "the first instance is ready", func() bool { return first.ready() == "ready" })
+
+	version, err := first.setMember(7)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), version)
+
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+
+	second := startInstance(t, "entry-1", address, first.settings.PeerAddress)
+	eventually(t, "the second instance is ready", func() bool { return second.ready() == "ready" })
+	require.Equal(t, uint64(1), second.version())
+
+	alone := startInstance(t, "entry-2", address)
+	eventually(t, "an instance without store or peer says why it isn't ready", func() bool {
+		return alone.ready() == "no configuration from the store or a peer yet"
+	})
+
+	_, err = second.setMember(8)
+	require.ErrorContains(t, err, "platform")
+
+	s.mu.Lock()
+	s.down = false
+	s.mu.Unlock()
+
+	eventually(t, "the lone instance is ready when the store is back", func() bool { return alone.ready() == "ready" })
+
+	// A change reaches an instance that made no session with the changer
+	// through the store.
+	eventually(t, "the store takes changes again", func() bool { _, err := second.setMember(9); return err == nil })
+
+	for _, r := range []*running{first, second, alone} {
+		eventually(t, "the change is in force", func() bool { return r.version() >= 2 })
+	}
+}
+
+// Guards against a planned stop that interrupts a request, takes its word of
+// not being ready too late, or keeps callers' connections open; and with
+// goleak against work that outlives the instance.
+func TestPlannedStop(t *testing.T) {
+	s := &store{}
+	r := startInstance(t, "entry-0", servePlatform(t, s))
+	eventually(t, "the instance is ready", func() bool { return r.ready() == "ready" })
+
+	_, err := r.setMember(1)
+	require.NoError(t, err)
+
+	watch, err := r.admin().WatchConfiguration(context.Background(), &pb.WatchConfigurationRequest{})
+	require.NoError(t, err)
+
+	s.mu.Lock()
+	s.entered, s.release = make(chan struct{}), make(chan struct{})
+	s.mu.Unlock()
+
+	answered := make(chan error, 1)
+
+	go func() {
+		_, err := r.setMember(2)
+		answered <- err
+	}()
+
+	<-s.entered
+	r.stop()
+	eventually(t, "the balancer is told", func() bool { return r.ready() == "stopping" })
+
+	// Requests are still taken, and told to go elsewhere next.
+	resp, err := r.client.Post(fmt.Sprintf("http://%s%s", r.settings.OperatorAddress,
+		primrosespringv1connect.AdminServiceGetConfigurationProcedure), "application/json", strings.NewReader("{}"))
+	require.NoError(t, err)
+	require.True(t, resp.Close, "the connection is to be closed")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+
+	close(s.release)
+	require.NoError(t, <-answered, "the open request is finished")
+
+	for watch.Receive() {
+		require.NotNil(t, watch.Msg())
+	}
+
+	require.NoError(t, watch.Close())
+	<-r.done
+}
--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -35,8 +35,11 @@
 	DebugAddress string `json:"debug_address"`
 	// PlatformAddress is the platform's object API; IP address and port.
 	PlatformAddress string `json:"platform_address"`
-	Log             Log    `json:"log"`
-	Stop            Stop   `json:"stop"`
+	// Seeds are the peer addresses of instances to ask first, beside those of
+	// the platform's list; IP addresses and ports.
+	Seeds []string `json:"seeds"`
+	Log   Log      `json:"log"`
+	Stop  Stop     `json:"stop"`
 }
 
 // Log says what is logged.
@@ -112,8 +115,9 @@
 // Decode returns the checked settings in data.
 func Decode(data []byte) (Settings, error) {
 	s := Settings{
-		Log:  Log{Level: defaultLevel, Routing: true},
-		Stop: Stop{BalancerDelayMS: defaultBalancerDelay, MaxWaitMS: defaultMaxWait},
+		Seeds: []string{},
+		Log:   Log{Level: defaultLevel, Routing: true},
+		Stop:  Stop{BalancerDelayMS: defaultBalancerDelay, MaxWaitMS: defaultMaxWait},
 	}
 
 	d := json.NewDecoder(bytes.NewReader(data))
@@ -144,6 +148,12 @@
 		return domain.InField("stop", err)
 	}
 
+	for i, a := range s.Seeds {
+		if err := domain.CheckAddress(fmt.Sprintf("seeds[%d]", i), a); err != nil {
+			return err
+		}
+	}
+
 	return s.validateAddresses()
 }
 
