workload: register instances with their role

Cause: instances were registered without a role, so that the mesh ignored the platform's list: each instance knew only itself. Change: the role entry in each registration.

--- a/primrosefake/internal/workload/apply.go
+++ b/primrosefake/internal/workload/apply.go
@@ -25,9 +25,13 @@
 	operatorName  = "load"
 )
 
+// entryRole marks an entry instance on the platform's list.
+const entryRole = "entry"
+
 // listed is an entry of the platform's list of instances.
 type listed struct {
 	ID            string `json:"id"`
+	Role          string `json:"role"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
@@ -58,7 +62,7 @@
 }
 
 func register(ctx context.Context, client *http.Client, platform string, i domain.Instance) error {
-	data, err := json.Marshal(listed{ID: i.ID, Address: i.PeerAddress, FailureDomain: i.FailureDomain, Region: i.Region})
+	data, err := json.Marshal(listed{ID: i.ID, Role: entryRole, Address: i.PeerAddress, FailureDomain: i.FailureDomain, Region: i.Region})
 	if err != nil {
 		return err
 	}
