--- a/primrosefake/internal/load/result.go
+++ b/primrosefake/internal/load/result.go
@@ -312,6 +312,12 @@
 		r.counts.Repeated++
 	}
 
+	for _, t := range e.failures {
+		if t.interrupted {
+			r.counts.Interrupted++
+		}
+	}
+
 	if f == nil {
 		r.counts.ExecutesRan++
 
--- a/primrosefake/internal/load/result_test.go
+++ b/primrosefake/internal/load/result_test.go
@@ -82,17 +82,19 @@
 	r.query(ended{at: 5 * time.Second, shards: 20, failure: &failure{code: "deadline"}})
 	r.query(ended{at: 6 * time.Second, shards: 20, failure: &failure{code: codeInterrupted, interrupted: true}})
 
+	r.execute(7*time.Second, executed{failures: []*failure{{code: codeInterrupted, interrupted: true}}, answered: true})
+
 	got := r.result(w, Product)
 	require.Equal(t, Counts{
-		Queries: 5, Whole: 1, Partial: 1, Refused: 1, Failed: 1, Interrupted: 1, Crossed: 1,
-		ShardsIncluded: 35, ShardsAsked: 80, AttemptsStated: 46, LeastStated: 40, LeastRuns: 100,
+		Queries: 5, Whole: 1, Partial: 1, Refused: 1, Failed: 1, Interrupted: 2, Crossed: 1, Executes: 1, ExecutesRan: 1, Repeated: 1,
+		ShardsIncluded: 35, ShardsAsked: 80, AttemptsStated: 46, LeastStated: 40, LeastRuns: 101,
 	}, got.Counts)
 	require.InDelta(t, 35.0/80, got.Counts.Coverage(), 1e-9)
 	require.InDelta(t, 0.15, got.Counts.ExtraStated(), 1e-9)
 	require.Equal(t, uint64(1), got.Latency.Count)
 	require.Equal(t, uint64(4), got.LatencyAll.Count)
 	require.EqualError(t, Verdict([]*Result{{System: Baseline, Counts: got.Counts}, got}),
-		"figures that must be zero aren't: crossed: 1, interrupted: 1")
+		"figures that must be zero aren't: crossed: 1, interrupted: 2")
 }
 
 // Guards against wrong fields where the name of a process holds spaces.
