primrosefake/unary: serve small HTTP/2 requests at less CPU

net/http's HTTP/2 server was about 70% of a searcher's CPU: a serving loop, a write for the headers and one for the data, and hand-overs between goroutines. The new package serves whole requests and answers for any http.Handler with one goroutine for reading and one for each request, and writes an answer at once. HTTP/1 stays with net/http. golang.org/x/net/http2 gives the framing.

--- a/primrosefake/internal/searcher/conn.go
+++ b/primrosefake/internal/searcher/conn.go
@@ -1,7 +1,6 @@
 package searcher
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,9 +10,6 @@
 // conn is a connection that can be set up slowly, frozen or made silent.
 type conn struct {
 	net.Conn
-	// reader buffers what is read: net/http reads each HTTP/2 frame in two
-	// parts, each of which would be a system call.
-	reader   *bufio.Reader
 	endpoint *Endpoint
 	ready    time.Time
 	served   bool // Used by Read only.
@@ -31,7 +27,7 @@
 	}
 
 	for {
-		n, err := c.reader.Read(b)
+		n, err := c.Conn.Read(b)
 		c.thaw()
 
 		if err != nil || !c.silent.Load() {
--- a/primrosefake/internal/searcher/endpoint.go
+++ b/primrosefake/internal/searcher/endpoint.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"primrosespring.example/primrosefake/internal/unary"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -29,14 +31,9 @@
 
 // NewEndpoint returns an endpoint that isn't listening.
 func NewEndpoint(s *Server) *Endpoint {
-	var protocols http.Protocols
-
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-
 	return &Endpoint{
 		Server: s, address: s.options.Load().Address, conns: make(map[*conn]struct{}),
-		http: &http.Server{Handler: newHandler(s), Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout},
+		http: &http.Server{Handler: newHandler(s), ReadHeaderTimeout: readHeaderTimeout},
 	}
 }
 
@@ -64,7 +61,10 @@
 	e.address = l.Addr().String()
 	e.listener = l
 
-	go func() { _ = e.http.Serve(&acceptor{l, e}) }()
+	a := &acceptor{Listener: l, endpoint: e, plain: make(chan net.Conn), done: make(chan struct{})}
+
+	go a.run()
+	go func() { _ = e.http.Serve(a) }()
 }
 
 // Address returns the address that is served.
@@ -172,10 +172,7 @@
 		return nil
 	}
 
-	c := &conn{
-		Conn: nc, reader: bufio.NewReader(nc), endpoint: e,
-		ready: time.Now().Add(milliseconds(o.SetupMS)), closed: make(chan struct{}),
-	}
+	c := &conn{Conn: nc, endpoint: e, ready: time.Now().Add(milliseconds(o.SetupMS)), closed: make(chan struct{})}
 	e.conns[c] = struct{}{}
 	e.live++
 	e.total++
@@ -202,24 +199,67 @@
 	return e.thawed
 }
 
-// acceptor closes the connections above the limit.
+// acceptor closes the connections above the limit, serves HTTP/2 and leaves
+// HTTP/1 to net/http.
 type acceptor struct {
 	net.Listener
 	endpoint *Endpoint
+	plain    chan net.Conn
+	done     chan struct{}
 }
 
-// Accept implements net.Listener.
-func (a *acceptor) Accept() (net.Conn, error) {
+// run accepts connections until the listener is closed.
+func (a *acceptor) run() {
+	defer close(a.done)
+
 	for {
 		nc, err := a.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return
 		}
 
 		if c := a.endpoint.add(nc); c != nil {
-			return c, nil
+			go a.serve(c)
+		} else {
+			_ = nc.Close()
 		}
+	}
+}
+
+func (a *acceptor) serve(c *conn) {
+	r := bufio.NewReader(c)
+
+	prefix, err := r.Peek(len(unary.Prefix))
 
-		_ = nc.Close()
+	switch {
+	case err != nil:
+		_ = c.Close()
+	case string(prefix) == unary.Prefix:
+		unary.Serve(c, r, a.endpoint.http.Handler)
+	default:
+		select {
+		case a.plain <- &peeked{c, r}:
+		case <-a.done:
+			_ = c.Close()
+		}
+	}
+}
+
+// Accept implements net.Listener for HTTP/1.
+func (a *acceptor) Accept() (net.Conn, error) {
+	select {
+	case c := <-a.plain:
+		return c, nil
+	case <-a.done:
+		return nil, net.ErrClosed
 	}
 }
+
+// peeked is a connection of which a part has been read ahead.
+type peeked struct {
+	*conn
+	reader *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (p *peeked) Read(b []byte) (int, error) { return p.reader.Read(b) }
--- a/primrosefake/internal/searcher/endpoint_test.go
+++ b/primrosefake/internal/searcher/endpoint_test.go
@@ -117,8 +117,18 @@
 	transport := &http.Transport{Protocols: &protocols}
 	t.Cleanup(transport.CloseIdleConnections)
 
-	for _, o := range []connect.ClientOption{connect.WithInterceptors(), connect.WithProtoJSON(), connect.WithGRPC()} {
-		c := primrosespringv1connect.NewSearcherServiceClient(&http.Client{Transport: transport}, "http://"+e.Address(), o)
+	http1 := &http.Transport{}
+	t.Cleanup(http1.CloseIdleConnections)
+
+	for i, o := range []connect.ClientOption{
+		connect.WithInterceptors(), connect.WithProtoJSON(), connect.WithGRPC(), connect.WithProtoJSON(),
+	} {
+		client := &http.Client{Transport: transport}
+		if i == 3 {
+			client.Transport = http1
+		}
+
+		c := primrosespringv1connect.NewSearcherServiceClient(client, "http://"+e.Address(), o)
 		resp, err := c.Run(t.Context(), request("x"))
 		require.NoError(t, err)
 		require.Equal(t, "portal/0@1.1", resp.GetHits()[0].GetId())
@@ -130,7 +140,7 @@
 
 		require.NoError(t, e.SetFaults(Faults{Refuse: true}))
 		// A request on the closed connection may fail with another code than a new connection does.
-		transport.CloseIdleConnections()
+		client.CloseIdleConnections()
 
 		_, err = c.Run(t.Context(), request("x"))
 		require.Equal(t, connect.CodeUnavailable, connect.CodeOf(err), err)
