--- a/primrosefake/internal/workload/fleet.go
+++ b/primrosefake/internal/workload/fleet.go
@@ -55,7 +55,7 @@
 	for i := range o.Services {
 		s := Service{
 			Name: fmt.Sprintf("service-%d", i), Shards: o.Shards, SearchersPerShard: 2, Slots: 4, Connections: o.Connections,
-			MedianUS: 5000, Sigma: 0.5, Rules: rules(false, domain.Permille),
+			MedianUS: 5000, Sigma: 0.5, StragglerFactor: 1, Rules: rules(false, domain.Permille),
 		}
 		w.Services = append(w.Services, s)
 		w.Load.Mix = append(w.Load.Mix, Part{Service: s.Name, Weight: 1})
