--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"primrosespring.example/internal/domain"
 )
@@ -18,18 +19,21 @@
 type Settings struct {
 	// ID names the instance; it must be unique in the fleet.
 	ID string `json:"id"`
-	// FailureDomain and Region say where the instance runs.
+	// FailureDomain is the failure domain that the instance runs in.
 	FailureDomain string `json:"failure_domain"`
-	Region        string `json:"region"`
-	// CallerAddress serves callers, OperatorAddress operators, PeerAddress the
-	// other instances, HealthAddress the balancer and DebugAddress metrics and
-	// profiles. Each is an IP address and port.
-	CallerAddress   string `json:"caller_address"`
+	// Region is the region that the instance runs in.
+	Region string `json:"region"`
+	// CallerAddress serves callers; IP address and port.
+	CallerAddress string `json:"caller_address"`
+	// OperatorAddress serves operators; IP address and port.
 	OperatorAddress string `json:"operator_address"`
-	PeerAddress     string `json:"peer_address"`
-	HealthAddress   string `json:"health_address"`
-	DebugAddress    string `json:"debug_address"`
-	// PlatformAddress is the platform's object API.
+	// PeerAddress serves the other instances; IP address and port.
+	PeerAddress string `json:"peer_address"`
+	// HealthAddress serves the balancer; IP address and port.
+	HealthAddress string `json:"health_address"`
+	// DebugAddress serves metrics and profiles; IP address and port.
+	DebugAddress string `json:"debug_address"`
+	// PlatformAddress is the platform's object API; IP address and port.
 	PlatformAddress string `json:"platform_address"`
 	Log             Log    `json:"log"`
 	Stop            Stop   `json:"stop"`
@@ -52,7 +56,37 @@
 	MaxWaitMS uint32 `json:"max_wait_ms"`
 }
 
+func (l Log) validate() error {
+	if !slices.Contains(levels, l.Level) {
+		return invalid("level", "%q must be debug, info, warn or error", l.Level)
+	}
+
+	return nil
+}
+
+func (s Stop) validate() error {
+	if s.MaxWaitMS > maxStopMS {
+		return invalid("max_wait_ms", "is %d; at most %d is allowed", s.MaxWaitMS, maxStopMS)
+	}
+
+	if s.BalancerDelayMS > s.MaxWaitMS {
+		return invalid("balancer_delay_ms", "is %d, which is longer than max_wait_ms (%d)", s.BalancerDelayMS, s.MaxWaitMS)
+	}
+
+	return nil
+}
+
+func invalid(field, format string, args ...any) error {
+	e := domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "check", format, args...)
+	e.Field = field
+
+	return e
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
 const (
+	maxStopMS            = 600_000
 	defaultLevel         = "info"
 	defaultBalancerDelay = 2000
 	defaultMaxWait       = 70_000
@@ -102,6 +136,19 @@
 		return err
 	}
 
+	if err := s.Log.validate(); err != nil {
+		return domain.InField("log", err)
+	}
+
+	if err := s.Stop.validate(); err != nil {
+		return domain.InField("stop", err)
+	}
+
+	return s.validateAddresses()
+}
+
+// validateAddresses checks that each address is usable and taken once.
+func (s Settings) validateAddresses() error {
 	seen := make(map[string]string)
 
 	for _, a := range []struct{ field, address string }{
@@ -117,10 +164,7 @@
 		}
 
 		if other, ok := seen[a.address]; ok {
-			return &domain.Error{
-				Fate: domain.FateNotRun, Code: domain.CodeInvalid, Step: "check", Field: a.field,
-				Message: "is the same address as " + other,
-			}
+			return invalid(a.field, "is the same address as %s", other)
 		}
 
 		seen[a.address] = a.field
