routing: prefer other searchers after a shed

Cause: a searcher that shed every request got half of its shard's first attempts; the retries used up the budget, and after about 100 queries the shard was missing with the code overloaded.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -40,7 +40,7 @@
 	// maxTokens bounds the burst of extra attempts after a quiet time.
 	maxTokens = 50 * attemptTokens
 	// initialTokens let hedges start with the first queries.
-	initialTokens = 15 * attemptTokens
+	initialTokens = 10 * attemptTokens
 	// lateReserve is kept for late hedges: of the attempts that are hedged in
 	// time about half would have ended soon, of the late ones few.
 	lateReserve = 5 * attemptTokens
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -35,7 +35,7 @@
 const (
 	// FirstQuantile is the share of first attempts that end before their hedge
 	// is due.
-	FirstQuantile = 0.955
+	FirstQuantile = 0.9575
 	// LaterQuantile is the same for hedges and retries. They are few, so that a
 	// quick hedge of them costs little, and their shard is late already.
 	LaterQuantile = 0.80
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -239,7 +239,7 @@
 		c.penalty += penaltyLimit
 	}
 
-	if st.unhealthy && !st.mistrusted {
+	if (st.unhealthy && !st.mistrusted) || now.Before(st.shedUntil) {
 		c.penalty += penaltyUnhealthy
 	}
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -32,6 +32,10 @@
 	overdue int
 	heardAt time.Time
 
+	// shedUntil is until when other searchers are preferred after a shed.
+	shedUntil   time.Time
+	shedBackoff time.Duration
+
 	// failures counts the failures in a row; the searcher is believed dead
 	// while it isn't zero.
 	failures  int
@@ -77,6 +81,10 @@
 
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
+	// Sheds in a row keep requests away for longer and longer; the bounds are
+	// about one service time and the age at which load has changed anyway.
+	minShedBackoff = 5 * time.Millisecond
+	maxShedBackoff = 500 * time.Millisecond
 	// knownDead is how many failures in a row take a searcher out even when
 	// its shard has no other; one broken connection doesn't lose a shard.
 	knownDead = 3
@@ -161,6 +169,8 @@
 	case Shed:
 		s.alive(now)
 		s.limit.Shed(now, s.slots)
+		s.shedBackoff = min(max(2*s.shedBackoff, minShedBackoff), maxShedBackoff)
+		s.shedUntil = now.Add(s.shedBackoff)
 	case Draining:
 		s.alive(now)
 		s.draining, s.drainingAt = true, now
@@ -201,6 +211,7 @@
 
 	distance := max(latency-service, 0)
 	s.answers++
+	s.shedBackoff = 0
 	s.distance.add(now, distance)
 	s.service += (min(service, serviceClip*s.service) - s.service) / time.Duration(min(s.answers+1, serviceWeight))
 	s.limit.Answered(now, s.slots, limits.Sample{
