peer, searcher, query: connect only to the services held

Cause: at 30 instances every instance dialled every searcher, above the searchers' limit of 25 connections, and redialled without end; requests that must not be repeated ran at instances that hold no connection. Change: the pool and the poller take the services and the number of holders from the placement; Execute is relayed to a holder, and to a second one only if the first says not run.

--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -50,9 +50,10 @@
 	Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error)
 }
 
-// ClaimApplier applies an operation on a claim in a bucket that this instance
-// owns.
-type ClaimApplier interface {
+// Executor runs requests that must not be repeated.
+type Executor interface {
+	Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error)
+	// Apply applies an operation on a claim in a bucket that this instance owns.
 	Apply(ctx context.Context, op claims.Operation) (claims.Result, error)
 }
 
@@ -79,7 +80,7 @@
 	options  Options
 	listener net.Listener
 	local    Searcher
-	claims   ClaimApplier
+	executor Executor
 	fetching atomic.Bool
 	nextID   atomic.Uint64
 
@@ -119,7 +120,7 @@
 }
 
 // Serve sets what answers relayed requests; it is called before Listen.
-func (m *Mesh) Serve(s Searcher, c ClaimApplier) { m.local, m.claims = s, c }
+func (m *Mesh) Serve(s Searcher, e Executor) { m.local, m.executor = s, e }
 
 // Listen takes connections at address until Run ends.
 func (m *Mesh) Listen(ctx context.Context, address string) error {
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,7 +37,17 @@
 	return f(ctx, cfg, req)
 }
 
-// Apply implements ClaimApplier.
+// Execute answers as the instance that Search says ran the query.
+func (f searchFunc) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	resp, err := f(ctx, cfg, &pb.SearchRequest{RequestId: req.GetKey(), Service: req.GetService()})
+	if err != nil {
+		return nil, err
+	}
+
+	return &pb.ExecuteResponse{Key: req.GetKey(), Instance: resp.GetInstance()}, nil
+}
+
+// Apply answers every operation as granted.
 func (searchFunc) Apply(_ context.Context, op claims.Operation) (claims.Result, error) {
 	return claims.Result{Outcome: claims.Granted, Claim: claims.Claim{State: claims.StateClaimed, ClaimID: op.ClaimID, Digest: op.Digest}}, nil
 }
@@ -426,6 +437,61 @@
 	}
 }
 
+// Guards against a request that must not be repeated being sent to a second
+// holder when it may have run at the first.
+func TestRelayedExecutionIsSentOnce(t *testing.T) {
+	svc := domain.Service{
+		Name: "service", Version: 1,
+		Rules: domain.Rules{TimeoutMS: 5000, MaxAttempts: 2, MinCoveragePermille: 1000, NonRepeatable: true},
+		PartitionMap: domain.PartitionMap{Version: 1, Shards: []domain.Shard{{Searchers: []domain.Searcher{
+			{ID: "s", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1, Connections: 3},
+		}}}},
+	}
+
+	for fate, want := range map[domain.Fate]int64{domain.FateUnknown: 1, domain.FateRan: 1, domain.FateNotRun: 2} {
+		var sent atomic.Int64
+
+		failing := searchFunc(func(context.Context, *domain.Configuration, *pb.SearchRequest) (*pb.SearchResponse, error) {
+			sent.Add(1)
+
+			return nil, domain.Errorf(fate, domain.CodeStopping, "execute", "no")
+		})
+		first := start(t, "entry-0", "a", failing)
+		nodes := []*node{first, start(t, "entry-1", "b", failing, first), start(t, "entry-2", "c", failing, first)}
+
+		for _, n := range nodes {
+			eventually(t, "everyone knows everyone", func() bool { return n.live() == 3 })
+		}
+
+		next, err := configuration.Apply(&configuration.Stored{}, configuration.Change{ID: "c", CreateService: &svc})
+		require.NoError(t, err)
+		first.options.Holder.Offer(next)
+
+		cfg := first.options.Holder.Configuration()
+
+		for _, n := range nodes {
+			eventually(t, "the service is in force", func() bool { return n.version() == 1 })
+
+			r := NewRelay(zerolog.Nop(), n.Mesh, NewPlacement(zerolog.Nop(), n.options.Table), failing, failing)
+			if r.placement.Holds(cfg, "service") {
+				continue
+			}
+
+			_, err := r.Execute(t.Context(), cfg, &pb.ExecuteRequest{Service: "service", Key: "k"})
+
+			var e *domain.Error
+
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, fate, e.Fate)
+			require.Equal(t, want, sent.Load(), fate.String())
+		}
+
+		for _, n := range nodes {
+			n.stop()
+		}
+	}
+}
+
 // Guards against a holder that takes queries of a service although its
 // searchers' connections belong to others, a query that is lost with one
 // holder, and a relay that ignores the holder's refusal.
@@ -463,7 +529,7 @@
 		}
 
 		nodes[id] = n
-		relays[id] = NewRelay(zerolog.Nop(), n.Mesh, NewPlacement(zerolog.Nop(), n.options.Table), local)
+		relays[id] = NewRelay(zerolog.Nop(), n.Mesh, NewPlacement(zerolog.Nop(), n.options.Table), local, local)
 	}
 
 	for _, n := range nodes {
@@ -487,8 +553,13 @@
 		require.NoError(t, err)
 		require.Contains(t, []string{holders[0].ID, holders[1].ID}, resp.GetInstance())
 
+		executed, err := r.Execute(t.Context(), cfg, &pb.ExecuteRequest{Service: "service", Key: "k"})
+		require.NoError(t, err)
+		require.Contains(t, []string{holders[0].ID, holders[1].ID}, executed.GetInstance())
+
 		if r.placement.Holds(cfg, "service") {
 			require.Equal(t, id, resp.GetInstance())
+			require.Equal(t, id, executed.GetInstance())
 		}
 	}
 
--- a/primrosed/internal/peer/placement.go
+++ b/primrosed/internal/peer/placement.go
@@ -42,6 +42,17 @@
 	return p.current(cfg).Holds(service, p.table.Self().Instance.ID)
 }
 
+// Holding returns how many instances hold the connections of a service, and 0
+// if this one doesn't.
+func (p *Placement) Holding(cfg *domain.Configuration, service string) int {
+	a := p.current(cfg)
+	if !a.Holds(service, p.table.Self().Instance.ID) {
+		return 0
+	}
+
+	return len(a.Holders(service))
+}
+
 // current returns the assignment of the present view. A leaving instance keeps
 // its last one: it has the connections until its requests are finished.
 func (p *Placement) current(cfg *domain.Configuration) *placement.Assignment {
--- a/primrosed/internal/peer/relay.go
+++ b/primrosed/internal/peer/relay.go
@@ -52,6 +52,38 @@
 	return resp, nil
 }
 
+// RelayExecute sends a request that must not be repeated to another instance,
+// which runs it within timeout. Errors are domain.Error; the fate is not run
+// only if the request wasn't sent or the other instance says so.
+func (m *Mesh) RelayExecute(ctx context.Context, to domain.Instance, version uint64, timeout time.Duration,
+	queryID string, req *pb.ExecuteRequest,
+) (*pb.ExecuteResponse, error) {
+	f, err := m.request(ctx, to, &pb.PeerFrame{Body: &pb.PeerFrame_RelayExecute{RelayExecute: &pb.RelayExecute{
+		Request: req, TimeoutUs: uint64(max(timeout, 0).Microseconds()), ConfigurationVersion: version, QueryId: queryID,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+
+	a := f.GetRelayExecuteAnswer()
+
+	content, err := checkAnswer(to, queryID, a.GetQueryId(), a.GetRefusal(), a.GetResponse(), a.GetChecksum())
+	if err != nil {
+		return nil, err
+	}
+
+	resp := &pb.ExecuteResponse{}
+	if err := proto.Unmarshal(content, resp); err != nil {
+		return nil, corruptAnswer(to, err)
+	}
+
+	if resp.GetKey() != req.GetKey() {
+		return nil, corruptAnswer(to, errors.New("the answer is for another key"))
+	}
+
+	return resp, nil
+}
+
 // ApplyClaim sends an operation on a claim to the owner of its bucket and
 // returns the owner's decision. The fate of an error is not run only if the
 // operation wasn't sent or the owner says so.
@@ -170,6 +202,11 @@
 		a := &pb.RelaySearchAnswer{QueryId: b.RelaySearch.GetQueryId(), ElapsedUs: uint64(time.Since(start).Microseconds())}
 		a.Response, a.Refusal, a.Checksum = sealed(a.GetQueryId(), content, err)
 		answer.Body = &pb.PeerFrame_RelaySearchAnswer{RelaySearchAnswer: a}
+	case *pb.PeerFrame_RelayExecute:
+		content, err := m.runExecute(ctx, s, b.RelayExecute)
+		a := &pb.RelayExecuteAnswer{QueryId: b.RelayExecute.GetQueryId()}
+		a.Response, a.Refusal, a.Checksum = sealed(a.GetQueryId(), content, err)
+		answer.Body = &pb.PeerFrame_RelayExecuteAnswer{RelayExecuteAnswer: a}
 	case *pb.PeerFrame_ClaimApply:
 		content, err := m.runClaim(ctx, b.ClaimApply)
 		a := &pb.ClaimApplyAnswer{QueryId: b.ClaimApply.GetQueryId()}
@@ -202,18 +239,36 @@
 
 // runSearch runs a relayed query here; it is never relayed again.
 func (m *Mesh) runSearch(ctx context.Context, s *session, r *pb.RelaySearch) ([]byte, error) {
+	return m.runRelayed(ctx, s, r.GetTimeoutUs(), r.GetConfigurationVersion(),
+		func(ctx context.Context, cfg *domain.Configuration) (proto.Message, error) {
+			return m.local.Search(ctx, cfg, r.GetRequest())
+		})
+}
+
+func (m *Mesh) runExecute(ctx context.Context, s *session, r *pb.RelayExecute) ([]byte, error) {
+	return m.runRelayed(ctx, s, r.GetTimeoutUs(), r.GetConfigurationVersion(),
+		func(ctx context.Context, cfg *domain.Configuration) (proto.Message, error) {
+			return m.executor.Execute(ctx, cfg, r.GetRequest())
+		})
+}
+
+// runRelayed runs a relayed request on a configuration that is at least as new
+// as the one it was placed by, and returns the marshalled answer.
+func (m *Mesh) runRelayed(ctx context.Context, s *session, timeoutUS, version uint64,
+	run func(context.Context, *domain.Configuration) (proto.Message, error),
+) ([]byte, error) {
 	if !m.begin() {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "run relayed query", "the instance is stopping")
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "run relayed request", "the instance is stopping")
 	}
 	defer m.end()
 
-	timeout := time.Duration(min(r.GetTimeoutUs(), uint64(domain.MaxTimeoutMS)*1000)) * time.Microsecond
+	timeout := time.Duration(min(timeoutUS, uint64(domain.MaxTimeoutMS)*1000)) * time.Microsecond
 
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	wait, stop := context.WithTimeout(ctx, min(maxVersionWait, timeout/2))
-	err := m.awaitVersion(wait, s, r.GetConfigurationVersion())
+	err := m.awaitVersion(wait, s, version)
 
 	stop()
 
@@ -221,7 +276,7 @@
 		return nil, err
 	}
 
-	resp, err := m.local.Search(ctx, m.options.Holder.Configuration(), r.GetRequest())
+	resp, err := run(ctx, m.options.Holder.Configuration())
 	if err != nil {
 		return nil, err
 	}
@@ -243,7 +298,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(min(c.GetTimeoutUs(), uint64(domain.MaxTimeoutMS)*1000))*time.Microsecond)
 	defer cancel()
 
-	result, err := m.claims.Apply(ctx, op)
+	result, err := m.executor.Apply(ctx, op)
 	if err != nil {
 		return nil, err
 	}
--- a/primrosed/internal/peer/search.go
+++ b/primrosed/internal/peer/search.go
@@ -15,7 +15,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
-	"primrosespring.example/internal/claims"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
@@ -32,7 +31,7 @@
 	networkWeight = 0.2
 )
 
-// Relay runs queries here if this instance is a holder of the service, and
+// Relay runs requests here if this instance is a holder of the service, and
 // sends them to a holder otherwise. It is safe for concurrent use.
 type Relay struct {
 	log       zerolog.Logger
@@ -40,6 +39,7 @@
 	table     *membership.Table
 	placement *Placement
 	local     Searcher
+	executor  Executor
 	jitter    func(time.Duration) time.Duration
 	prefix    string
 	next      atomic.Uint64
@@ -56,14 +56,14 @@
 	network time.Duration
 }
 
-// NewRelay returns a relay around the local searcher.
-func NewRelay(log zerolog.Logger, m *Mesh, p *Placement, local Searcher) *Relay {
+// NewRelay returns a relay around the local searcher and executor.
+func NewRelay(log zerolog.Logger, m *Mesh, p *Placement, local Searcher, executor Executor) *Relay {
 	var nonce [6]byte
 
 	_, _ = rand.Read(nonce[:])
 
 	return &Relay{
-		log: log, mesh: m, table: m.options.Table, placement: p, local: local, jitter: m.options.Jitter,
+		log: log, mesh: m, table: m.options.Table, placement: p, local: local, executor: executor, jitter: m.options.Jitter,
 		prefix: m.options.Table.Self().Instance.ID + "-" + hex.EncodeToString(nonce[:]) + "-r",
 		peers:  make(map[string]*relayPeer),
 	}
@@ -78,15 +78,54 @@
 
 	start := time.Now()
 
-	timeout := svc.Rules.Timeout()
-	if t := time.Duration(req.GetTimeoutMs()) * time.Millisecond; t > 0 && t < timeout {
-		timeout = t
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
+	defer cancel()
+
+	var resp *pb.SearchResponse
+
+	err := r.relay(ctx, cfg, svc.Name, func(h domain.Instance, left time.Duration, id string) (time.Duration, error) {
+		var err error
+
+		resp, err = r.mesh.RelaySearch(ctx, h, cfg.Version, left, id, req)
+
+		return time.Duration(resp.GetElapsedUs()) * time.Microsecond, err
+	})
+	if err != nil {
+		return nil, err
+	}
+
+	resp.ElapsedUs = uint64(max(time.Since(start), 0).Microseconds())
+
+	return resp, nil
+}
+
+// Execute implements caller.Executor. A request goes to a second holder only if
+// it didn't run at the first.
+func (r *Relay) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	svc, ok := cfg.Service(req.GetService())
+	if !ok || r.placement.Holds(cfg, svc.Name) {
+		return r.executor.Execute(ctx, cfg, req)
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	start := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
 	defer cancel()
 
-	resp, err := r.relay(ctx, cfg, req, r.order(cfg, svc.Name))
+	var resp *pb.ExecuteResponse
+
+	err := r.relay(ctx, cfg, svc.Name, func(h domain.Instance, left time.Duration, id string) (time.Duration, error) {
+		var err error
+
+		resp, err = r.mesh.RelayExecute(ctx, h, cfg.Version, left, id, req)
+
+		var e *domain.Error
+		if errors.As(err, &e) && e.Fate != domain.FateNotRun {
+			return 0, final{e}
+		}
+
+		return time.Duration(resp.GetElapsedUs()) * time.Microsecond, err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -96,10 +135,35 @@
 	return resp, nil
 }
 
-func (r *Relay) relay(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest, holders []domain.Instance) (*pb.SearchResponse, error) {
+// final marks an error after which no other holder may be tried.
+type final struct{ cause *domain.Error }
+
+// Error implements error.
+func (f final) Error() string { return f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f final) Unwrap() error { return f.cause }
+
+func timeoutOf(svc *domain.Service, wantedMS uint32) time.Duration {
+	timeout := svc.Rules.Timeout()
+	if t := time.Duration(wantedMS) * time.Millisecond; t > 0 && t < timeout {
+		timeout = t
+	}
+
+	return timeout
+}
+
+// sendFunc sends a request to a holder and returns the time that the holder
+// itself took.
+type sendFunc func(h domain.Instance, left time.Duration, id string) (time.Duration, error)
+
+// relay sends a request to one holder of the service after another until one
+// answers or no other may do better.
+func (r *Relay) relay(ctx context.Context, cfg *domain.Configuration, service string, send sendFunc) error {
 	fate := domain.FateNotRun
-	last := domain.Errorf(domain.FateNotRun, domain.CodePeerUnavailable, "relay", "no holder of %s is known", req.GetService())
+	last := domain.Errorf(domain.FateNotRun, domain.CodePeerUnavailable, "relay", "no holder of %s is known", service)
 	deadline, _ := ctx.Deadline()
+	holders := r.order(cfg, service)
 
 	for try, h := range holders[:min(len(holders), maxRelayTries)] {
 		left := time.Until(deadline) - r.networkTime(h.ID)
@@ -111,25 +175,26 @@
 			break
 		}
 
-		resp, err := r.try(ctx, cfg, req, h, try, left)
+		err := r.try(service, h, try, left, send)
 		if err == nil {
-			return resp, nil
+			return nil
 		}
 
 		if !errors.As(err, &last) {
-			return nil, err
+			return err
 		}
 
 		if last.Fate != domain.FateNotRun {
 			fate = last.Fate
 		}
 
-		if !elsewhere(last.Code) {
+		var stop final
+		if errors.As(err, &stop) || !elsewhere(last.Code) {
 			break
 		}
 	}
 
-	return nil, last.WithFate(fate)
+	return last.WithFate(fate)
 }
 
 // elsewhere reports whether another holder may answer after an error.
@@ -142,19 +207,17 @@
 	}
 }
 
-func (r *Relay) try(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest, h domain.Instance,
-	try int, left time.Duration,
-) (*pb.SearchResponse, error) {
+func (r *Relay) try(service string, h domain.Instance, try int, left time.Duration, send sendFunc) error {
 	id := r.prefix + strconv.FormatUint(r.next.Add(1), 36)
 
-	r.log.Info().Str("event", "relay").Str("query_id", id).Str("service", req.GetService()).Str("holder", h.ID).
+	r.log.Info().Str("event", "relay").Str("query_id", id).Str("service", service).Str("holder", h.ID).
 		Str("failure_domain", h.FailureDomain).Int("try", try+1).Int64("left_us", left.Microseconds()).Send()
 
 	r.begin(h.ID)
 
 	start := time.Now()
-	resp, err := r.mesh.RelaySearch(ctx, h, cfg.Version, left, id, req)
-	r.end(h.ID, time.Since(start), resp, err)
+	took, err := send(h, left, id)
+	r.end(h.ID, time.Since(start), took, err)
 
 	outcome := "answered"
 
@@ -166,7 +229,7 @@
 
 	metrics.GetOrCreateCounter(`primrosed_relays_total{outcome="` + outcome + `"}`).Inc()
 
-	return resp, err
+	return err
 }
 
 // order returns the holders to try: those that are well before those under
@@ -259,7 +322,8 @@
 	r.peer(id).open++
 }
 
-func (r *Relay) end(id string, took time.Duration, resp *pb.SearchResponse, err error) {
+// end learns the network time from the whole time and the holder's own.
+func (r *Relay) end(id string, whole, own time.Duration, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -275,7 +339,7 @@
 		return
 	}
 
-	network := max(took-time.Duration(resp.GetElapsedUs())*time.Microsecond, 0)
+	network := max(whole-own, 0)
 	if p.network == 0 {
 		p.network = network
 	}
@@ -283,18 +347,6 @@
 	p.network += time.Duration(networkWeight * float64(network-p.network))
 }
 
-// Owner tells package execute who owns a bucket of claims.
-func (r *Relay) Owner(bucket uint32) (bool, func(context.Context, claims.Operation) (claims.Result, error)) {
-	owner, self := r.placement.BucketOwner(bucket)
-	if self {
-		return true, nil
-	}
-
-	return false, func(ctx context.Context, op claims.Operation) (claims.Result, error) {
-		return r.mesh.ApplyClaim(ctx, owner, op)
-	}
-}
-
 // Explain adds the holders of a service, and where a query would be relayed to
 // from here, to e.
 func (r *Relay) Explain(cfg *domain.Configuration, service string, e *pb.ExplainResponse) {
--- a/primrosed/internal/peer/stream.go
+++ b/primrosed/internal/peer/stream.go
@@ -107,7 +107,7 @@
 	switch f.GetBody().(type) {
 	case *pb.PeerFrame_Fetch:
 		err = m.answerFetch(stream, f)
-	case *pb.PeerFrame_RelaySearch, *pb.PeerFrame_ClaimApply:
+	case *pb.PeerFrame_RelaySearch, *pb.PeerFrame_RelayExecute, *pb.PeerFrame_ClaimApply:
 		err = m.answerRelay(ctx, s, stream, f)
 	default:
 		err = &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't a request", f.GetBody())}
--- a/primrosed/internal/query/fake_test.go
+++ b/primrosed/internal/query/fake_test.go
@@ -291,9 +291,14 @@
 	return n
 }
 
+// holdsAll holds the connections of every service.
+type holdsAll struct{}
+
+func (holdsAll) Holding(*domain.Configuration, string) int { return 1 }
+
 // poll does what one round of the Poller does.
 func (n *node) poll(cfg *domain.Configuration) {
-	p := NewPoller(zerolog.Nop(), n.link, nil, n.snapshots, n.routing)
+	p := NewPoller(zerolog.Nop(), n.link, nil, n.snapshots, n.routing, holdsAll{})
 	p.configure(cfg)
 	p.round(context.Background())
 }
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,19 +25,30 @@
 	Status(ctx context.Context, sr *domain.Searcher) (*pb.GetStatusResponse, error)
 }
 
-// Configured is told which configuration is in force.
+// Configured is told which configuration is in force. holders returns how many
+// instances hold the connections of a service, and 0 if this one doesn't.
 type Configured interface {
-	Configure(c *domain.Configuration)
+	Configure(c *domain.Configuration, holders func(service string) int)
 }
 
-// Poller asks every searcher which snapshots it holds and how it is.
+// Holdings says which services this instance holds the connections of.
+type Holdings interface {
+	// Holding returns how many instances hold the connections of a service, and
+	// 0 if this one doesn't.
+	Holding(c *domain.Configuration, service string) int
+}
+
+// Poller asks the searchers of every service that this instance holds which
+// snapshots they hold and how they are.
 type Poller struct {
 	log       zerolog.Logger
 	source    StatusSource
 	holder    *configuration.Holder
 	snapshots *snapshot.Table
 	routing   *routing.Table
+	holdings  Holdings
 	version   uint64
+	holders   map[string]int
 	targets   map[string]*target
 }
 
@@ -53,9 +65,9 @@
 
 // NewPoller returns a poller that isn't running.
 func NewPoller(log zerolog.Logger, source StatusSource, holder *configuration.Holder,
-	snapshots *snapshot.Table, rt *routing.Table,
+	snapshots *snapshot.Table, rt *routing.Table, holdings Holdings,
 ) *Poller {
-	return &Poller{log: log, source: source, holder: holder, snapshots: snapshots, routing: rt}
+	return &Poller{log: log, source: source, holder: holder, snapshots: snapshots, routing: rt, holdings: holdings}
 }
 
 // Run polls until ctx ends. A new configuration is polled at once.
@@ -78,14 +90,23 @@
 }
 
 func (p *Poller) configure(c *domain.Configuration) {
-	if p.targets != nil && c.Version == p.version {
+	holders := make(map[string]int, len(c.Services))
+	for _, svc := range c.Services {
+		holders[svc.Name] = p.holdings.Holding(c, svc.Name)
+	}
+
+	if p.targets != nil && c.Version == p.version && maps.Equal(holders, p.holders) {
 		return
 	}
 
-	p.version = c.Version
+	p.version, p.holders = c.Version, holders
 	p.targets = make(map[string]*target)
 
 	for _, svc := range c.Services {
+		if holders[svc.Name] == 0 {
+			continue
+		}
+
 		for _, sh := range svc.PartitionMap.Shards {
 			for i := range sh.Searchers {
 				sr := &sh.Searchers[i]
@@ -105,7 +126,7 @@
 	p.routing.Configure(c)
 
 	if s, ok := p.source.(Configured); ok {
-		s.Configure(c)
+		s.Configure(c, func(service string) int { return holders[service] })
 	}
 }
 
--- a/primrosed/internal/searcher/pool.go
+++ b/primrosed/internal/searcher/pool.go
@@ -22,9 +22,8 @@
 	// maxAnswerBytes bounds what one answer may hold.
 	maxAnswerBytes = 4 << 20
 
-	minConnections     = 1
-	defaultConnections = 2
-	maxConnections     = 4
+	minConnections = 1
+	maxConnections = 4
 	// connectionShare is the part of a searcher's connection limit that the
 	// instances divide, in 1/1,000. The rest is for replacements.
 	connectionShare = 800
@@ -36,10 +35,9 @@
 	// Dial opens a connection; nil dials TCP. It must be set before first use.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu        sync.Mutex // Guards what follows and the peers in it.
-	peers     map[string]*peer
-	instances int
-	closed    bool
+	mu     sync.Mutex // Guards what follows and the peers in it.
+	peers  map[string]*peer
+	closed bool
 }
 
 // peer is one searcher with the connections to it.
@@ -106,32 +104,31 @@
 	return resp, nil
 }
 
-// SetInstances says how many instances divide the searchers' connection limits.
-// It counts from the next Configure on.
-func (p *Pool) SetInstances(n int) {
+// Configure opens connections ahead of need to the searchers of the services of
+// c that this instance holds. holders returns how many instances divide the
+// connection limits of a service's searchers, and 0 for a service that this
+// instance doesn't hold. Any other searcher gets no new request, and its
+// connections are closed after their last answer; one that drains keeps one
+// connection for its status.
+func (p *Pool) Configure(c *domain.Configuration, holders func(service string) int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.instances = n
-}
-
-// Configure opens connections to the searchers of c ahead of need. A searcher
-// that c doesn't name gets no new request, and its connections are closed
-// after their last answer; one that drains keeps one connection for its status.
-func (p *Pool) Configure(c *domain.Configuration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	named := make(map[string]bool)
+	held := make(map[string]bool)
 
 	for _, svc := range c.Services {
+		n := holders(svc.Name)
+		if n == 0 {
+			continue
+		}
+
 		for _, sh := range svc.PartitionMap.Shards {
 			for i := range sh.Searchers {
 				sr := &sh.Searchers[i]
-				named[sr.Address] = true
+				held[sr.Address] = true
 
 				e := p.peer(sr)
-				e.size = p.size(sr)
+				e.size = size(sr, n)
 				p.fill(e)
 				p.trim(e)
 			}
@@ -139,7 +136,7 @@
 	}
 
 	for address, e := range p.peers {
-		if !named[address] {
+		if !held[address] {
 			e.size = 0
 			p.trim(e)
 			delete(p.peers, address)
@@ -165,18 +162,15 @@
 	}
 }
 
-// size returns how many connections this instance keeps to a searcher.
-func (p *Pool) size(sr *domain.Searcher) int {
+// size returns how many connections one of n holders keeps to a searcher.
+func size(sr *domain.Searcher, n int) int {
 	if sr.Draining {
 		return minConnections
 	}
 
 	share := int(sr.Connections) * connectionShare / domain.Permille
-	if p.instances == 0 {
-		return max(min(defaultConnections, share), minConnections)
-	}
 
-	return max(min(share/p.instances, maxConnections), minConnections)
+	return max(min(share/n, maxConnections), minConnections)
 }
 
 func (p *Pool) peer(sr *domain.Searcher) *peer {
@@ -186,7 +180,7 @@
 			p.peers = make(map[string]*peer)
 		}
 
-		e = &peer{id: sr.ID, address: sr.Address, size: p.size(sr), changed: make(chan struct{}), usual: initialUsual}
+		e = &peer{id: sr.ID, address: sr.Address, size: minConnections, changed: make(chan struct{}), usual: initialUsual}
 		p.peers[sr.Address] = e
 	}
 
--- a/primrosed/internal/searcher/pool_test.go
+++ b/primrosed/internal/searcher/pool_test.go
@@ -194,27 +194,33 @@
 // connections than the searcher's limit allows each instance.
 func TestOpensAhead(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
-		p.Configure(configurationOf(testSearcher))
+		p.Configure(configurationOf(testSearcher), holders(10))
 		synctest.Wait()
-		require.Equal(t, 2, s.opened())
+		require.Equal(t, 2, s.opened(), "80% of 25 connections for 10 holders")
 
-		p.SetInstances(5)
-		p.Configure(configurationOf(testSearcher))
+		p.Configure(configurationOf(testSearcher), holders(5))
 		synctest.Wait()
-		require.Equal(t, 4, s.open(), "80% of 25 connections for 5 instances")
+		require.Equal(t, 4, s.open(), "80% of 25 connections for 5 holders")
 
-		p.SetInstances(100)
-		p.Configure(configurationOf(testSearcher))
+		p.Configure(configurationOf(testSearcher), holders(100))
 		synctest.Wait()
 		require.Equal(t, 1, s.open())
 		require.NoError(t, run(p))
+
+		p.Configure(configurationOf(testSearcher), holders(0))
+		synctest.Wait()
+		require.Equal(t, 0, s.open(), "another instance holds the service")
 	})
 }
 
+// holders says that n instances hold every service.
+func holders(n int) func(string) int { return func(string) int { return n } }
+
 // Guards against requests that wait for a connection which will never answer.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
-		p.SetInstances(100)
+		p.Configure(configurationOf(testSearcher), holders(100))
+		synctest.Wait()
 		require.NoError(t, run(p))
 		close(s.conns[0].frozen)
 
@@ -232,7 +238,8 @@
 // Guards against closing a connection because one request is slow.
 func TestSlowConnectionIsKept(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
-		p.SetInstances(100)
+		p.Configure(configurationOf(testSearcher), holders(100))
+		synctest.Wait()
 		require.NoError(t, run(p))
 
 		s.mu.Lock()
@@ -247,7 +254,8 @@
 // Guards against a connection that has crossed its answers staying in use.
 func TestCorruptAnswerClosesConnection(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
-		p.SetInstances(100)
+		p.Configure(configurationOf(testSearcher), holders(100))
+		synctest.Wait()
 
 		s.mu.Lock()
 		s.corrupt = true
@@ -266,7 +274,7 @@
 	bubble(t, func(p *Pool, s *server) {
 		s.service = time.Second
 
-		p.Configure(configurationOf(testSearcher))
+		p.Configure(configurationOf(testSearcher), holders(10))
 		synctest.Wait()
 
 		var (
@@ -276,7 +284,7 @@
 
 		wg.Go(func() { err = run(p) })
 		synctest.Wait()
-		p.Configure(&domain.Configuration{Version: 2})
+		p.Configure(&domain.Configuration{Version: 2}, holders(10))
 		synctest.Wait()
 		require.Equal(t, 1, s.open(), "the busy connection")
 		wg.Wait()
@@ -305,7 +313,8 @@
 // Guards against a cancellation that costs the connection.
 func TestCancelKeepsConnection(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
-		p.SetInstances(100)
+		p.Configure(configurationOf(testSearcher), holders(100))
+		synctest.Wait()
 		s.service = time.Second
 
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -48,6 +48,7 @@
 		newExpirer,
 		newMesh,
 		newPlacement,
+		peer.NewOwners,
 		newRelay,
 		newCallerHandler,
 		newOperatorHandler,
@@ -82,16 +83,18 @@
 	return r
 }
 
-func newPoller(log zerolog.Logger, p *searcher.Pool, h *configuration.Holder, st *snapshot.Table, rt *routing.Table) *query.Poller {
-	return query.NewPoller(log, p, h, st, rt)
+func newPoller(log zerolog.Logger, p *searcher.Pool, h *configuration.Holder, st *snapshot.Table, rt *routing.Table,
+	pl *peer.Placement,
+) *query.Poller {
+	return query.NewPoller(log, p, h, st, rt, pl)
 }
 
 func newExecutor(log zerolog.Logger, s settings.Settings, c *platform.Client, p *searcher.Pool, rt *routing.Table,
-	st *snapshot.Table, r *peer.Relay,
+	st *snapshot.Table, o *peer.Owners,
 ) *execute.Executor {
 	return execute.New(execute.Options{
 		Log: log, Instance: s.Instance(), Store: c, Searchers: p, Router: rt, Snapshots: st, Jitter: jitter,
-		Forwarder: forwarder{r},
+		Forwarder: forwarder{o},
 	})
 }
 
@@ -117,12 +120,12 @@
 	return peer.NewPlacement(log, t)
 }
 
-func newRelay(log zerolog.Logger, m *peer.Mesh, p *peer.Placement, r *query.Runner) *peer.Relay {
-	return peer.NewRelay(log, m, p, r)
+func newRelay(log zerolog.Logger, m *peer.Mesh, p *peer.Placement, r *query.Runner, x *execute.Executor) *peer.Relay {
+	return peer.NewRelay(log, m, p, r, x)
 }
 
-func newCallerHandler(h *configuration.Holder, r *peer.Relay, x *execute.Executor) *caller.Handler {
-	return caller.NewHandler(h, r, x)
+func newCallerHandler(h *configuration.Holder, r *peer.Relay) *caller.Handler {
+	return caller.NewHandler(h, r, r)
 }
 
 func newWatcher(log zerolog.Logger, c *platform.Client, h *configuration.Holder, m *peer.Mesh) *operator.Watcher {
@@ -169,11 +172,11 @@
 func (f fleetView) StoreAvailable() bool { return f.client.Available() }
 
 // forwarder sends operations on claims to the owners of their buckets.
-type forwarder struct{ relay *peer.Relay }
+type forwarder struct{ owners *peer.Owners }
 
 // Owner implements execute.Forwarder.
 func (f forwarder) Owner(bucket uint32) (bool, execute.ForwardFunc) {
-	self, forward := f.relay.Owner(bucket)
+	self, forward := f.owners.Owner(bucket)
 
 	return self, forward
 }
