--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -180,6 +180,13 @@
 	_, changed, err = b.Expire(2, 1<<40)
 	require.NoError(t, err)
 	require.False(t, changed)
+
+	// A new holder marks a bucket even if it drops nothing.
+	b, changed, err = b.Expire(3, 0)
+	require.NoError(t, err)
+	require.True(t, changed)
+	_, _, err = b.Expire(2, 1<<40)
+	require.Error(t, err)
 }
 
 // Guards against an answer that reaches another request with the same key.
