--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -70,14 +70,14 @@
 	busyWeight  = 16
 	// idleWait is the share of a service time that a request waits on average
 	// for each request that is in a slot before it.
-	idleWait = 0.8
+	idleWait = 0.4
 	// floorEpoch is half of the time after which a distance that is no longer
 	// seen is forgotten. It outlasts most overloads, in which every latency
 	// includes a queue.
 	floorEpoch = 30 * time.Second
 
 	// reportAge is the age at which a reported queue has lost all its weight.
-	reportAge = 100 * time.Millisecond
+	reportAge = 50 * time.Millisecond
 
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
@@ -90,7 +90,7 @@
 	knownDead = 3
 	// A searcher is treated as dead when overdueRequests in a row were given up
 	// after overdueFactor times its usual latency, with no word in between.
-	overdueRequests = 3
+	overdueRequests = 2
 	overdueFactor   = 2
 	// staleAfter is the age of the last answer from which a searcher is assumed
 	// to work at twice its estimated speed, so that one whose estimate is too
