--- /dev/null
+++ b/primrosed/internal/peer/search.go
@@ -0,0 +1,360 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/membership"
+)
+
+const (
+	// maxRelayTries bounds the holders that one query is sent to.
+	maxRelayTries = 3
+	// minRelayTime is the time left below which a relay can't bring an answer.
+	minRelayTime = 2 * time.Millisecond
+	// avoidTime is how long a holder that failed is tried last.
+	avoidTime = time.Second
+	// networkWeight is the weight of the latest network time in its average.
+	networkWeight = 0.2
+)
+
+// Relay runs requests here if this instance is a holder of the service, and
+// sends them to a holder otherwise. It is safe for concurrent use.
+type Relay struct {
+	log       zerolog.Logger
+	mesh      *Mesh
+	table     *membership.Table
+	placement *Placement
+	local     Searcher
+	executor  Executor
+	jitter    func(time.Duration) time.Duration
+	prefix    string
+	next      atomic.Uint64
+
+	mu    sync.Mutex // Guards peers.
+	peers map[string]*relayPeer
+}
+
+// relayPeer is what is known of relaying to one holder.
+type relayPeer struct {
+	open       int
+	avoidUntil time.Time
+	// network is the average time that a relay takes beyond the holder's own.
+	network time.Duration
+}
+
+// NewRelay returns a relay around the local searcher and executor.
+func NewRelay(log zerolog.Logger, m *Mesh, p *Placement, local Searcher, executor Executor) *Relay {
+	var nonce [6]byte
+
+	_, _ = rand.Read(nonce[:])
+
+	return &Relay{
+		log: log, mesh: m, table: m.options.Table, placement: p, local: local, executor: executor, jitter: m.options.Jitter,
+		prefix: m.options.Table.Self().Instance.ID + "-" + hex.EncodeToString(nonce[:]) + "-r",
+		peers:  make(map[string]*relayPeer),
+	}
+}
+
+// Search implements caller.Searcher.
+func (r *Relay) Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	svc, ok := cfg.Service(req.GetService())
+	if !ok || r.placement.Holds(cfg, svc.Name) {
+		return r.local.Search(ctx, cfg, req)
+	}
+
+	start := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
+	defer cancel()
+
+	var resp *pb.SearchResponse
+
+	err := r.relay(ctx, cfg, svc.Name, func(h domain.Instance, left time.Duration, id string) (time.Duration, error) {
+		var err error
+
+		resp, err = r.mesh.RelaySearch(ctx, h, cfg.Version, left, id, req)
+
+		return time.Duration(resp.GetElapsedUs()) * time.Microsecond, err
+	})
+	if err != nil {
+		return nil, err
+	}
+
+	resp.ElapsedUs = uint64(max(time.Since(start), 0).Microseconds())
+
+	return resp, nil
+}
+
+// Execute implements caller.Executor. A request goes to a second holder only if
+// it didn't run at the first.
+func (r *Relay) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	svc, ok := cfg.Service(req.GetService())
+	if !ok || r.placement.Holds(cfg, svc.Name) {
+		return r.executor.Execute(ctx, cfg, req)
+	}
+
+	start := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
+	defer cancel()
+
+	var resp *pb.ExecuteResponse
+
+	err := r.relay(ctx, cfg, svc.Name, func(h domain.Instance, left time.Duration, id string) (time.Duration, error) {
+		var err error
+
+		resp, err = r.mesh.RelayExecute(ctx, h, cfg.Version, left, id, req)
+
+		var e *domain.Error
+		if errors.As(err, &e) && e.Fate != domain.FateNotRun {
+			return 0, final{e}
+		}
+
+		return time.Duration(resp.GetElapsedUs()) * time.Microsecond, err
+	})
+	if err != nil {
+		return nil, err
+	}
+
+	resp.ElapsedUs = uint64(max(time.Since(start), 0).Microseconds())
+
+	return resp, nil
+}
+
+// final marks an error after which no other holder may be tried.
+type final struct{ cause *domain.Error }
+
+// Error implements error.
+func (f final) Error() string { return f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f final) Unwrap() error { return f.cause }
+
+func timeoutOf(svc *domain.Service, wantedMS uint32) time.Duration {
+	timeout := svc.Rules.Timeout()
+	if t := time.Duration(wantedMS) * time.Millisecond; t > 0 && t < timeout {
+		timeout = t
+	}
+
+	return timeout
+}
+
+// sendFunc sends a request to a holder and returns the time that the holder
+// itself took.
+type sendFunc func(h domain.Instance, left time.Duration, id string) (time.Duration, error)
+
+// relay sends a request to one holder of the service after another until one
+// answers or no other may do better.
+func (r *Relay) relay(ctx context.Context, cfg *domain.Configuration, service string, send sendFunc) error {
+	fate := domain.FateNotRun
+	last := domain.Errorf(domain.FateNotRun, domain.CodePeerUnavailable, "relay", "no holder of %s is known", service)
+	deadline, _ := ctx.Deadline()
+	holders := r.order(cfg, service)
+
+	for try, h := range holders[:min(len(holders), maxRelayTries)] {
+		left := time.Until(deadline) - r.networkTime(h.ID)
+		if left < minRelayTime {
+			if try == 0 {
+				last = domain.Errorf(domain.FateNotRun, domain.CodeDeadline, "relay", "the time left can't suffice")
+			}
+
+			break
+		}
+
+		err := r.try(service, h, try, left, send)
+		if err == nil {
+			return nil
+		}
+
+		if !errors.As(err, &last) {
+			return err
+		}
+
+		if last.Fate != domain.FateNotRun {
+			fate = last.Fate
+		}
+
+		var stop final
+		if errors.As(err, &stop) || !elsewhere(last.Code) {
+			break
+		}
+	}
+
+	return last.WithFate(fate)
+}
+
+// elsewhere reports whether another holder may answer after an error.
+func elsewhere(c domain.Code) bool {
+	switch c {
+	case domain.CodePeerUnavailable, domain.CodeCorrupt, domain.CodeStopping, domain.CodeNotReady:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Relay) try(service string, h domain.Instance, try int, left time.Duration, send sendFunc) error {
+	id := r.prefix + strconv.FormatUint(r.next.Add(1), 36)
+
+	r.log.Info().Str("event", "relay").Str("query_id", id).Str("service", service).Str("holder", h.ID).
+		Str("failure_domain", h.FailureDomain).Int("try", try+1).Int64("left_us", left.Microseconds()).Send()
+
+	r.begin(h.ID)
+
+	start := time.Now()
+	took, err := send(h, left, id)
+	r.end(h.ID, time.Since(start), took, err)
+
+	outcome := "answered"
+
+	if err != nil {
+		outcome = "failed"
+
+		r.log.Warn().Str("event", "relay_failed").Str("query_id", id).Str("holder", h.ID).Err(err).Send()
+	}
+
+	metrics.GetOrCreateCounter(`primrosed_relays_total{outcome="` + outcome + `"}`).Inc()
+
+	return err
+}
+
+// order returns the holders to try: those that are well before those under
+// suspicion or that just failed, then those in the own failure domain, in the
+// own region and elsewhere, and among equals the one with the fewest relayed
+// queries under way.
+func (r *Relay) order(cfg *domain.Configuration, service string) []domain.Instance {
+	type candidate struct {
+		instance domain.Instance
+		tier     int
+		open     int
+		random   time.Duration
+	}
+
+	self := r.table.Self().Instance
+	suspects := r.table.View().Suspects
+	now := time.Now()
+
+	var all []candidate
+
+	r.mu.Lock()
+
+	for _, h := range r.placement.Holders(cfg, service) {
+		if h.ID == self.ID {
+			continue
+		}
+
+		c := candidate{instance: h, tier: distance(self, h), random: r.jitter(time.Second)}
+
+		if p := r.peers[h.ID]; p != nil {
+			c.open = p.open
+
+			if now.Before(p.avoidUntil) {
+				c.tier += 3
+			}
+		}
+
+		if suspects[h.ID] {
+			c.tier += 6
+		}
+
+		all = append(all, c)
+	}
+	r.mu.Unlock()
+
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.open, b.open), cmp.Compare(a.random, b.random))
+	})
+
+	out := make([]domain.Instance, len(all))
+	for i, c := range all {
+		out[i] = c.instance
+	}
+
+	return out
+}
+
+func distance(a, b domain.Instance) int {
+	switch {
+	case a.FailureDomain == b.FailureDomain:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (r *Relay) peer(id string) *relayPeer {
+	p := r.peers[id]
+	if p == nil {
+		p = &relayPeer{}
+		r.peers[id] = p
+	}
+
+	return p
+}
+
+func (r *Relay) networkTime(id string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.peer(id).network
+}
+
+func (r *Relay) begin(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.peer(id).open++
+}
+
+// end learns the network time from the whole time and the holder's own.
+func (r *Relay) end(id string, whole, own time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	p := r.peer(id)
+	p.open--
+
+	if err != nil {
+		var e *domain.Error
+		if errors.As(err, &e) && (elsewhere(e.Code) || e.Code == domain.CodeDeadline) {
+			p.avoidUntil = time.Now().Add(avoidTime)
+		}
+
+		return
+	}
+
+	network := max(whole-own, 0)
+	if p.network == 0 {
+		p.network = network
+	}
+
+	p.network += time.Duration(networkWeight * float64(network-p.network))
+}
+
+// Explain adds the holders of a service, and where a query would be relayed to
+// from here, to e.
+func (r *Relay) Explain(cfg *domain.Configuration, service string, e *pb.ExplainResponse) {
+	for _, h := range r.placement.Holders(cfg, service) {
+		e.Holders = append(e.Holders, h.ID)
+	}
+
+	if order := r.order(cfg, service); !r.placement.Holds(cfg, service) && len(order) > 0 {
+		e.Relay = order[0].ID
+	}
+}
