--- a/primrosed/internal/server/server_test.go
+++ b/primrosed/internal/server/server_test.go
@@ -276,6 +276,9 @@
 	s.entered, s.release = make(chan struct{}), make(chan struct{})
 	s.mu.Unlock()
 
+	release := sync.OnceFunc(func() { close(s.release) })
+	t.Cleanup(release)
+
 	answered := make(chan error, 1)
 
 	go func() {
@@ -295,7 +298,15 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.NoError(t, resp.Body.Close())
 
-	close(s.release)
+	eventually(t, "the instance takes no new connections", func() bool {
+		conn, err := net.Dial("tcp", r.settings.OperatorAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+
+		return err != nil
+	})
+	release()
 	require.NoError(t, <-answered, "the open request is finished")
 
 	for watch.Receive() {
