settings: add an optional listen address for peers

Cause: an instance listens on the address that it tells its peers, so nothing can stand between instances, and a test can't partition them. Change: peer_listen_address, if set, is what the instance listens on. Conclusion: instances can be put behind a forwarder or the fault proxy.

--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -82,7 +82,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	if err := i.parts.Mesh.Listen(ctx, i.settings.PeerAddress); err != nil {
+	if err := i.parts.Mesh.Listen(ctx, i.settings.PeerListener()); err != nil {
 		return err
 	}
 
--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,6 +30,9 @@
 	OperatorAddress string `json:"operator_address"`
 	// PeerAddress serves the other instances; IP address and port.
 	PeerAddress string `json:"peer_address"`
+	// PeerListenAddress is what the instance listens on for the other
+	// instances if they reach peer_address through a forwarder.
+	PeerListenAddress string `json:"peer_listen_address"`
 	// HealthAddress serves the balancer; IP address and port.
 	HealthAddress string `json:"health_address"`
 	// DebugAddress serves metrics and profiles; IP address and port.
@@ -161,14 +165,19 @@
 func (s Settings) validateAddresses() error {
 	seen := make(map[string]string)
 
-	for _, a := range []struct{ field, address string }{
+	addresses := []struct{ field, address string }{
 		{"caller_address", s.CallerAddress},
 		{"operator_address", s.OperatorAddress},
 		{"peer_address", s.PeerAddress},
 		{"health_address", s.HealthAddress},
 		{"debug_address", s.DebugAddress},
 		{"platform_address", s.PlatformAddress},
-	} {
+	}
+	if s.PeerListenAddress != "" {
+		addresses = append(addresses, struct{ field, address string }{"peer_listen_address", s.PeerListenAddress})
+	}
+
+	for _, a := range addresses {
 		if err := domain.CheckAddress(a.field, a.address); err != nil {
 			return err
 		}
@@ -183,6 +192,9 @@
 	return nil
 }
 
+// PeerListener returns the address to listen on for the other instances.
+func (s Settings) PeerListener() string { return cmp.Or(s.PeerListenAddress, s.PeerAddress) }
+
 // Instance returns the instance that these settings describe.
 func (s Settings) Instance() domain.Instance {
 	return domain.Instance{ID: s.ID, PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain, Region: s.Region}
