load: add faults of searchers, store, instances and peers

The built-in workload small has 3 instances in 2 failure domains and 6 shards of 2 searchers. Conclusion: scenarios name their faults on the command line.

--- a/primrosefake/internal/command/load.go
+++ b/primrosefake/internal/command/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
@@ -20,8 +21,11 @@
 type loadFlags struct {
 	workload string
 	seed     uint64
+	duration time.Duration
 	systems  []string
 	direct   bool
+	faults   []string
+	whole    bool
 	pids     []int
 	out      string
 }
@@ -40,8 +44,11 @@
 	cmd.Flags().StringVar(&f.workload, "workload", "",
 		"built-in workload or file in the place of the one in DIR; its services must have the same searchers")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 0, "seed in the place of the workload's")
+	cmd.Flags().DurationVar(&f.duration, "duration", 0, "length of the load in the place of the workload's")
 	cmd.Flags().StringSliceVar(&f.systems, "system", []string{load.Baseline, load.Product}, "systems to run, in order")
 	cmd.Flags().BoolVar(&f.direct, "direct", false, "send to the instances instead of the balancer")
+	cmd.Flags().StringArrayVar(&f.faults, "fault", nil, "fault as JSON, beside those of the workload")
+	cmd.Flags().BoolVar(&f.whole, "await-whole", false, "fail unless the product answers whole again after the load")
 	cmd.Flags().IntSliceVar(&f.pids, "pid", nil, "process ids of the instances, whose CPU time is measured")
 	cmd.Flags().StringVar(&f.out, "out", "", "file for the results as JSON")
 
@@ -64,8 +71,16 @@
 		w.Seed = f.seed
 	}
 
+	if f.duration != 0 {
+		w.DurationMS = uint32(f.duration.Milliseconds())
+	}
+
+	if w, err = w.WithFaults(f.faults); err != nil {
+		return err
+	}
+
 	results, err := load.Run(cmd.Context(), load.Options{
-		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, PIDs: f.pids, Log: out,
+		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, AwaitWhole: f.whole, PIDs: f.pids, Log: out,
 	})
 	if err != nil {
 		return err
--- a/primrosefake/internal/report/plots.go
+++ b/primrosefake/internal/report/plots.go
@@ -402,11 +402,18 @@
 	name := strings.ReplaceAll(string(f.Kind), "_", " ")
 
 	switch f.Kind {
-	case workload.IndexSwitch:
+	case workload.IndexSwitch, workload.PartitionMapSwitch, workload.OperatorsRacing:
 		return name + " of " + f.Service
-	case workload.StragglingSearcher, workload.LostSearcher, workload.SilentSearcher, workload.SilentConnections:
+	case workload.StragglingSearcher, workload.LostSearcher, workload.SilentSearcher, workload.SilentConnections,
+		workload.SheddingSearcher, workload.CorruptAnswers, workload.CrossedAnswers, workload.LateAnswers,
+		workload.DrainingSearcher:
 		return name + " " + workload.SearcherID(f.Service, f.Shard, f.Searcher)
-	case workload.RollingRestart, workload.StoreOutage:
+	case workload.LostShard:
+		return fmt.Sprintf("%s %s/%d", name, f.Service, f.Shard)
+	case workload.InstanceRestarted, workload.InstanceKilled, workload.InstancePaused:
+		return fmt.Sprintf("%s %d", name, f.Instance)
+	case workload.RollingRestart, workload.StoreOutage, workload.StoreHang, workload.StoreSlow, workload.StoreAnswersLost,
+		workload.StoreStale, workload.InstancesPartitioned, workload.SilentPeerSessions:
 	}
 
 	return name
--- a/primrosefake/internal/workload/builtin.go
+++ b/primrosefake/internal/workload/builtin.go
@@ -15,6 +15,11 @@
 	demoInstances   = 9
 	benchInstances  = 3
 
+	smallDurationMS  = 4000
+	smallInstances   = 3
+	smallQueryRate   = 40
+	smallExecuteRate = 5
+
 	stragglerPermille = 20
 	stragglerFactor   = 20
 	targetSlots       = 600
@@ -23,6 +28,7 @@
 var builtin = map[string]func() *Workload{
 	"agreca": agreca,
 	"adunni": adunni,
+	"small":  small,
 
 	"bench-20":               func() *Workload { return bench("bench-20", 20, stragglerPermille) },
 	"bench-20-no-stragglers": func() *Workload { return bench("bench-20-no-stragglers", 20, 0) },
@@ -101,6 +107,31 @@
 	return w
 }
 
+// small is the workload of the scenarios: a system that starts quickly, at a
+// rate that a busy machine bears. Without the loss of an instance or of a shard
+// every answer is whole.
+func small() *Workload {
+	domains := []string{"small-a", "small-b"}
+	s := Service{
+		SearchersPerShard: 2, Slots: 4, Connections: 30, SetUpUS: 1000,
+	}.of("portal-inst", 6, rules(true, 500))
+
+	return &Workload{
+		Name: "small", Seed: 1, DurationMS: smallDurationMS,
+		Region: "small", FailureDomains: domains, Instances: instances(smallInstances, domains),
+		Delays:    Delays{BetweenFailureDomainsUS: 1000, ToClientsUS: 500, JitterUS: 200},
+		PeerLinks: true,
+		Services:  []Service{s},
+		Load: Load{
+			QueriesPerSecond: smallQueryRate + smallExecuteRate, TimeoutMS: 1000, Connections: 6, RepeatPermille: 200,
+			Mix: []Part{{
+				Service: s.Name, Weight: 1, NonRepeatablePermille: permille * smallExecuteRate / (smallQueryRate + smallExecuteRate),
+			}},
+			Members: []Member{{Name: "member-0", Weight: 1, LoadPermille: permille}},
+		},
+	}
+}
+
 func agreca() *Workload {
 	domains := []string{"gt-centro-a", "gt-centro-b", "gt-centro-c"}
 	small := Service{SearchersPerShard: 2, Slots: 2, Connections: 25, SetUpUS: 6000}
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -74,10 +74,12 @@
 	CallerAddress   string `json:"caller_address"`
 	OperatorAddress string `json:"operator_address"`
 	PeerAddress     string `json:"peer_address"`
-	HealthAddress   string `json:"health_address"`
-	DebugAddress    string `json:"debug_address"`
-	PlatformAddress string `json:"platform_address"`
-	Stop            stop   `json:"stop"`
+	// PeerListenAddress is set if PeerAddress is that of a link.
+	PeerListenAddress string `json:"peer_listen_address,omitempty"`
+	HealthAddress     string `json:"health_address"`
+	DebugAddress      string `json:"debug_address"`
+	PlatformAddress   string `json:"platform_address"`
+	Stop              stop   `json:"stop"`
 }
 
 type stop struct {
@@ -177,6 +179,11 @@
 		CallerAddress: g.address(), OperatorAddress: g.address(), PeerAddress: g.address(), HealthAddress: g.address(),
 		DebugAddress: g.address(), PlatformAddress: g.topology.Platform, Stop: stop{BalancerDelayMS: balancerDelayMS},
 	}
+	if g.workload.PeerLinks {
+		f.PeerListenAddress = f.PeerAddress
+		f.PeerAddress = g.addLink(PeerLink(in.ID), f.PeerListenAddress, g.workload.Delays.BetweenFailureDomainsUS)
+	}
+
 	g.topology.Instances = append(g.topology.Instances, InstanceAddress{
 		ID: in.ID, Caller: f.CallerAddress, Operator: f.OperatorAddress, Health: f.HealthAddress, Debug: f.DebugAddress,
 	})
--- a/primrosefake/internal/workload/links.go
+++ b/primrosefake/internal/workload/links.go
@@ -21,6 +21,14 @@
 		return target
 	}
 
+	return g.addLink(name, target, delayUS)
+}
+
+// PeerLink returns the name of the link to the peer address of an instance.
+func PeerLink(instance string) string { return "peers-" + instance }
+
+// addLink adds a link of the fault proxy and returns its address.
+func (g *generator) addLink(name, target string, delayUS uint32) string {
 	listen := g.address()
 	g.links.Links = append(g.links.Links, link{
 		Name: name, Listen: listen, Target: target,
--- a/primrosefake/internal/workload/validate.go
+++ b/primrosefake/internal/workload/validate.go
@@ -274,27 +274,49 @@
 	}
 
 	switch f.Kind {
-	case RollingRestart, StoreOutage:
+	case RollingRestart, StoreOutage, StoreHang, StoreSlow, StoreAnswersLost, StoreStale:
 		return nil
-	case IndexSwitch:
-		if f.IndexVersion < 2 {
-			return invalid("index_version", "is %d; must be at least 2, since 1 is held at the start", f.IndexVersion)
+	case InstancesPartitioned, SilentPeerSessions:
+		if !w.PeerLinks {
+			return invalid("kind", "%q needs peer_links", f.Kind)
 		}
 
-		if _, ok := w.Service(f.Service); !ok {
-			return invalid("service", "%q is not one of services", f.Service)
+		return nil
+	case InstanceRestarted, InstanceKilled, InstancePaused:
+		if int(f.Instance) >= len(w.Instances) {
+			return invalid("instance", "is %d; there are %d instances", f.Instance, len(w.Instances))
 		}
 
 		return nil
-	case StragglingSearcher:
+	case IndexSwitch:
+		if f.IndexVersion < 2 {
+			return invalid("index_version", "is %d; must be at least 2, since 1 is held at the start", f.IndexVersion)
+		}
+
+		return w.validateFaultService(f)
+	case PartitionMapSwitch, OperatorsRacing:
+		return w.validateFaultService(f)
+	case StragglingSearcher, SheddingSearcher:
 		if !(f.SlowFactor >= 1 && f.SlowFactor <= maxSlowFactor) {
 			return invalid("slow_factor", "is %g; must be 1 to %d", f.SlowFactor, maxSlowFactor)
 		}
-	case LostSearcher, SilentSearcher, SilentConnections:
+	case LostSearcher, SilentSearcher, SilentConnections, CorruptAnswers, CrossedAnswers, LateAnswers, DrainingSearcher, LostShard:
 	default:
 		return invalid("kind", "%q is not a known fault", f.Kind)
 	}
 
+	return w.validateFaultSearcher(f)
+}
+
+func (w *Workload) validateFaultService(f Fault) error {
+	if _, ok := w.Service(f.Service); !ok {
+		return invalid("service", "%q is not one of services", f.Service)
+	}
+
+	return nil
+}
+
+func (w *Workload) validateFaultSearcher(f Fault) error {
 	s, ok := w.Service(f.Service)
 
 	switch {
--- a/primrosefake/internal/workload/workload.go
+++ b/primrosefake/internal/workload/workload.go
@@ -12,6 +12,7 @@
 	"io"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,9 +48,12 @@
 	FailureDomains []string   `json:"failure_domains"`
 	Instances      []Instance `json:"instances"`
 	Delays         Delays     `json:"delays"`
-	Services       []Service  `json:"services"`
-	Load           Load       `json:"load"`
-	Faults         []Fault    `json:"faults"`
+	// PeerLinks puts a link of the fault proxy before the peer address of each
+	// instance, so that instances can be partitioned.
+	PeerLinks bool      `json:"peer_links,omitempty"`
+	Services  []Service `json:"services"`
+	Load      Load      `json:"load"`
+	Faults    []Fault   `json:"faults"`
 }
 
 // Instance is one entry instance.
@@ -163,17 +167,61 @@
 	// SilentConnections makes the open connections of one searcher silent for
 	// good; new ones work.
 	SilentConnections Kind = "silent_connections"
+	// SheddingSearcher leaves one searcher one slot and a queue of one, and
+	// makes it slower by SlowFactor.
+	SheddingSearcher Kind = "shedding_searcher"
+	// CorruptAnswers, CrossedAnswers and LateAnswers spoil or hold back half of
+	// the answers of one searcher.
+	CorruptAnswers Kind = "corrupt_answers"
+	CrossedAnswers Kind = "crossed_answers"
+	LateAnswers    Kind = "late_answers"
+	// DrainingSearcher makes one searcher drain, and restart at the end.
+	DrainingSearcher Kind = "draining_searcher"
+	// LostShard makes every searcher of one shard refuse connections.
+	LostShard Kind = "lost_shard"
 	// IndexSwitch moves the searchers of a service to IndexVersion.
 	IndexSwitch Kind = "index_switch"
-	// RollingRestart restarts each instance in turn. The load command announces
-	// it; whoever started the processes does it.
-	RollingRestart Kind = "rolling_restart"
-	// StoreOutage makes the platform's store unreachable.
+	// StoreOutage makes the platform's store answer every call with an error.
 	StoreOutage Kind = "store_outage"
+	// StoreHang makes the store answer nothing.
+	StoreHang Kind = "store_hang"
+	// StoreSlow delays every answer of the store.
+	StoreSlow Kind = "store_slow"
+	// StoreAnswersLost loses the answers of half of the writes, which take
+	// effect.
+	StoreAnswersLost Kind = "store_answers_lost"
+	// StoreStale makes half of the store's reads and watches return an older
+	// version.
+	StoreStale Kind = "store_stale"
+	// InstancesPartitioned holds all traffic between instances; each goes on
+	// alone. It needs PeerLinks.
+	InstancesPartitioned Kind = "instances_partitioned"
+	// SilentPeerSessions makes the open sessions between instances silent for
+	// good; new ones work. It needs PeerLinks.
+	SilentPeerSessions Kind = "silent_peer_sessions"
 )
 
-// Fault is one disturbance. Service, Shard and Searcher name a searcher for
-// the kinds that concern one.
+// Kinds that the load command announces, at their begin and their end; whoever
+// started the processes brings them about.
+const (
+	// RollingRestart restarts each instance in turn.
+	RollingRestart Kind = "rolling_restart"
+	// InstanceRestarted stops one instance gracefully and starts it again.
+	InstanceRestarted Kind = "instance_restarted"
+	// InstanceKilled kills one instance, and starts it again at the end.
+	InstanceKilled Kind = "instance_killed"
+	// InstancePaused stops the process of one instance and continues it at the
+	// end.
+	InstancePaused Kind = "instance_paused"
+	// PartitionMapSwitch moves every shard of a service to other searchers by
+	// a new partition map.
+	PartitionMapSwitch Kind = "partition_map_switch"
+	// OperatorsRacing has several operators change one service at once.
+	OperatorsRacing Kind = "operators_racing"
+)
+
+// Fault is one disturbance. Service, Shard and Searcher name a searcher and
+// Instance an instance for the kinds that concern one.
 type Fault struct {
 	Kind Kind   `json:"kind"`
 	AtMS uint32 `json:"at_ms"`
@@ -182,6 +230,7 @@
 	Service      string  `json:"service,omitempty"`
 	Shard        uint32  `json:"shard,omitempty"`
 	Searcher     uint32  `json:"searcher,omitempty"`
+	Instance     uint32  `json:"instance,omitempty"`
 	SlowFactor   float64 `json:"slow_factor,omitempty"`
 	IndexVersion uint64  `json:"index_version,omitempty"`
 }
@@ -219,6 +268,26 @@
 	return w.Load.QueriesPerSecond * part.Weight / sum
 }
 
+// WithFaults returns the checked workload with more faults, each in JSON.
+func (w *Workload) WithFaults(faults []string) (*Workload, error) {
+	out := *w
+	out.Faults = slices.Clone(w.Faults)
+
+	for _, text := range faults {
+		d := json.NewDecoder(strings.NewReader(text))
+		d.DisallowUnknownFields()
+
+		var f Fault
+		if err := d.Decode(&f); err != nil {
+			return nil, fmt.Errorf("fault %s: %w", text, decodeError(err))
+		}
+
+		out.Faults = append(out.Faults, f)
+	}
+
+	return &out, out.Validate()
+}
+
 // Duration returns DurationMS as a duration.
 func (w *Workload) Duration() time.Duration { return time.Duration(w.DurationMS) * time.Millisecond }
 
