--- /dev/null
+++ b/internal/scenario/process_test.go
@@ -0,0 +1,175 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// processes are those that one test started. Each writes its output to
+// NAME.log in dir; one that is started again appends to it.
+type processes struct {
+	bin, dir string
+
+	mu      sync.Mutex // Guards running.
+	running map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+func newProcesses(bin, dir string) *processes {
+	return &processes{bin: bin, dir: dir, running: make(map[string]*process)}
+}
+
+func (p *processes) path(name string) string { return filepath.Join(p.dir, name) }
+
+func (p *processes) start(name, program string, args ...string) error {
+	log, err := os.OpenFile(p.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+
+	cmd := exec.Command(filepath.Join(p.bin, program), args...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = p.dir, log, log
+
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+
+	r := &process{cmd: cmd, done: make(chan error, 1)}
+
+	go func() {
+		r.done <- cmd.Wait()
+
+		close(r.done)
+		_ = log.Close()
+	}()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.running[name] = r
+
+	return nil
+}
+
+func (p *processes) get(name string) (*process, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	r, ok := p.running[name]
+	if !ok {
+		return nil, fmt.Errorf("no process %q is running", name)
+	}
+
+	return r, nil
+}
+
+func (p *processes) remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	delete(p.running, name)
+}
+
+// stop asks a process to end and waits until it has ended without an error.
+func (p *processes) stop(name string) error {
+	r, err := p.get(name)
+	if err != nil {
+		return err
+	}
+
+	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+
+	select {
+	case err := <-r.done:
+		p.remove(name)
+
+		return err
+	case <-time.After(stopLimit):
+		return fmt.Errorf("%s hasn't ended %s after SIGTERM", name, stopLimit)
+	}
+}
+
+func (p *processes) kill(name string) error {
+	r, err := p.get(name)
+	if err != nil {
+		return err
+	}
+
+	if err := r.cmd.Process.Kill(); err != nil {
+		return err
+	}
+
+	<-r.done
+	p.remove(name)
+
+	return nil
+}
+
+func (p *processes) signal(name string, s os.Signal) error {
+	r, err := p.get(name)
+	if err != nil {
+		return err
+	}
+
+	return r.cmd.Process.Signal(s)
+}
+
+// join waits until a process has ended by itself and returns its output and
+// its error.
+func (p *processes) join(name string) ([]byte, error) {
+	r, err := p.get(name)
+	if err != nil {
+		return nil, err
+	}
+
+	err = <-r.done
+	p.remove(name)
+
+	data, rerr := os.ReadFile(p.path(name + ".log"))
+	if err == nil {
+		err = rerr
+	}
+
+	return data, err
+}
+
+// stopAll ends what the test left running.
+func (p *processes) stopAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, r := range p.running {
+		_ = r.cmd.Process.Signal(syscall.SIGCONT)
+		_ = r.cmd.Process.Kill()
+		<-r.done
+	}
+}
+
+// await calls f until it succeeds and returns its error after waitLimit.
+func await(what string, f func() error) error {
+	deadline := time.Now().Add(waitLimit)
+
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s: %w", what, err)
+		}
+
+		time.Sleep(waitStep)
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -12,13 +12,18 @@
 //	kill NAME                 ends a process at once
 //	pause NAME, resume NAME   stops and continues a process
 //	system DIR WORKLOAD       generates a run and starts all of its processes
-//	instance DIR ID...        starts instances of a generated run again
+//	instance ID...            starts instances of the system again
+//	load ARG...               runs the load and acts on the faults that it announces
+//	race SERVICE ROUNDS       has operators change one version at once; one must win
+//	rising NAME...            fails unless the versions that a process logged only rise
 //	join NAME                 waits until a process has ended by itself
 //	ready URL                 waits until URL answers 200
 //	until PROGRAM ARG...      repeats a command until it succeeds
 //	get URL, put URL FILE     HTTP requests; the body goes to standard output
 //	post URL FILE             posts JSON
 //	await-post URL FILE       repeats a post until it answers 200
+//	await-get URL PATTERN     repeats a get until its body matches, or doesn't
+//	await-log NAME PATTERN    waits until the log of a process matches
 //
 // Waits are bounded and end as soon as their condition holds.
 package scenario
@@ -26,6 +31,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -34,13 +40,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
-	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -52,18 +56,48 @@
 // programs are built once and put on the scripts' PATH.
 var programs = []string{"primrosed", "primrosectl", "primrosefake"}
 
-func TestScenarios(t *testing.T) {
-	bin := t.TempDir()
-	build(t, bin)
+// binaries is where TestMain puts the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+
+	binaries = dir
+
+	if out, err := build(dir); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+
+		return 1
+	}
+
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) { runScenarios(t, "testdata") }
+
+func runScenarios(t *testing.T, dir string) {
+	t.Helper()
 
 	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata",
+		Dir:                 dir,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			env.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
+			env.Setenv("PATH", binaries+string(filepath.ListSeparator)+os.Getenv("PATH"))
 
-			p := &processes{running: make(map[string]*process)}
+			p := newProcesses(binaries, env.WorkDir)
 			env.Values[processesKey{}] = p
+			env.Values[fleetKey{}] = new(*fleet)
 			env.Defer(p.stopAll)
 
 			return nil
@@ -71,15 +105,14 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports": ports, "expand": expand, "start": start, "stop": stop, "kill": kill,
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
-			"system": system, "instance": instance, "join": join,
+			"system": system, "instance": instance, "load": load, "join": join, "race": race, "rising": rising,
 			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
+			"await-get": awaitGet, "await-log": awaitLog,
 		},
 	})
 }
 
-func build(t *testing.T, bin string) {
-	t.Helper()
-
+func build(bin string) ([]byte, error) {
 	args := []string{"build", "-o", bin + string(filepath.Separator)}
 	if raceEnabled {
 		args = append(args, "-race")
@@ -89,56 +122,13 @@
 		args = append(args, "primrosespring.example/"+p)
 	}
 
-	out, err := exec.Command("go", args...).CombinedOutput()
-	require.NoError(t, err, string(out))
+	return exec.Command("go", args...).CombinedOutput()
 }
 
 type processesKey struct{}
 
-// processes are those that one script started.
-type processes struct {
-	mu      sync.Mutex // Guards running.
-	running map[string]*process
-}
-
-type process struct {
-	cmd  *exec.Cmd
-	done chan error
-}
-
-// stopAll ends what the script left running.
-func (p *processes) stopAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	for _, r := range p.running {
-		_ = r.cmd.Process.Signal(syscall.SIGCONT)
-		_ = r.cmd.Process.Kill()
-		<-r.done
-	}
-}
-
 func of(ts *testscript.TestScript) *processes { return ts.Value(processesKey{}).(*processes) }
 
-func (p *processes) get(ts *testscript.TestScript, name string) *process {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	r, ok := p.running[name]
-	if !ok {
-		ts.Fatalf("no process %q is running", name)
-	}
-
-	return r
-}
-
-func (p *processes) remove(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	delete(p.running, name)
-}
-
 func ports(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -162,88 +152,35 @@
 		ts.Fatalf("usage: start NAME PROGRAM ARG...")
 	}
 
-	path, err := exec.LookPath(filepath.Join(strings.Split(ts.Getenv("PATH"), string(filepath.ListSeparator))[0], args[1]))
-	ts.Check(err)
-
-	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
-	ts.Check(err)
-
-	cmd := exec.Command(path, args[2:]...)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = ts.MkAbs("."), log, log
-	ts.Check(cmd.Start())
-
-	r := &process{cmd: cmd, done: make(chan error, 1)}
-
-	go func() {
-		r.done <- cmd.Wait()
-
-		close(r.done)
-		_ = log.Close()
-	}()
-
-	p := of(ts)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running[args[0]] = r
+	ts.Check(of(ts).start(args[0], args[1], args[2:]...))
 }
 
 func stop(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		r := of(ts).get(ts, name)
-		ts.Check(r.cmd.Process.Signal(syscall.SIGTERM))
-
-		select {
-		case err := <-r.done:
-			of(ts).remove(name)
-			ts.Check(err)
-		case <-time.After(stopLimit):
-			ts.Fatalf("%s hasn't ended %s after SIGTERM", name, stopLimit)
-		}
+		ts.Check(of(ts).stop(name))
 	}
 }
 
 func kill(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		r := of(ts).get(ts, name)
-		ts.Check(r.cmd.Process.Kill())
-		<-r.done
-		of(ts).remove(name)
+		ts.Check(of(ts).kill(name))
 	}
 }
 
 func signalCommand(s os.Signal) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, name := range args {
-			ts.Check(of(ts).get(ts, name).cmd.Process.Signal(s))
+			ts.Check(of(ts).signal(name, s))
 		}
 	}
 }
 
 // wait calls f until it succeeds and fails the script after waitLimit.
-func wait(ts *testscript.TestScript, what string, f func() error) {
-	deadline := time.Now().Add(waitLimit)
-
-	for {
-		err := f()
-		if err == nil {
-			return
-		}
-
-		if time.Now().After(deadline) {
-			ts.Fatalf("%s: %v", what, err)
-		}
-
-		time.Sleep(waitStep)
-	}
-}
+func wait(ts *testscript.TestScript, what string, f func() error) { ts.Check(await(what, f)) }
 
 func ready(ts *testscript.TestScript, _ bool, args []string) {
 	for _, url := range args {
-		wait(ts, "waiting for "+url, func() error {
-			_, err := request(http.MethodGet, url, nil)
-
-			return err
-		})
+		ts.Check(awaitStatus(url))
 	}
 }
 
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -1,101 +1,151 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// topology is the part of a generated topology that scripts use.
-type topology struct {
-	Platform        string `json:"platform"`
-	Balancer        string `json:"balancer"`
-	FaultProxy      string `json:"fault_proxy"`
-	SearcherControl string `json:"searcher_control"`
-	Instances       []struct {
-		ID       string `json:"id"`
-		Caller   string `json:"caller"`
-		Operator string `json:"operator"`
-		Health   string `json:"health"`
-		Debug    string `json:"debug"`
-	} `json:"instances"`
-}
-
-// system starts every process of a generated run except the balancer, creates
-// its configuration, and waits until all instances are ready. It sets PLATFORM,
-// SEARCHERS, FAULTPROXY and, for instance number N, CALLER_N, OPERATOR_N,
-// HEALTH_N and DEBUG_N, and PRIMROSECTL_SERVER to all operator addresses.
-func system(ts *testscript.TestScript, _ bool, args []string) {
-	dir := args[0]
-
-	ts.Check(ts.Exec("primrosefake", "workload", "generate", "--workload", args[1], dir))
-
-	var t topology
+type fleetKey struct{}
 
-	ts.Check(json.Unmarshal([]byte(ts.ReadFile(filepath.Join(dir, "topology.json"))), &t))
-	ts.Setenv("PLATFORM", t.Platform)
-	ts.Setenv("SEARCHERS", t.SearcherControl)
-	ts.Setenv("FAULTPROXY", t.FaultProxy)
+func fleetOf(ts *testscript.TestScript) *fleet {
+	f, ok := ts.Value(fleetKey{}).(**fleet)
+	if !ok || *f == nil {
+		ts.Fatalf("no system is running")
+	}
 
-	start(ts, false, []string{"platform", "primrosefake", "platform", "--address", t.Platform})
-	start(ts, false, []string{"searchers", "primrosefake", "searchers", filepath.Join(dir, "searchers.json")})
+	return *f
+}
 
-	if strings.Contains(ts.ReadFile(filepath.Join(dir, "links.json")), `"listen"`) {
-		start(ts, false, []string{"faultproxy", "primrosefake", "faultproxy", filepath.Join(dir, "links.json")})
-	}
+// system starts every process of a generated run, creates its configuration,
+// and waits until all instances are ready. It sets PLATFORM, SEARCHERS,
+// FAULTPROXY, BALANCER, BACKENDS and, for instance number N, CALLER_N,
+// OPERATOR_N, HEALTH_N and DEBUG_N, and PRIMROSECTL_SERVER to all operator
+// addresses.
+func system(ts *testscript.TestScript, _ bool, args []string) {
+	f := newFleet(of(ts), args[0])
+	ts.Check(f.startAll(args[1]))
 
-	ready(ts, false, []string{"http://" + t.Platform + "/fake/meter", "http://" + t.SearcherControl + "/fake/stats"})
+	*ts.Value(fleetKey{}).(**fleet) = f
 
-	operators := make([]string, 0, len(t.Instances))
+	ts.Setenv("PLATFORM", f.Platform)
+	ts.Setenv("SEARCHERS", f.SearcherControl)
+	ts.Setenv("FAULTPROXY", f.FaultProxy)
+	ts.Setenv("BALANCER", f.Balancer)
+	ts.Setenv("BACKENDS", f.BalancerControl)
+	ts.Setenv("PRIMROSECTL_SERVER", f.operators())
 
-	for i, in := range t.Instances {
+	for i, in := range f.Instances {
 		n := fmt.Sprintf("_%d", i)
 		ts.Setenv("CALLER"+n, in.Caller)
 		ts.Setenv("OPERATOR"+n, in.Operator)
 		ts.Setenv("HEALTH"+n, in.Health)
 		ts.Setenv("DEBUG"+n, in.Debug)
+	}
+}
 
-		operators = append(operators, in.Operator)
-		startInstance(ts, dir, in.ID)
+// instance starts instances of the system again and waits until they are
+// ready.
+func instance(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		ts.Check(fleetOf(ts).startReady(id))
 	}
+}
 
-	ts.Setenv("PRIMROSECTL_SERVER", strings.Join(operators, ","))
+// load runs the load on the system, acts on the faults that it announces, and
+// fails if its exit code isn't 0.
+func load(ts *testscript.TestScript, neg bool, args []string) {
+	out, err := fleetOf(ts).load(args...)
+	_, _ = ts.Stdout().Write(out)
 
-	for _, in := range t.Instances {
-		ready(ts, false, []string{"http://" + in.Health + "/livez"})
+	if (err != nil) != neg {
+		ts.Fatalf("load: error %v\n%s", err, out)
 	}
+}
 
-	ts.Check(ts.Exec("primrosefake", "workload", "apply", dir))
+// race has operators change one version of a service at once; exactly one of
+// them must succeed.
+func race(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
 
-	for _, in := range t.Instances {
-		ready(ts, false, []string{"http://" + in.Health + "/readyz"})
+	rounds, err := strconv.Atoi(args[1])
+	ts.Check(err)
+
+	for round := range rounds {
+		s, err := f.service(args[0], f.operators())
+		ts.Check(err)
+
+		accepted, err := f.raceOnce(args[0], fmt.Sprint(s["version"]), round)
+		ts.Check(err)
+
+		if accepted != 1 {
+			ts.Fatalf("%d of %d conflicting changes were accepted; must be 1", accepted, racers)
+		}
 	}
 }
 
-// instance starts one instance of a generated run again.
-func instance(ts *testscript.TestScript, _ bool, args []string) {
-	for _, id := range args[1:] {
-		startInstance(ts, args[0], id)
+// rising fails unless the versions that each process logged only rise.
+func rising(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(`(?m)^version=(\d+)$`)
+
+	for _, name := range args {
+		last := 0
+
+		for _, m := range pattern.FindAllStringSubmatch(ts.ReadFile(name+".log"), -1) {
+			v, err := strconv.Atoi(m[1])
+			ts.Check(err)
+
+			if v <= last {
+				ts.Fatalf("%s: version %d came after version %d", name, v, last)
+			}
+
+			last = v
+		}
+
+		if last == 0 {
+			ts.Fatalf("%s: no version was logged", name)
+		}
 	}
 }
 
-func startInstance(ts *testscript.TestScript, dir, id string) {
-	start(ts, false, []string{id, "primrosed", "run", filepath.Join(dir, id+".json")})
+// awaitLog waits until the log of a process has a match of a pattern.
+func awaitLog(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[1])
+
+	wait(ts, "waiting for "+args[1]+" in the log of "+args[0], func() error {
+		data, err := os.ReadFile(ts.MkAbs(args[0] + ".log"))
+		if err == nil && !pattern.Match(data) {
+			err = fmt.Errorf("no match in %d bytes", len(data))
+		}
+
+		return err
+	})
+}
+
+// awaitGet repeats a GET until its body has a match of a pattern or, after "!",
+// none.
+func awaitGet(ts *testscript.TestScript, neg bool, args []string) {
+	pattern := regexp.MustCompile(args[1])
+
+	wait(ts, "waiting for "+strings.Join(args, " "), func() error {
+		data, err := request("GET", args[0], nil)
+		if err == nil && pattern.Match(data) == neg {
+			err = fmt.Errorf("the body is %s", data)
+		}
+
+		return err
+	})
 }
 
 // join waits until a process that ends by itself has ended, and fails if its
 // exit code isn't 0.
 func join(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		err := <-of(ts).get(ts, name).done
-		of(ts).remove(name)
-
-		data, rerr := os.ReadFile(ts.MkAbs(name + ".log"))
-		ts.Check(rerr)
+		data, err := of(ts).join(name)
 		_, _ = ts.Stdout().Write(data)
 
 		if (err != nil) != neg {
