--- a/primrosefake/internal/command/fleet.go
+++ b/primrosefake/internal/command/fleet.go
@@ -56,6 +56,7 @@
 	pids    []int
 	changes int
 	pause   time.Duration
+	settle  time.Duration
 	window  time.Duration
 	seed    uint64
 	out     string
@@ -81,6 +82,7 @@
 	cmd.Flags().IntSliceVar(&f.pids, "pid", nil, "process ids of the instances, in the order of the topology")
 	cmd.Flags().IntVar(&f.changes, "changes", 30, "changes of configuration")
 	cmd.Flags().DurationVar(&f.pause, "pause", 200*time.Millisecond, "time between two changes")
+	cmd.Flags().DurationVar(&f.settle, "settle", 5*time.Second, "time before usage is measured, so that the start isn't counted")
 	cmd.Flags().DurationVar(&f.window, "window", 10*time.Second, "time over which usage is measured")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "seed of the instances that changes are sent to")
 	cmd.Flags().StringVar(&f.out, "out", "", "file for the result as JSON")
@@ -94,6 +96,12 @@
 		return err
 	}
 
+	select {
+	case <-cmd.Context().Done():
+		return cmd.Context().Err()
+	case <-time.After(f.settle):
+	}
+
 	m := measurement{Searchers: len(t.Searchers)}
 
 	if m.Idle, err = fleet.MeasureUsage(cmd.Context(), t, f.pids, f.window); err != nil {
--- a/scripts/control.sh
+++ b/scripts/control.sh
@@ -9,7 +9,7 @@
 OUT=${OUT:-out}
 BIN=${BIN:-bin}
 SIZES=${SIZES:-9:3:1:2:20:25 30:6:2:2:20:25 60:6:2:2:20:25 120:6:2:2:20:25}
-MEASURE=${MEASURE:---changes 30 --window 10s}
+MEASURE=${MEASURE:---changes 30 --settle 15s --window 20s}
 DIR=""
 WORK=$(mktemp -d)
 # shellcheck source=scripts/processes.sh
