primrosefake/report: show the share of queries answered

Cause: the quantiles are of whole answers, so a system that refuses many queries looks better than it is, and the target for refusals wasn't compared. Change: a row and a column with the share of queries answered, and the p99 of refusals at twice the capacity beside its target.

--- a/primrosefake/internal/load/result.go
+++ b/primrosefake/internal/load/result.go
@@ -99,6 +99,10 @@
 // Coverage returns the share of the shards asked for that answers include.
 func (c Counts) Coverage() float64 { return ratio(c.ShardsIncluded, c.ShardsAsked) }
 
+// Answered returns the share of the queries that got an answer, whole or
+// partial.
+func (c Counts) Answered() float64 { return ratio(c.Whole+c.Partial, c.Queries) }
+
 // ExtraStated returns the attempts stated in answers over the fewest needed,
 // less one.
 func (c Counts) ExtraStated() float64 { return ratio(c.AttemptsStated, c.LeastStated) - 1 }
--- a/primrosefake/internal/report/bench.go
+++ b/primrosefake/internal/report/bench.go
@@ -12,12 +12,12 @@
 // the results of one workload after another.
 func WriteMarkdown(out io.Writer, results []*load.Result) error {
 	_, err := fmt.Fprint(out, "# Bench\n\n"+
-		"Extra load is given as stated in the answers / as counted by the searchers. Wrong is the sum of doubled, crossed, "+
+		"The quantiles are of whole answers, without the queries that were refused. Extra load is given as stated in the answers / as counted by the searchers. Wrong is the sum of doubled, crossed, "+
 		"mixed, falsely covered, falsely not run and interrupted requests. CPU is that of the instances for each run of a searcher. "+
 		"The last column is the load average of the machine before and after; other work shares the machine.\n\n"+
-		"| workload | system | queries | p50 ms | p99 ms | p99.9 ms | coverage % | extra load % | refused | p99 of refusals ms | failed | "+
+		"| workload | system | queries | answered % | p50 ms | p99 ms | p99.9 ms | coverage % | extra load % | refused | p99 of refusals ms | failed | "+
 		"wrong | good/s | CPU us | load average |\n"+
-		"| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
+		"| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
 	if err != nil {
 		return err
 	}
@@ -42,8 +42,8 @@
 		cpu = strconv.FormatFloat(r.CPUMicrosPerSubQuery, 'f', 0, 64)
 	}
 
-	_, err := fmt.Fprintf(out, "| %s | %s | %d | %s | %s | %s | %s | %s / %s | %d | %s | %d | %d | %.0f | %s | %.1f, %.1f |\n",
-		r.Workload, r.System, r.Counts.Queries,
+	_, err := fmt.Fprintf(out, "| %s | %s | %d | %s | %s | %s | %s | %s | %s / %s | %d | %s | %d | %d | %.0f | %s | %.1f, %.1f |\n",
+		r.Workload, r.System, r.Counts.Queries, percent(r.Counts.Answered(), 2),
 		milliseconds(r.Latency.P50), milliseconds(r.Latency.P99), milliseconds(r.Latency.P999),
 		percent(r.Counts.Coverage(), 4), percent(r.Counts.ExtraStated(), 2), percent(r.Counts.ExtraRuns(), 2),
 		r.Counts.Refused, milliseconds(r.LatencyRefused.P99), r.Counts.Failed, wrong, r.Goodput(), cpu,
@@ -86,5 +86,11 @@
 		}
 	}
 
+	if r := byName["overload/product"]; r != nil {
+		_, err := fmt.Fprintf(out, "| p99 of refusals at twice the capacity, ms | %s | at most 5 |\n", milliseconds(r.LatencyRefused.P99))
+
+		return err
+	}
+
 	return nil
 }
--- a/primrosefake/internal/report/report_test.go
+++ b/primrosefake/internal/report/report_test.go
@@ -69,7 +69,7 @@
 
 	require.NoError(t, WriteMarkdown(&b, []*load.Result{baseline, product}))
 	require.Contains(t, b.String(),
-		"| bench-20 | product | 30 | 5.0 | 100.0 | 200.0 | 90.0000 | 0.00 / 0.00 | 0 | 0.0 | 0 | 2 | 10 | - | 3.0, 4.0 |\n")
+		"| bench-20 | product | 30 | 100.00 | 5.0 | 100.0 | 200.0 | 90.0000 | 0.00 / 0.00 | 0 | 0.0 | 0 | 2 | 10 | - | 3.0, 4.0 |\n")
 	require.Contains(t, b.String(), "| p99 of bench-20 over the baseline's | 0.250 | at most 0.333 |\n")
 	require.NotContains(t, b.String(), "bench-59")
 }
--- a/primrosefake/internal/report/table.go
+++ b/primrosefake/internal/report/table.go
@@ -33,6 +33,7 @@
 		{name: "queries", value: count(func(c load.Counts) uint64 { return c.Queries })},
 		{name: "whole answers", value: count(func(c load.Counts) uint64 { return c.Whole })},
 		{name: "partial answers", value: count(func(c load.Counts) uint64 { return c.Partial })},
+		{name: "answered", unit: "%", value: func(r *load.Result) string { return percent(r.Counts.Answered(), 2) }},
 		{name: "p50", unit: "ms", value: func(r *load.Result) string { return milliseconds(r.Latency.P50) }},
 		{name: "p99", unit: "ms", value: func(r *load.Result) string { return milliseconds(r.Latency.P99) }},
 		{name: "p99.9", unit: "ms", value: func(r *load.Result) string { return milliseconds(r.Latency.P999) }},
