--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -32,6 +32,10 @@
 	overdue int
 	heardAt time.Time
 
+	// shedUntil is until when other searchers are preferred after a shed.
+	shedUntil   time.Time
+	shedBackoff time.Duration
+
 	// failures counts the failures in a row; the searcher is believed dead
 	// while it isn't zero.
 	failures  int
@@ -66,23 +70,27 @@
 	busyWeight  = 16
 	// idleWait is the share of a service time that a request waits on average
 	// for each request that is in a slot before it.
-	idleWait = 0.8
+	idleWait = 0.4
 	// floorEpoch is half of the time after which a distance that is no longer
 	// seen is forgotten. It outlasts most overloads, in which every latency
 	// includes a queue.
 	floorEpoch = 30 * time.Second
 
 	// reportAge is the age at which a reported queue has lost all its weight.
-	reportAge = 100 * time.Millisecond
+	reportAge = 50 * time.Millisecond
 
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
+	// Sheds in a row keep requests away for longer and longer; the bounds are
+	// about one service time and the age at which load has changed anyway.
+	minShedBackoff = 5 * time.Millisecond
+	maxShedBackoff = 500 * time.Millisecond
 	// knownDead is how many failures in a row take a searcher out even when
 	// its shard has no other; one broken connection doesn't lose a shard.
 	knownDead = 3
 	// A searcher is treated as dead when overdueRequests in a row were given up
 	// after overdueFactor times its usual latency, with no word in between.
-	overdueRequests = 3
+	overdueRequests = 2
 	overdueFactor   = 2
 	// staleAfter is the age of the last answer from which a searcher is assumed
 	// to work at twice its estimated speed, so that one whose estimate is too
@@ -161,6 +169,8 @@
 	case Shed:
 		s.alive(now)
 		s.limit.Shed(now, s.slots)
+		s.shedBackoff = min(max(2*s.shedBackoff, minShedBackoff), maxShedBackoff)
+		s.shedUntil = now.Add(s.shedBackoff)
 	case Draining:
 		s.alive(now)
 		s.draining, s.drainingAt = true, now
@@ -201,6 +211,7 @@
 
 	distance := max(latency-service, 0)
 	s.answers++
+	s.shedBackoff = 0
 	s.distance.add(now, distance)
 	s.service += (min(service, serviceClip*s.service) - s.service) / time.Duration(min(s.answers+1, serviceWeight))
 	s.limit.Answered(now, s.slots, limits.Sample{
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,7 +16,11 @@
 )
 
 const (
-	pollInterval = 500 * time.Millisecond
+	// checkInterval is the time between two looks at who is due for a poll.
+	checkInterval = 250 * time.Millisecond
+	// pollInterval is the time between two polls of a searcher that doesn't
+	// answer requests, so that its drain is seen well within 3 s.
+	pollInterval = time.Second
 	pollTimeout  = 400 * time.Millisecond
 )
 
@@ -24,19 +29,31 @@
 	Status(ctx context.Context, sr *domain.Searcher) (*pb.GetStatusResponse, error)
 }
 
-// Configured is told which configuration is in force.
+// Configured is told which configuration is in force. holders returns how many
+// instances hold the connections of a service, and 0 if this one doesn't.
 type Configured interface {
-	Configure(c *domain.Configuration)
+	Configure(c *domain.Configuration, holders func(service string) int)
 }
 
-// Poller asks every searcher which snapshots it holds and how it is.
+// Holdings says which services this instance holds the connections of.
+type Holdings interface {
+	// Holding returns how many instances hold the connections of a service, and
+	// 0 if this one doesn't.
+	Holding(c *domain.Configuration, service string) int
+}
+
+// Poller asks the searchers of every service that this instance holds which
+// snapshots they hold and how they are.
 type Poller struct {
 	log       zerolog.Logger
 	source    StatusSource
 	holder    *configuration.Holder
 	snapshots *snapshot.Table
 	routing   *routing.Table
+	holdings  Holdings
+	answers   *Answers
 	version   uint64
+	holders   map[string]int
 	targets   map[string]*target
 }
 
@@ -44,6 +61,9 @@
 type target struct {
 	searcher *domain.Searcher
 	shards   []servedShard
+	// polled is when the last poll began; heldVersion is what it brought.
+	polled      time.Time
+	heldVersion uint64
 }
 
 type servedShard struct {
@@ -53,14 +73,16 @@
 
 // NewPoller returns a poller that isn't running.
 func NewPoller(log zerolog.Logger, source StatusSource, holder *configuration.Holder,
-	snapshots *snapshot.Table, rt *routing.Table,
+	snapshots *snapshot.Table, rt *routing.Table, holdings Holdings, answers *Answers,
 ) *Poller {
-	return &Poller{log: log, source: source, holder: holder, snapshots: snapshots, routing: rt}
+	return &Poller{
+		log: log, source: source, holder: holder, snapshots: snapshots, routing: rt, holdings: holdings, answers: answers,
+	}
 }
 
 // Run polls until ctx ends. A new configuration is polled at once.
 func (p *Poller) Run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
+	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 
 	for {
@@ -78,14 +100,23 @@
 }
 
 func (p *Poller) configure(c *domain.Configuration) {
-	if p.targets != nil && c.Version == p.version {
+	holders := make(map[string]int, len(c.Services))
+	for _, svc := range c.Services {
+		holders[svc.Name] = p.holdings.Holding(c, svc.Name)
+	}
+
+	if p.targets != nil && c.Version == p.version && maps.Equal(holders, p.holders) {
 		return
 	}
 
-	p.version = c.Version
+	p.version, p.holders = c.Version, holders
 	p.targets = make(map[string]*target)
 
 	for _, svc := range c.Services {
+		if holders[svc.Name] == 0 {
+			continue
+		}
+
 		for _, sh := range svc.PartitionMap.Shards {
 			for i := range sh.Searchers {
 				sr := &sh.Searchers[i]
@@ -101,11 +132,12 @@
 		}
 	}
 
+	p.answers.retain(p.targets)
 	p.snapshots.Retain(c)
 	p.routing.Configure(c)
 
 	if s, ok := p.source.(Configured); ok {
-		s.Configure(c)
+		s.Configure(c, func(service string) int { return holders[service] })
 	}
 }
 
@@ -116,6 +148,12 @@
 	var wg sync.WaitGroup
 
 	for _, g := range p.targets {
+		if !p.due(g, time.Now()) {
+			continue
+		}
+
+		g.polled = time.Now()
+
 		wg.Go(func() { p.poll(ctx, g) })
 	}
 
@@ -123,6 +161,28 @@
 	p.routing.Review()
 }
 
+// due reports whether a searcher is to be polled. Answers carry its load and
+// whether its snapshots changed, so that one that answers requests is polled
+// only for a change.
+func (p *Poller) due(g *target, now time.Time) bool {
+	if g.polled.IsZero() {
+		return true
+	}
+
+	a := p.answers.of(g.searcher.ID)
+	if a.heldVersion != 0 && a.at.After(g.polled) {
+		if a.heldVersion != g.heldVersion {
+			return true
+		}
+
+		if now.Sub(a.at) < pollInterval {
+			return false
+		}
+	}
+
+	return now.Sub(g.polled) >= pollInterval
+}
+
 func (p *Poller) poll(ctx context.Context, g *target) {
 	st, err := p.source.Status(ctx, g.searcher)
 	if err != nil {
@@ -134,6 +194,7 @@
 
 	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), loadOf(st.GetLoad()))
 
+	g.heldVersion = st.GetLoad().GetHeldVersion()
 	held := make(map[servedShard][]domain.Snapshot)
 
 	for _, h := range st.GetHeld() {
