peer: try three seeds at once and not all

An instance without a session dialled every seed, and the platform's list names every instance: a fleet that starts together opened a session between every two. Three random ones are tried now.

--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -38,6 +38,8 @@
 	// seedInterval is how often one instance that isn't live is tried, so that
 	// the sides of a partition find each other.
 	seedInterval = 3 * time.Second
+	// lonelyTries is how many instances are tried at once without a session.
+	lonelyTries = 3
 	// listInterval is how often a watcher reads the platform's list. Leaving
 	// instances must be known within 3 s.
 	listInterval = 2 * time.Second
@@ -344,7 +346,8 @@
 }
 
 // dialSeed tries one instance that isn't live, and returns the time until the
-// next try. Without any session every seed is tried.
+// next try. Without any session a few are tried at once; not all, or a fleet
+// that starts together would open a session between every two.
 func (m *Mesh) dialSeed(ctx context.Context) time.Duration {
 	candidates := m.seedCandidates()
 
@@ -352,20 +355,17 @@
 	lonely := len(m.sessions) == 0
 	m.mu.Unlock()
 
+	tries, pause := 1, seedInterval/2+m.options.Jitter(seedInterval)
 	if lonely {
-		for _, a := range candidates {
-			m.dialControl(ctx, time.Now(), a, a)
-		}
-
-		return m.options.Jitter(2 * minRedial)
+		tries, pause = lonelyTries, m.options.Jitter(2*minRedial)
 	}
 
-	if len(candidates) > 0 {
+	for range min(tries, len(candidates)) {
 		n := int(m.options.Jitter(time.Duration(len(candidates) - 1)))
 		m.dialControl(ctx, time.Now(), candidates[n], candidates[n])
 	}
 
-	return seedInterval/2 + m.options.Jitter(seedInterval)
+	return pause
 }
 
 // seedCandidates returns the addresses of instances that are known of and
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -62,7 +62,7 @@
 
 func testJitter(d time.Duration) time.Duration { return rand.N(d + 1) }
 
-func start(t *testing.T, id, failureDomain string, search searchFunc, seeds ...*node) *node {
+func start(t testing.TB, id, failureDomain string, search searchFunc, seeds ...*node) *node {
 	t.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
