--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -62,11 +62,11 @@
 
 func testJitter(d time.Duration) time.Duration { return rand.N(d + 1) }
 
-func start(t testing.TB, id, failureDomain string, search searchFunc, seeds ...*node) *node {
-	t.Helper()
+func start(tb testing.TB, id, failureDomain string, search searchFunc, seeds ...*node) *node {
+	tb.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	require.NoError(tb, err)
 
 	in := domain.Instance{ID: id, PeerAddress: l.Addr().String(), FailureDomain: failureDomain, Region: "region"}
 	o := Options{
@@ -88,7 +88,7 @@
 
 	wg.Go(func() { n.Run(ctx) })
 	n.stop = func() { cancel(); wg.Wait() }
-	t.Cleanup(n.stop)
+	tb.Cleanup(n.stop)
 
 	return n
 }
