configuration: give services the version of their last change

A service that was deleted and created again began at version 1, so a change made against version 1 of the old one was accepted for the new one. Its version is now that of the configuration it became part of.

The check is as strict as before. TestRecreatedServiceRefusesOldChanges fails with the counter.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -128,6 +128,9 @@
 	return &Stored{Configuration: next, Recent: recent, Last: &c}, nil
 }
 
+// apply gives a changed service the version of the configuration that it
+// becomes part of. A service that is deleted and created again so never has a
+// version twice, and a change made against the old one is refused.
 func apply(cfg domain.Configuration, c Change) (domain.Configuration, error) {
 	switch {
 	case c.CreateService != nil:
@@ -135,13 +138,13 @@
 			return cfg, refuse(domain.CodeExists, "service %s already exists", c.CreateService.Name)
 		}
 
-		return cfg.WithService(c.CreateService.WithVersion(1)), nil
+		return cfg.WithService(c.CreateService.WithVersion(cfg.Version + 1)), nil
 	case c.UpdateService != nil:
 		if err := current(cfg, c.UpdateService.Name, c.UpdateService.Version); err != nil {
 			return cfg, err
 		}
 
-		return cfg.WithService(c.UpdateService.WithVersion(c.UpdateService.Version + 1)), nil
+		return cfg.WithService(c.UpdateService.WithVersion(cfg.Version + 1)), nil
 	case c.DeleteService != nil:
 		if err := current(cfg, c.DeleteService.Name, c.DeleteService.Version); err != nil {
 			return cfg, err
@@ -170,7 +173,7 @@
 		return cfg, refuse(domain.CodeNotFound, "service %s has no searcher %s", d.Service, d.Searcher)
 	}
 
-	return cfg.WithService(next.WithVersion(svc.Version + 1)), nil
+	return cfg.WithService(next.WithVersion(cfg.Version + 1)), nil
 }
 
 func current(cfg domain.Configuration, name string, version uint64) error {
--- a/internal/configuration/schedule_test.go
+++ b/internal/configuration/schedule_test.go
@@ -414,3 +414,34 @@
 		})
 	}
 }
+
+// Guards against a change that names a version of a service which was deleted
+// and created again meanwhile, and would be made to the new one.
+func TestRecreatedServiceRefusesOldChanges(t *testing.T) {
+	svc := twoYears().Configuration.Services[0]
+	s := &Stored{}
+
+	step := func(id string, c Change) error {
+		c.ID = id
+
+		next, err := Apply(s, c)
+		if err == nil {
+			s = next
+		}
+
+		return err
+	}
+
+	require.NoError(t, step("a", Change{CreateService: &svc}))
+	require.NoError(t, step("b", Change{DeleteService: &ServiceRef{Name: svc.Name, Version: 1}}))
+	require.NoError(t, step("c", Change{CreateService: &svc}))
+
+	var e *domain.Error
+
+	old := svc.WithVersion(1)
+	require.ErrorAs(t, step("d", Change{UpdateService: &old}), &e)
+	require.Equal(t, domain.CodeConflict, e.Code)
+
+	now := svc.WithVersion(s.Configuration.Services[0].Version)
+	require.NoError(t, step("e", Change{UpdateService: &now}))
+}
