searcher: count a cancellation by the searcher as its failure

Cause: a searcher that is being killed cancels what it runs. The pool took this for the caller's own cancellation, so routing never learned that the searcher was gone, and queries waited for a lost shard. Change: without the end of the caller's context, cancelled means that the searcher is unavailable.

--- a/primrosed/internal/searcher/conn.go
+++ b/primrosed/internal/searcher/conn.go
@@ -221,7 +221,7 @@
 
 // failure returns the domain error of a request on this connection. A transport
 // error never says whether the request ran.
-func (c *conn) failure(err error, step, peer string) *domain.Error {
+func (c *conn) failure(ctx context.Context, err error, step, peer string) *domain.Error {
 	e := refusal.FromConnect(err, step, peer)
 	if cause := c.cause.Load(); cause != nil && e.Fate == domain.FateUnknown && e.Code != domain.CodeDeadline {
 		code := domain.CodeSearcherUnavailable
@@ -232,7 +232,10 @@
 		return domain.Errorf(domain.FateUnknown, code, step, "the connection was closed").WithPeer(peer).WithCause(*cause)
 	}
 
-	if e.Code == domain.CodePeerUnavailable || e.Code == domain.CodeInternal {
+	// A searcher that is being killed cancels what it runs. Only ctx says
+	// whether the caller did.
+	broken := e.Code == domain.CodeCancelled && ctx.Err() == nil
+	if broken || e.Code == domain.CodePeerUnavailable || e.Code == domain.CodeInternal {
 		c := *e
 		c.Code = domain.CodeSearcherUnavailable
 
--- a/primrosed/internal/searcher/pool.go
+++ b/primrosed/internal/searcher/pool.go
@@ -75,7 +75,7 @@
 	p.release(c, time.Since(start), err == nil) //nolint:contextcheck // A replacement connection outlives the request.
 
 	if err != nil {
-		return nil, c.failure(err, "run sub-query", sr.ID)
+		return nil, c.failure(ctx, err, "run sub-query", sr.ID)
 	}
 
 	if err := coverage.Check(req, resp); err != nil {
@@ -98,7 +98,7 @@
 	p.release(c, 0, false) //nolint:contextcheck // A replacement connection outlives the request.
 
 	if err != nil {
-		return nil, c.failure(err, "get status", sr.ID)
+		return nil, c.failure(ctx, err, "get status", sr.ID)
 	}
 
 	return resp, nil
--- a/primrosed/internal/searcher/pool_test.go
+++ b/primrosed/internal/searcher/pool_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex // Guards what follows.
 	conns   []*pipe
 	refuse  bool
+	cancels bool // Answers each request with a cancellation.
 	service time.Duration
 	corrupt bool
 	accept  chan net.Conn
@@ -112,9 +113,13 @@
 
 func (s *server) Run(ctx context.Context, req *pb.RunRequest) (*pb.RunResponse, error) {
 	s.mu.Lock()
-	service, corrupt := s.service, s.corrupt
+	service, corrupt, cancels := s.service, s.corrupt, s.cancels
 	s.mu.Unlock()
 
+	if cancels {
+		return nil, context.Canceled
+	}
+
 	select {
 	case <-time.After(service):
 	case <-ctx.Done():
@@ -310,6 +315,16 @@
 	})
 }
 
+// Guards against a searcher's cancellation that counts as the caller's, which
+// says nothing about the searcher: one that is being killed cancels what it
+// runs.
+func TestCancelledBySearcherIsUnavailable(t *testing.T) {
+	bubble(t, func(p *Pool, s *server) {
+		s.cancels = true
+		require.Equal(t, domain.CodeSearcherUnavailable, codeOf(t, run(p)))
+	})
+}
+
 // Guards against a cancellation that costs the connection.
 func TestCancelKeepsConnection(t *testing.T) {
 	bubble(t, func(p *Pool, s *server) {
