workload: let tests choose the ports and the rate

Cause: systems that are generated at the same time may choose the same free ports; shard_lost failed once since its fault proxy had none, and two other runs weren't ready in 20 s. No scenario could shed without a workload of its own.

--- a/primrosefake/internal/command/load.go
+++ b/primrosefake/internal/command/load.go
@@ -22,6 +22,7 @@
 	workload string
 	seed     uint64
 	duration time.Duration
+	rate     float64
 	systems  []string
 	direct   bool
 	faults   []string
@@ -45,6 +46,7 @@
 		"built-in workload or file in the place of the one in DIR; its services must have the same searchers")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 0, "seed in the place of the workload's")
 	cmd.Flags().DurationVar(&f.duration, "duration", 0, "length of the load in the place of the workload's")
+	cmd.Flags().Float64Var(&f.rate, "rate", 0, "requests a second in the place of the workload's load")
 	cmd.Flags().StringSliceVar(&f.systems, "system", []string{load.Baseline, load.Product}, "systems to run, in order")
 	cmd.Flags().BoolVar(&f.direct, "direct", false, "send to the instances instead of the balancer")
 	cmd.Flags().StringArrayVar(&f.faults, "fault", nil, "fault as JSON, beside those of the workload")
@@ -75,6 +77,10 @@
 		w.DurationMS = uint32(f.duration.Milliseconds())
 	}
 
+	if f.rate != 0 {
+		w.Load.QueriesPerSecond, w.Load.SlotsPermille = f.rate, 0
+	}
+
 	if w, err = w.WithFaults(f.faults); err != nil {
 		return err
 	}
--- a/primrosefake/internal/command/workload.go
+++ b/primrosefake/internal/command/workload.go
@@ -35,7 +35,10 @@
 }
 
 func workloadGenerateCommand(c *dig.Container) *cobra.Command {
-	var name string
+	var (
+		name      string
+		firstPort int
+	)
 
 	cmd := &cobra.Command{
 		Use: "generate DIR", Short: "Write the files of every process of a run, with free ports", Args: cobra.ExactArgs(1),
@@ -46,7 +49,7 @@
 					return err
 				}
 
-				t, err := workload.Generate(w, args[0])
+				t, err := workload.Generate(w, args[0], firstPort)
 				if err != nil {
 					return err
 				}
@@ -59,6 +62,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&name, "workload", "agreca", "built-in workload or file")
+	cmd.Flags().IntVar(&firstPort, "first-port", 0, "port to begin with; 0 begins anywhere")
 
 	return cmd
 }
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -19,13 +19,14 @@
 
 // Generate writes the files of every process of a run to dir: the settings of
 // each instance, the searchers, the links of the fault proxy, the
-// configuration to create, and where everything is. It chooses free ports.
-func Generate(w *Workload, dir string) (*Topology, error) {
+// configuration to create, and where everything is. It chooses free ports,
+// beginning with firstPort, or anywhere if that is 0.
+func Generate(w *Workload, dir string, firstPort int) (*Topology, error) {
 	if err := os.MkdirAll(dir, directoryPermission); err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
 
-	g := &generator{workload: w, dir: dir, ports: newPorts()}
+	g := &generator{workload: w, dir: dir, ports: newPorts(firstPort)}
 	g.generate()
 
 	if g.err != nil {
--- a/primrosefake/internal/workload/ports.go
+++ b/primrosefake/internal/workload/ports.go
@@ -22,7 +22,8 @@
 	next, last, left int
 }
 
-func newPorts() *ports {
+// newPorts starts at the port first, or at any if it is 0.
+func newPorts(first int) *ports {
 	last := defaultMaxPort
 
 	if data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
@@ -34,7 +35,12 @@
 
 	span := last - minPort
 
-	return &ports{next: minPort + rand.IntN(span), last: last, left: span}
+	offset := rand.IntN(span)
+	if first != 0 {
+		offset = (max(first, minPort) - minPort) % span
+	}
+
+	return &ports{next: minPort + offset, last: last, left: span}
 }
 
 // address returns an address that nothing listens on.
--- a/primrosefake/internal/workload/workload_test.go
+++ b/primrosefake/internal/workload/workload_test.go
@@ -138,7 +138,7 @@
 // the load command can't use.
 func TestGenerate(t *testing.T) {
 	dir := t.TempDir()
-	_, err := Generate(agreca(), dir)
+	_, err := Generate(agreca(), dir, 0)
 	require.NoError(t, err)
 
 	topology, w, err := OpenTopology(dir)
