--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -64,10 +66,43 @@
 	return out, err
 }
 
+const (
+	// startTries bounds the starts of one run. Another test's processes may
+	// take a port between its choice and its use.
+	startTries = 3
+	// portsPerRun is more than the ports of the small workload.
+	portsPerRun    = 100
+	lowestPort     = 10_000
+	highestPort    = 32_000
+	portRangeCount = (highestPort - lowestPort) / portsPerRun
+)
+
+// nextPorts is the number of the next range of ports. It begins at random, so
+// that tests of other processes have others.
+var nextPorts atomic.Uint32
+
+func init() { nextPorts.Store(rand.Uint32N(portRangeCount)) }
+
+func firstPort() string {
+	return strconv.Itoa(lowestPort + int(nextPorts.Add(1)%portRangeCount)*portsPerRun)
+}
+
 // startAll generates the run, starts every process and returns once the
 // configuration is in force and all instances are ready.
 func (f *fleet) startAll(workload string) error {
-	if _, err := f.program("primrosefake", "workload", "generate", "--workload", workload, f.run); err != nil {
+	for try := 1; ; try++ {
+		err := f.startOnce(workload)
+		if err == nil || !errors.Is(err, errEnded) || try == startTries {
+			return err
+		}
+
+		f.stopAll()
+	}
+}
+
+func (f *fleet) startOnce(workload string) error {
+	_, err := f.program("primrosefake", "workload", "generate", "--workload", workload, "--first-port", firstPort(), f.run)
+	if err != nil {
 		return err
 	}
 
@@ -86,7 +121,7 @@
 	}
 
 	for _, in := range f.Instances {
-		if err := awaitStatus("http://" + in.Health + "/livez"); err != nil {
+		if err := f.awaitStatus("http://" + in.Health + "/livez"); err != nil {
 			return err
 		}
 	}
@@ -96,13 +131,34 @@
 	}
 
 	for _, in := range f.Instances {
-		if err := awaitStatus("http://" + in.Health + "/readyz"); err != nil {
+		if err := f.awaitStatus("http://" + in.Health + "/readyz"); err != nil {
 			return err
 		}
 	}
 
-	return f.start("balancer", "primrosefake", "balancer", "--address", f.BalancerListen,
+	return f.startBalancer()
+}
+
+func (f *fleet) startBalancer() error {
+	err := f.start("balancer", "primrosefake", "balancer", "--address", f.BalancerListen,
 		"--control-address", f.BalancerControl, "--backends", f.file("backends.json"))
+	if err != nil {
+		return err
+	}
+
+	return f.awaitStatus("http://" + f.BalancerControl + "/fake/backends")
+}
+
+// awaitStatus waits until url answers 200, or until a process of the fleet has
+// ended.
+func (f *fleet) awaitStatus(url string) error {
+	return await("waiting for "+url, func() error {
+		if _, err := request(http.MethodGet, url, nil); err != nil {
+			return errors.Join(err, f.ended())
+		}
+
+		return nil
+	})
 }
 
 // open reads the topology of a generated run.
@@ -129,10 +185,10 @@
 
 	if bytes.Contains(links, []byte(`"listen"`)) {
 		err = errors.Join(err, f.start("faultproxy", "primrosefake", "faultproxy", f.file("links.json")),
-			awaitStatus("http://"+f.FaultProxy+"/fake/links"))
+			f.awaitStatus("http://"+f.FaultProxy+"/fake/links"))
 	}
 
-	err = errors.Join(err, awaitStatus("http://"+f.Platform+"/fake/meter"), awaitStatus("http://"+f.SearcherControl+"/fake/stats"))
+	err = errors.Join(err, f.awaitStatus("http://"+f.Platform+"/fake/meter"), f.awaitStatus("http://"+f.SearcherControl+"/fake/stats"))
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -20,10 +21,18 @@
 }
 
 type process struct {
-	cmd  *exec.Cmd
-	done chan error
+	cmd *exec.Cmd
+	// done has the error of the process's end, and exited is closed then.
+	done   chan error
+	exited chan struct{}
 }
 
+// errEnded marks a process that ended by itself.
+var errEnded = errors.New("process has ended")
+
+// lastBytes of a process's log are quoted when it ended by itself.
+const lastBytes = 500
+
 func newProcesses(bin, dir string) *processes {
 	return &processes{bin: bin, dir: dir, running: make(map[string]*process)}
 }
@@ -43,11 +52,12 @@
 		return err
 	}
 
-	r := &process{cmd: cmd, done: make(chan error, 1)}
+	r := &process{cmd: cmd, done: make(chan error, 1), exited: make(chan struct{})}
 
 	go func() {
 		r.done <- cmd.Wait()
 
+		close(r.exited)
 		close(r.done)
 		_ = log.Close()
 	}()
@@ -79,6 +89,24 @@
 	delete(p.running, name)
 }
 
+// ended returns an error if a process that should run has ended by itself.
+func (p *processes) ended() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for name, r := range p.running {
+		select {
+		case <-r.exited:
+			data, _ := os.ReadFile(p.path(name + ".log"))
+
+			return fmt.Errorf("%w: %s: %s", errEnded, name, data[max(0, len(data)-lastBytes):])
+		default:
+		}
+	}
+
+	return nil
+}
+
 // stop asks a process to end and waits until it has ended without an error.
 func (p *processes) stop(name string) error {
 	r, err := p.get(name)
@@ -152,11 +180,14 @@
 	for _, r := range p.running {
 		_ = r.cmd.Process.Signal(syscall.SIGCONT)
 		_ = r.cmd.Process.Kill()
-		<-r.done
+		<-r.exited
 	}
+
+	clear(p.running)
 }
 
-// await calls f until it succeeds and returns its error after waitLimit.
+// await calls f until it succeeds. It returns f's error after waitLimit, or at
+// once if a process has ended.
 func await(what string, f func() error) error {
 	deadline := time.Now().Add(waitLimit)
 
@@ -166,7 +197,7 @@
 			return nil
 		}
 
-		if time.Now().After(deadline) {
+		if time.Now().After(deadline) || errors.Is(err, errEnded) {
 			return fmt.Errorf("%s: %w", what, err)
 		}
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -8,8 +8,8 @@
 //	ports NAME...             sets each variable to a free 127.0.0.1 address
 //	expand FILE               replaces ${VARIABLES} in a file
 //	start NAME PROGRAM ARG... starts a process in the background
-//	stop NAME                 sends SIGTERM and waits for a clean end
-//	kill NAME                 ends a process at once
+//	shutdown NAME             sends SIGTERM and waits for a clean end
+//	crash NAME                ends a process at once
 //	pause NAME, resume NAME   stops and continues a process
 //	system DIR WORKLOAD       generates a run and starts all of its processes
 //	instance ID...            starts instances of the system again
@@ -23,6 +23,8 @@
 //	post URL FILE             posts JSON
 //	await-post URL FILE       repeats a post until it answers 200
 //	await-get URL PATTERN     repeats a get until its body matches, or doesn't
+//	await-status PATTERN      repeats "primrosectl status" until it matches
+//	await-partial URL FILE    repeats a search until a shard has no live searcher
 //	await-log NAME PATTERN    waits until the log of a process matches
 //
 // Waits are bounded and end as soon as their condition holds.
@@ -84,7 +86,10 @@
 	return m.Run()
 }
 
-func TestScenarios(t *testing.T) { runScenarios(t, "testdata") }
+// dirFlag lets a scenario be tried that isn't in testdata.
+var dirFlag = flag.String("dir", "testdata", "directory of the scenarios")
+
+func TestScenarios(t *testing.T) { runScenarios(t, *dirFlag) }
 
 func runScenarios(t *testing.T, dir string) {
 	t.Helper()
@@ -103,11 +108,12 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports": ports, "expand": expand, "start": start, "stop": stop, "kill": kill,
+			"ports": ports, "expand": expand, "start": start, "shutdown": shutdown, "crash": crash,
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
 			"system": system, "instance": instance, "load": load, "join": join, "race": race, "rising": rising,
 			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
 			"await-get": awaitGet, "await-log": awaitLog,
+			"await-status": awaitFleetStatus, "await-partial": awaitPartial,
 		},
 	})
 }
@@ -155,13 +161,13 @@
 	ts.Check(of(ts).start(args[0], args[1], args[2:]...))
 }
 
-func stop(ts *testscript.TestScript, _ bool, args []string) {
+func shutdown(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		ts.Check(of(ts).stop(name))
 	}
 }
 
-func kill(ts *testscript.TestScript, _ bool, args []string) {
+func crash(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		ts.Check(of(ts).kill(name))
 	}
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -141,6 +141,35 @@
 	})
 }
 
+// awaitFleetStatus repeats "primrosectl status" until its output matches a pattern.
+func awaitFleetStatus(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[0])
+
+	wait(ts, "waiting for the status "+args[0], func() error {
+		out, err := fleetOf(ts).program("primrosectl", "--server", ts.Getenv("PRIMROSECTL_SERVER"), "status")
+		if err == nil && !pattern.Match(out) {
+			err = fmt.Errorf("the status is\n%s", out)
+		}
+
+		return err
+	})
+}
+
+// awaitPartial repeats a post until the answer lacks a shard that has no live
+// searcher.
+func awaitPartial(ts *testscript.TestScript, _ bool, args []string) {
+	body := []byte(ts.ReadFile(args[1]))
+
+	wait(ts, "waiting for a partial answer of "+args[0], func() error {
+		data, err := request("POST", args[0], body)
+		if err == nil && !strings.Contains(string(data), "no_live_searcher") {
+			err = fmt.Errorf("the answer is %s", data)
+		}
+
+		return err
+	})
+}
+
 // join waits until a process that ends by itself has ended, and fails if its
 // exit code isn't 0.
 func join(ts *testscript.TestScript, neg bool, args []string) {
