peer: tell every instance which searchers the platform calls leaving

Cause: the third sign of a leaving searcher, the platform's list, reached no routing table; only the watchers read the list, whole, every two seconds. Change: the list is read with If-None-Match; a new set of leaving searchers goes from neighbour to neighbour, newest list version first.

--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -61,7 +61,9 @@
 
 // Lister reads the platform's list of instances.
 type Lister interface {
-	Instances(ctx context.Context) ([]platform.ListedInstance, error)
+	// Instances returns a List of version 0 if the list is still at version
+	// after.
+	Instances(ctx context.Context, after uint64) (platform.List, error)
 }
 
 // Options are what a mesh depends on.
@@ -73,6 +75,9 @@
 	Seeds []string
 	// Lister may be nil.
 	Lister Lister
+	// SetLeaving takes the searchers that the platform's list calls leaving; it
+	// may be nil.
+	SetLeaving func(searchers []string)
 	// Jitter returns a random duration from zero up to limit.
 	Jitter func(limit time.Duration) time.Duration
 }
@@ -93,6 +98,9 @@
 	all      map[*session]bool
 	seeds    []domain.Instance
 	closed   bool
+	// listed is the version of the list that this instance has read itself.
+	listed  uint64
+	leaving leavingSearchers
 	// relayDials has a channel for each relay session being opened; it is
 	// closed when that is over.
 	relayDials map[string]chan struct{}
@@ -550,6 +558,7 @@
 	m.goRun(s.write)
 	m.perform(m.options.Table.Connected(time.Now(), s.peer, s.digest, s.dialled))
 	m.catchUp(ctx, s)
+	m.sendLeaving([]*session{s})
 
 	for {
 		f, err := readFrame(s.stream, s.id(), maxControlFrame)
@@ -586,6 +595,8 @@
 		m.perform(m.options.Table.Sync(s.id(), b.Sync))
 	case *pb.PeerFrame_Configuration:
 		m.takePush(ctx, s, b.Configuration)
+	case *pb.PeerFrame_LeavingSearchers:
+		m.takeLeaving(leavingSearchers{b.LeavingSearchers.GetListVersion(), b.LeavingSearchers.GetSearchers()})
 	case *pb.PeerFrame_Probe:
 		m.goRun(func() { m.probeFor(ctx, s, b.Probe) })
 	case *pb.PeerFrame_ProbeAnswer:
@@ -641,18 +652,28 @@
 func (m *Mesh) readList(ctx context.Context) {
 	listCalls.Inc()
 
-	list, err := m.options.Lister.Instances(ctx)
+	m.mu.Lock()
+	listed := m.listed
+	m.mu.Unlock()
+
+	list, err := m.options.Lister.Instances(ctx, listed)
 	if err != nil {
 		m.options.Log.Debug().Str("event", "instance_list_failed").Err(err).Send()
 
 		return
 	}
 
+	if list.Version == 0 {
+		return
+	}
+
+	m.takeLeaving(leavingOf(list))
+
 	leaving := make(map[string]bool)
 
 	var entries []domain.Instance
 
-	for _, l := range list {
+	for _, l := range list.Instances {
 		in := domain.Instance{ID: l.ID, PeerAddress: l.Address, FailureDomain: l.FailureDomain, Region: l.Region}
 		if l.Role != "entry" || in.Validate() != nil {
 			continue
@@ -668,6 +689,7 @@
 
 	m.mu.Lock()
 	m.seeds = seeds
+	m.listed = list.Version
 	m.mu.Unlock()
 
 	m.perform(r)
--- a/primrosed/internal/peer/metrics.go
+++ b/primrosed/internal/peer/metrics.go
@@ -74,6 +74,8 @@
 		kind = "membership_sync"
 	case *pb.PeerFrame_Configuration:
 		kind = "configuration"
+	case *pb.PeerFrame_LeavingSearchers:
+		kind = "leaving_searchers"
 	case *pb.PeerFrame_Probe, *pb.PeerFrame_ProbeAnswer:
 		kind = "probe"
 	}
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/primrosed/internal/platform"
 )
 
 // waitLimit bounds the waits on conditions; it is far above what they take.
@@ -65,6 +67,13 @@
 func start(tb testing.TB, id, failureDomain string, search searchFunc, seeds ...*node) *node {
 	tb.Helper()
 
+	return startWith(tb, id, failureDomain, search, func(*Options) {}, seeds...)
+}
+
+// startWith starts an instance whose options are changed by configure.
+func startWith(tb testing.TB, id, failureDomain string, search searchFunc, configure func(*Options), seeds ...*node) *node {
+	tb.Helper()
+
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tb, err)
 
@@ -78,6 +87,8 @@
 		o.Seeds = append(o.Seeds, s.instance.PeerAddress)
 	}
 
+	configure(&o)
+
 	n := &node{Mesh: NewMesh(o), instance: in}
 	n.Serve(search, search)
 	n.listener = l
@@ -437,6 +448,65 @@
 	}
 }
 
+// listOf serves a list of the platform that the test changes.
+type listOf struct{ atomic.Pointer[platform.List] }
+
+func (l *listOf) Instances(_ context.Context, after uint64) (platform.List, error) {
+	if now := l.Load(); now.Version != after {
+		return *now, nil
+	}
+
+	return platform.List{}, nil
+}
+
+// Guards against a searcher that the platform calls leaving being known only to
+// the instances that read the list, and against an older list that takes the
+// word back.
+func TestLeavingSearchersReachEveryInstance(t *testing.T) {
+	list := &listOf{}
+	list.Store(&platform.List{Version: 5, Instances: []platform.ListedInstance{
+		{ID: "searcher-0", Role: "searcher", Leaving: true}, {ID: "searcher-1", Role: "searcher"},
+	}})
+
+	known := make([]atomic.Pointer[[]string], 3)
+	record := func(i int, l Lister) func(*Options) {
+		return func(o *Options) {
+			o.SetLeaving = func(s []string) { known[i].Store(&s) }
+			o.Lister = l
+		}
+	}
+	reader := startWith(t, "entry-0", "a", nil, record(0, list))
+	second := startWith(t, "entry-1", "b", nil, record(1, nil), reader)
+	third := startWith(t, "entry-2", "c", nil, record(2, nil), second)
+
+	for _, n := range []*node{reader, second, third} {
+		eventually(t, "everyone knows everyone", func() bool { return n.live() == 3 })
+	}
+
+	knows := func(want ...string) func() bool {
+		return func() bool {
+			for i := range known {
+				if got := known[i].Load(); got == nil || !slices.Equal(*got, want) {
+					return false
+				}
+			}
+
+			return true
+		}
+	}
+
+	reader.readList(t.Context())
+	eventually(t, "the leaving searcher is known", knows("searcher-0"))
+
+	list.Store(&platform.List{Version: 4})
+	reader.readList(t.Context())
+	require.True(t, knows("searcher-0")(), "an older list takes nothing back")
+
+	list.Store(&platform.List{Version: 6})
+	reader.readList(t.Context())
+	eventually(t, "the searcher is back", knows())
+}
+
 // Guards against a request that must not be repeated being sent to a second
 // holder when it may have run at the first.
 func TestRelayedExecutionIsSentOnce(t *testing.T) {
--- a/primrosed/internal/platform/client.go
+++ b/primrosed/internal/platform/client.go
@@ -181,23 +181,34 @@
 	Leaving       bool   `json:"leaving"`
 }
 
-// Instances returns the platform's list of live and leaving instances.
-func (c *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
-	list := call{kind: "list", step: "list instances", url: c.base + "/v1/instances", timeout: callTimeout, http: c.calls}
+// List is the platform's list of live and leaving instances.
+type List struct {
+	// Version rises with each change of the list.
+	Version   uint64
+	Instances []ListedInstance
+}
+
+// Instances returns the platform's list if its version isn't after, and a List
+// of version 0 if it is: a whole list is too large to be sent each time.
+func (c *Client) Instances(ctx context.Context, after uint64) (List, error) {
+	list := call{
+		kind: "list", step: "list instances", url: c.base + "/v1/instances", timeout: callTimeout, http: c.calls,
+		unlessVersion: after,
+	}
 
 	o, err := c.read(ctx, list)
-	if err != nil {
-		return nil, err
+	if err != nil || o.Version == 0 {
+		return List{}, err
 	}
 
 	var decoded struct {
 		Instances []ListedInstance `json:"instances"`
 	}
 	if err := json.Unmarshal(o.Value, &decoded); err != nil {
-		return nil, list.fail(domain.FateNotRun, err)
+		return List{}, list.fail(domain.FateNotRun, err)
 	}
 
-	return decoded.Instances, nil
+	return List{Version: o.Version, Instances: decoded.Instances}, nil
 }
 
 func (c *Client) path(kind, name string) string {
@@ -210,6 +221,10 @@
 		return Object{}, get.fail(domain.FateNotRun, err)
 	}
 
+	if get.unlessVersion > 0 {
+		req.Header.Set("If-None-Match", strconv.Quote(strconv.FormatUint(get.unlessVersion, 10)))
+	}
+
 	resp, err := c.do(ctx, get, req)
 	if err != nil {
 		return Object{}, err
@@ -327,6 +342,8 @@
 	url     string
 	timeout time.Duration
 	http    *http.Client
+	// unlessVersion is the version of which no copy is wanted; 0 for none.
+	unlessVersion uint64
 }
 
 // blames reports whether a call without an answer is a failure of the
--- a/primrosefake/internal/platform/instances.go
+++ b/primrosefake/internal/platform/instances.go
@@ -76,10 +76,18 @@
 	s.instances.lag = lag
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
 	entries, number := s.instances.list(time.Now())
+	tag := strconv.Quote(strconv.FormatUint(number, 10))
+
+	w.Header().Set("ETag", tag)
+
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+
+		return
+	}
 
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(number, 10)))
 	writeJSON(w, struct {
 		Instances []json.RawMessage `json:"instances"`
 	}{entries})
