query, placement: keep polls across changes and bound holders

Cause: each change of the configuration made every instance poll all of its searchers at once: at 30 instances and 800 searchers a change took 781 ms (p50) and 1,499 ms (worst). A service of searchers with many connections was held by so many instances that memory would exceed 64 MB at 2,600 searchers. Change: what is known of an unchanged searcher stays; at most 24 holders for a service. The poller test fails without the change.

--- a/internal/placement/holders.go
+++ b/internal/placement/holders.go
@@ -11,6 +11,9 @@
 	// usableConnectionsPercent is the share of a searcher's connection limit
 	// that holders use; the rest serves replacement and handover.
 	usableConnectionsPercent = 80
+	// maxHolders bounds the holders of a service. More would each see less of
+	// the searchers' queues, and every searcher held costs memory and polls.
+	maxHolders = 24
 	// maxLoadPercent bounds the services of one instance, in percent of the
 	// mean. A tighter bound moves more services when an instance leaves.
 	maxLoadPercent = 125
@@ -27,7 +30,7 @@
 		}
 	}
 
-	return min(live, max(1, least*usableConnectionsPercent/100/max(1, connections)))
+	return min(live, maxHolders, max(1, least*usableConnectionsPercent/100/max(1, connections)))
 }
 
 // Assignment says which instances hold the connections of each service. It is
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +111,7 @@
 	}
 
 	p.version, p.holders = c.Version, holders
+	known := p.targets
 	p.targets = make(map[string]*target)
 
 	for _, svc := range c.Services {
@@ -132,6 +134,14 @@
 		}
 	}
 
+	// What is known of an unchanged searcher stays valid: polling all of them for
+	// each change of the configuration would be a burst at every instance.
+	for id, g := range p.targets {
+		if old := known[id]; old != nil && old.searcher.Address == g.searcher.Address && slices.Equal(old.shards, g.shards) {
+			g.polled, g.heldVersion = old.polled, old.heldVersion
+		}
+	}
+
 	p.answers.retain(p.targets)
 	p.snapshots.Retain(c)
 	p.routing.Configure(c)
--- a/primrosed/internal/query/poller_test.go
+++ b/primrosed/internal/query/poller_test.go
@@ -73,5 +73,11 @@
 		require.Equal(t, int64(1), count(checkInterval*2, true), "the held snapshots changed")
 		require.Zero(t, count(5*time.Second, true))
 		require.InDelta(t, 5, count(5*time.Second, false), 1, "idle: once each second")
+
+		// Guards against a burst of polls at every instance for each change of
+		// the configuration.
+		require.Zero(t, count(time.Second, true))
+		holder.Offer(&configuration.Stored{Configuration: domain.Configuration{Version: 2, Services: []domain.Service{svc}}})
+		require.Zero(t, count(time.Second, true), "the searcher is unchanged")
 	})
 }
