primrosefake: add quiet drains and the early end of a load

Cause: a searcher that drains says so itself, so a test can't tell the other signs of leaving from it; and a load of a fixed length either ends before slow restarts do, or makes each test as long as the slowest. Conclusion: scenarios can test each sign, and end when they are done.

--- a/primrosefake/internal/command/load.go
+++ b/primrosefake/internal/command/load.go
@@ -27,6 +27,7 @@
 	direct   bool
 	faults   []string
 	whole    bool
+	until    string
 	pids     []int
 	out      string
 }
@@ -50,6 +51,7 @@
 	cmd.Flags().StringSliceVar(&f.systems, "system", []string{load.Baseline, load.Product}, "systems to run, in order")
 	cmd.Flags().BoolVar(&f.direct, "direct", false, "send to the instances instead of the balancer")
 	cmd.Flags().StringArrayVar(&f.faults, "fault", nil, "fault as JSON, beside those of the workload")
+	cmd.Flags().StringVar(&f.until, "until", "", "file whose appearance ends the load before its time")
 	cmd.Flags().BoolVar(&f.whole, "await-whole", false, "fail unless the product answers whole again after the load")
 	cmd.Flags().IntSliceVar(&f.pids, "pid", nil, "process ids of the instances, whose CPU time is measured")
 	cmd.Flags().StringVar(&f.out, "out", "", "file for the results as JSON")
@@ -86,7 +88,7 @@
 	}
 
 	results, err := load.Run(cmd.Context(), load.Options{
-		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, AwaitWhole: f.whole, PIDs: f.pids, Log: out,
+		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, AwaitWhole: f.whole, Until: f.until, PIDs: f.pids, Log: out,
 	})
 	if err != nil {
 		return err
--- a/primrosefake/internal/load/run.go
+++ b/primrosefake/internal/load/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +48,8 @@
 	Direct bool
 	// AwaitWhole has the product answer whole again after the load.
 	AwaitWhole bool
+	// Until, if set, is a file whose appearance ends the load early.
+	Until string
 	// PIDs are the processes whose CPU time is measured.
 	PIDs []int
 	// Log receives one line for each event.
@@ -306,7 +309,7 @@
 		a := &schedule[i]
 		pause(ctx, time.Until(p.start.Add(a.at)))
 
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || p.endedEarly() {
 			break
 		}
 
@@ -326,6 +329,17 @@
 	return ctx.Err()
 }
 
+// endedEarly reports whether whoever started the load has ended it.
+func (p *phase) endedEarly() bool {
+	if p.options.Until == "" {
+		return false
+	}
+
+	_, err := os.Stat(p.options.Until)
+
+	return err == nil
+}
+
 func (p *phase) sendSearch(ctx context.Context, a *arrival) {
 	timeout := p.options.Workload.Load.Timeout()
 
--- a/primrosefake/internal/searcher/group.go
+++ b/primrosefake/internal/searcher/group.go
@@ -218,13 +218,14 @@
 func startDrain(body []byte, es []*Endpoint) error {
 	var d struct {
 		GraceMS float64 `json:"grace_ms"`
+		Quiet   bool    `json:"quiet"`
 	}
 	if err := unmarshalOptional(body, &d); err != nil {
 		return err
 	}
 
 	for _, e := range es {
-		e.Drain(milliseconds(d.GraceMS))
+		e.Drain(milliseconds(d.GraceMS), d.Quiet)
 	}
 
 	return nil
--- a/primrosefake/internal/searcher/searcher.go
+++ b/primrosefake/internal/searcher/searcher.go
@@ -51,6 +51,8 @@
 type drain struct {
 	began time.Time // Zero when not draining.
 	grace time.Duration
+	// quiet drains don't say so: another sign must keep new work away.
+	quiet bool
 	// arrivals counts the requests since the drain began; last is when the
 	// latest came.
 	arrivals int
@@ -105,13 +107,14 @@
 	s.options.Store(&o)
 }
 
-// Drain starts a drain: the searcher says that it is leaving at once and
-// refuses new work after grace. It finishes the work that it has.
-func (s *Server) Drain(grace time.Duration) {
+// Drain starts a drain: the searcher says that it is leaving at once, unless
+// quiet is set, and refuses new work after grace. It finishes the work that it
+// has.
+func (s *Server) Drain(grace time.Duration, quiet bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.drain = drain{began: time.Now(), grace: grace}
+	s.drain = drain{began: time.Now(), grace: grace, quiet: quiet}
 }
 
 // Restart ends a drain and makes the searcher cold.
--- a/primrosefake/internal/searcher/searcher_test.go
+++ b/primrosefake/internal/searcher/searcher_test.go
@@ -158,7 +158,7 @@
 
 		go func() {
 			time.Sleep(5 * time.Millisecond)
-			s.Drain(20 * time.Millisecond)
+			s.Drain(20*time.Millisecond, false)
 		}()
 
 		resp, err := s.Run(t.Context(), request("before"))
@@ -306,7 +306,7 @@
 
 		status()
 		time.Sleep(50 * time.Millisecond)
-		s.Drain(0)
+		s.Drain(0, false)
 		require.False(t, status().GetLoad().GetDraining())
 		time.Sleep(99 * time.Millisecond)
 		require.False(t, status().GetLoad().GetDraining())
--- a/primrosefake/internal/searcher/status.go
+++ b/primrosefake/internal/searcher/status.go
@@ -70,7 +70,7 @@
 
 	return &pb.SearcherLoad{
 		Slots: uint32(o.Slots), Running: uint32(running), Queued: uint32(queued),
-		Draining: !s.drain.began.IsZero(), Cold: s.warmed < o.ColdRequests, HeldVersion: s.heldVersion.Load(),
+		Draining: !s.drain.began.IsZero() && !s.drain.quiet, Cold: s.warmed < o.ColdRequests, HeldVersion: s.heldVersion.Load(),
 	}
 }
 
