--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # Programs are linked to the C library.
 export CGO_ENABLED := 1
 
-.PHONY: build test race lint format generate check-generated tools demo bench clean
+.PHONY: build test race pairs restarts lint format generate check-generated tools demo bench clean
 
 build:
 	mkdir -p bin
@@ -31,6 +31,17 @@
 	@sed -n 's/^test: /known red, passed over: /p' KNOWN-RED.txt
 	go test -race $(SKIP) $(foreach m,$(MODULES),./$(m)/...)
 
+# All pairs of faults, a few systems at a time; SEED chooses their times.
+pairs: SEED ?= 1
+pairs:
+	mkdir -p $(OUT)
+	go test ./internal/scenario -run TestFaultPairs -pairs all -seed $(SEED) -parallel 8 -timeout 60m \
+	  -table $(abspath $(OUT))/pairs-$(SEED).md
+
+# 20 rolling restarts of all instances under load.
+restarts:
+	go test ./internal/scenario -run TestScenarios -dir testdata/long -timeout 30m -v
+
 lint: tools
 	@for m in $(MODULES); do (cd $$m && golangci-lint run ./...) || exit 1; done
 	buf lint
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// restarts restarts every instance gracefully, one after another, several
+// times.
+func restarts(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+
+	rounds, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	for range rounds {
+		for _, in := range f.Instances {
+			ts.Check(f.restart(in.ID))
+		}
+	}
+}
+
 // load runs the load on the system, acts on the faults that it announces, and
 // fails if its exit code isn't 0.
 func load(ts *testscript.TestScript, neg bool, args []string) {
