--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -59,7 +59,7 @@
 
 // Lister reads the platform's list of instances.
 type Lister interface {
-	Instances(ctx context.Context) (platform.InstanceList, error)
+	Instances(ctx context.Context) ([]platform.ListedInstance, error)
 }
 
 // Options are what a mesh depends on.
@@ -71,9 +71,6 @@
 	Seeds []string
 	// Lister may be nil.
 	Lister Lister
-	// Leaving is told which searchers the platform's list calls leaving; it may
-	// be nil.
-	Leaving func(searchers []string)
 	// Jitter returns a random duration from zero up to limit.
 	Jitter func(limit time.Duration) time.Duration
 }
@@ -93,7 +90,6 @@
 	redial   map[string]*backoff
 	all      map[*session]bool
 	seeds    []domain.Instance
-	leaving  *pb.LeavingSearchers
 	closed   bool
 	// relayDials has a channel for each relay session being opened; it is
 	// closed when that is over.
@@ -554,7 +550,6 @@
 	m.goRun(s.write)
 	m.perform(m.options.Table.Connected(time.Now(), s.peer, s.digest, s.dialled))
 	m.catchUp(ctx, s)
-	m.sendLeaving(s)
 
 	for {
 		f, err := readFrame(s.stream, s.id(), maxControlFrame)
@@ -591,8 +586,6 @@
 		m.perform(m.options.Table.Sync(s.id(), b.Sync))
 	case *pb.PeerFrame_Configuration:
 		m.takePush(ctx, s, b.Configuration)
-	case *pb.PeerFrame_Leaving:
-		m.takeLeaving(s, b.Leaving)
 	case *pb.PeerFrame_Probe:
 		m.goRun(func() { m.probeFor(ctx, s, b.Probe) })
 	case *pb.PeerFrame_ProbeAnswer:
@@ -655,13 +648,11 @@
 		return
 	}
 
-	m.takeLeaving(nil, leavingOf(list))
-
 	leaving := make(map[string]bool)
 
 	var entries []domain.Instance
 
-	for _, l := range list.Instances {
+	for _, l := range list {
 		in := domain.Instance{ID: l.ID, PeerAddress: l.Address, FailureDomain: l.FailureDomain, Region: l.Region}
 		if l.Role != "entry" || in.Validate() != nil {
 			continue
--- a/primrosed/internal/peer/metrics.go
+++ b/primrosed/internal/peer/metrics.go
@@ -76,8 +76,6 @@
 		kind = "configuration"
 	case *pb.PeerFrame_Probe, *pb.PeerFrame_ProbeAnswer:
 		kind = "probe"
-	case *pb.PeerFrame_Leaving:
-		kind = "leaving_searchers"
 	}
 
 	metrics.GetOrCreateCounter(fmt.Sprintf("primrosed_control_frames_total{kind=%q,direction=%q}", kind, direction)).Inc()
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -112,12 +112,8 @@
 	return membership.New(s.Instance(), uint64(time.Now().UnixMilli()), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
-func newMesh(log zerolog.Logger, s settings.Settings, t *membership.Table, h *configuration.Holder, c *platform.Client,
-	rt *routing.Table,
-) *peer.Mesh {
-	return peer.NewMesh(peer.Options{
-		Log: log, Table: t, Holder: h, Seeds: s.Seeds, Lister: c, Leaving: rt.SetLeaving, Jitter: jitter,
-	})
+func newMesh(log zerolog.Logger, s settings.Settings, t *membership.Table, h *configuration.Holder, c *platform.Client) *peer.Mesh {
+	return peer.NewMesh(peer.Options{Log: log, Table: t, Holder: h, Seeds: s.Seeds, Lister: c, Jitter: jitter})
 }
 
 func newPlacement(log zerolog.Logger, t *membership.Table) *peer.Placement {
