caller: don't call a repeated key not run before its claim is read

Cause: an instance that can't read the claim of a key, since the store is down or the time is up, refused as not run. That was true of the one sending, and false of the key if an earlier sending had run. Change: callers say in sent_before that they may have sent the key before; the fate in a refusal is then that of the key, and not run only by the record of the claim. Conclusion: a refusal of a first sending says not run as before.

--- a/primrosed/internal/caller/caller.go
+++ b/primrosed/internal/caller/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
@@ -47,8 +48,20 @@
 func (h *Handler) Execute(ctx context.Context, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
 	resp, err := h.executor.Execute(ctx, h.holder.Configuration(), req)
 	if err != nil {
-		return nil, refusal.ToConnect(err)
+		return nil, refusal.ToConnect(fateOfKey(req, err))
 	}
 
 	return resp, nil
 }
+
+// fateOfKey returns err with the fate of the key. A refusal from before the
+// claim was read says nothing about an earlier sending of the key; only the
+// record of the claim does.
+func fateOfKey(req *pb.ExecuteRequest, err error) error {
+	var e *domain.Error
+	if !req.GetSentBefore() || !errors.As(err, &e) || e.Fate != domain.FateNotRun || e.Code == domain.CodeAlreadyClaimed {
+		return err
+	}
+
+	return e.WithFate(domain.FateUnknown)
+}
