load: say when a key has been sent before

Cause: callers that repeat a key want its fate, and the product can't know of a repetition while the store is down. Change: tries after the first set sent_before. Conclusion: the check for false not run is as it was, and sees more repetitions.

--- a/primrosefake/internal/load/run.go
+++ b/primrosefake/internal/load/run.go
@@ -410,7 +410,7 @@
 
 	resp, err := p.system.execute(ctx, a.number, try, &pb.ExecuteRequest{
 		Service: a.service.Name, Member: a.member, Key: key, Payload: "payload of " + key,
-		TimeoutMs: uint32(timeout.Milliseconds()),
+		TimeoutMs: uint32(timeout.Milliseconds()), SentBefore: try > 0,
 	})
 	if err != nil {
 		return classify(ctx, err)
--- a/primrosefake/internal/workload/builtin.go
+++ b/primrosefake/internal/workload/builtin.go
@@ -123,7 +123,7 @@
 		PeerLinks: true,
 		Services:  []Service{s},
 		Load: Load{
-			QueriesPerSecond: smallQueryRate + smallExecuteRate, TimeoutMS: 1000, Connections: 6, RepeatPermille: 200,
+			QueriesPerSecond: smallQueryRate + smallExecuteRate, TimeoutMS: 1000, Connections: 6, RepeatPermille: 600,
 			Mix: []Part{{
 				Service: s.Name, Weight: 1, NonRepeatablePermille: permille * smallExecuteRate / (smallQueryRate + smallExecuteRate),
 			}},
