--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -13,6 +13,8 @@
 //	pause NAME, resume NAME   stops and continues a process
 //	system DIR WORKLOAD       generates a run and starts all of its processes
 //	instance ID...            starts instances of the system again
+//	switch-index SERVICE V    has one searcher after another hold only index version V
+//	await-index V             waits until every instance answers whole from version V
 //	restarts ROUNDS           restarts every instance gracefully, one after another
 //	load ARG...               runs the load and acts on the faults that it announces
 //	race SERVICE ROUNDS       has operators change one version at once; one must win
@@ -111,7 +113,8 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports": ports, "expand": expand, "start": start, "shutdown": shutdown, "crash": crash,
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
-			"system": system, "instance": instance, "restarts": restarts, "load": load, "join": join, "race": race, "rising": rising,
+			"system": system, "instance": instance, "restarts": restarts,
+			"switch-index": switchIndex, "await-index": awaitIndex, "load": load, "join": join, "race": race, "rising": rising,
 			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
 			"await-get": awaitGet, "await-log": awaitLog,
 			"await-status": awaitFleetStatus, "await-partial": awaitPartial,
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"regexp"
@@ -56,6 +57,41 @@
 	}
 }
 
+// switchIndex has one searcher after another hold one index version and no
+// other, so that queries under way lose their snapshot.
+func switchIndex(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+
+	for _, sr := range f.Searchers {
+		if sr.Service != args[0] {
+			continue
+		}
+
+		body := fmt.Sprintf(`{"service": %q, "shard": %d, "snapshots": [{"index_version": %s, "partition_map_version": 1}]}`,
+			sr.Service, sr.Shard, args[1])
+		_, err := request("POST", "http://"+f.SearcherControl+"/fake/hold?id="+sr.ID, []byte(body))
+		ts.Check(err)
+	}
+}
+
+// awaitIndex waits until each instance gives whole answers from an index
+// version.
+func awaitIndex(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	body := []byte(`{"service": "portal-inst", "query": "heater", "requestId": "index"}`)
+
+	for _, in := range f.Instances {
+		wait(ts, "waiting for index version "+args[0]+" at "+in.ID, func() error {
+			data, err := request("POST", "http://"+in.Caller+"/primrosespring.v1.SearchService/Search", body)
+			if err == nil && (!bytes.Contains(data, []byte(`@1.`+args[0]+`"`)) || bytes.Contains(data, []byte(`"missing"`))) {
+				err = fmt.Errorf("the answer is %s", data)
+			}
+
+			return err
+		})
+	}
+}
+
 // restarts restarts every instance gracefully, one after another, several
 // times.
 func restarts(ts *testscript.TestScript, _ bool, args []string) {
