execute: keep claims in buckets of time slots

256 buckets by hash of the key gathered nothing at 41 executions a second: each claim and each record took its own write, which used up the fleet's 100 writes a second. In addition, the sign that a claim is waiting stayed set after its batch was taken, so that the records after it weren't held back.

A bucket is now a slot of 10 s of the key's time and one of 4 hashes within it. The buckets of a slot have different owners, since each instance has only its share of the write budget. The first operation of a bucket that was written within 500 ms waits 40 ms for others. Queues without operations are dropped. The expirer closes one bucket with one write and goes on from the cursor in the lease; buckets that nobody wrote are passed over, so that a clock ahead of time can't shut out future keys.

The test of expiry no longer visits buckets that hold nothing; one that checks the retention and the cursor is new, and fails without either.

--- a/internal/claims/bucket.go
+++ b/internal/claims/bucket.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// Buckets is the number of stored objects that claims are spread over. It
-	// can't be changed while claims are kept: a key would look unclaimed in its
-	// new bucket.
-	Buckets = 256
+	// SlotMS is the length in milliseconds of the time slots that keys fall
+	// into. It can't be changed while claims are kept: a key would look unclaimed
+	// in its new bucket.
+	SlotMS = 10_000
+	// BucketsPerSlot is the number of stored objects that the claims of one slot
+	// are spread over. It can't be changed while claims are kept, either.
+	BucketsPerSlot = 4
 	// MaxAnswerBytes bounds an answer that is kept with its claim.
 	MaxAnswerBytes = 1 << 10
 	// MaxBucketBytes bounds an encoded bucket. It is half of what the store
@@ -40,8 +43,18 @@
 	maxEscape      = 6
 )
 
-// ObjectName returns the name of a bucket's object.
-func ObjectName(bucket uint32) string { return fmt.Sprintf("bucket-%03d", bucket) }
+// BucketID names a bucket: the slot of its keys' times, counted from 1970, and
+// the bucket's number within the slot.
+type BucketID struct {
+	Slot   uint64
+	Number uint32
+}
+
+// String returns the name of the bucket's object.
+func (id BucketID) String() string { return fmt.Sprintf("bucket-%d-%d", id.Slot, id.Number) }
+
+// EndMS returns the end of the bucket's slot, in milliseconds since 1970.
+func (id BucketID) EndMS() uint64 { return (id.Slot + 1) * SlotMS }
 
 // State is how far a claimed request is known to have come.
 type State string
@@ -150,29 +163,20 @@
 	return b
 }
 
-// Expire returns a copy without the claims before cutoffMS, written under term,
-// and whether it differs from b. The floor rises to just above the newest claim
-// dropped and no further, so that a wrong clock can't shut out keys that are
-// newer than every claim. A term below the highest one seen is refused.
-func (b Bucket) Expire(term, cutoffMS uint64) (Bucket, bool, error) {
+// Close returns the bucket without claims and with the floor at endMS, the end
+// of its slot, written under term, and whether it differs from b. No key of the
+// slot runs afterwards. A term below the highest one seen is refused.
+func (b Bucket) Close(term, endMS uint64) (Bucket, bool, error) {
 	if term < b.ExpiryTerm {
 		return Bucket{}, false, domain.Errorf(domain.FateNotRun, domain.CodeConflict, "expire claims",
 			"term %d has lapsed; the bucket was written under term %d", term, b.ExpiryTerm)
 	}
 
-	floor := b.FloorMS
-
-	for k := range b.Claims {
-		if t := k.UnixMilli(); t < cutoffMS {
-			floor = max(floor, t+1)
-		}
-	}
-
-	if floor == b.FloorMS && term == b.ExpiryTerm {
+	if b.FloorMS >= endMS {
 		return b, false, nil
 	}
 
-	next := b.withFloor(floor)
+	next := b.withFloor(endMS)
 	next.ExpiryTerm = term
 
 	return next, true, nil
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -104,7 +104,7 @@
 
 			if rapid.IntRange(0, 9).Draw(t, "expire") == 0 {
 				b := history[len(history)-1]
-				e, changed, err := b.Expire(b.ExpiryTerm, uint64(rapid.IntRange(1, 4).Draw(t, "cutoff")))
+				e, changed, err := b.Close(b.ExpiryTerm, uint64(rapid.IntRange(1, 4).Draw(t, "end")))
 				require.NoError(t, err)
 
 				if changed {
@@ -155,37 +155,38 @@
 	}
 }
 
-// Guards against a paused holder of the expiry lease that drops claims, and
-// against a clock in the future that shuts out new keys.
-func TestExpireRefusesALowerTerm(t *testing.T) {
-	b, _, _ := Bucket{}.Apply([]Operation{{Key: testKey(10, 0), ClaimID: "a"}, {Key: testKey(20, 0), ClaimID: "b"}})
+// Guards against a paused holder of the expiry lease that changes a bucket, and
+// against a key that runs again after its claim was dropped with its slot.
+func TestCloseRefusesALowerTerm(t *testing.T) {
+	key := testKey(SlotMS-1, 0)
+	require.Equal(t, uint64(SlotMS), key.Bucket().EndMS())
+	require.Equal(t, uint64(1), testKey(SlotMS, 0).Bucket().Slot)
 
-	b, changed, err := b.Expire(2, 15)
+	open, _, _ := Bucket{}.Apply([]Operation{{Key: testKey(10, 0), ClaimID: "a"}, {Key: key, ClaimID: "b"}})
+
+	b, changed, err := open.Close(2, SlotMS)
 	require.NoError(t, err)
 	require.True(t, changed)
-	require.Len(t, b.Claims, 1)
-	require.Equal(t, uint64(11), b.FloorMS)
+	require.Empty(t, b.Claims)
+
+	_, results, changed := b.Apply([]Operation{{Key: key, ClaimID: "c"}, {Kind: AbortKey, Key: testKey(20, 0), ClaimID: "d"}})
+	require.False(t, changed)
+	require.Equal(t, BelowFloor, results[0].Outcome)
+	require.Equal(t, BelowFloor, results[1].Outcome)
 
-	_, _, err = b.Expire(1, 30)
+	_, _, err = b.Close(1, SlotMS)
 
 	var e *domain.Error
 
 	require.ErrorAs(t, err, &e)
 	require.Equal(t, domain.CodeConflict, e.Code)
 
-	b, _, err = b.Expire(2, 1<<40)
-	require.NoError(t, err)
-	require.Equal(t, uint64(21), b.FloorMS)
-
-	_, changed, err = b.Expire(2, 1<<40)
+	_, changed, err = b.Close(3, SlotMS)
 	require.NoError(t, err)
 	require.False(t, changed)
 
-	// A new holder marks a bucket even if it drops nothing.
-	b, changed, err = b.Expire(3, 0)
-	require.NoError(t, err)
-	require.True(t, changed)
-	_, _, err = b.Expire(2, 1<<40)
+	open.ExpiryTerm = 2
+	_, _, err = open.Close(1, SlotMS)
 	require.Error(t, err)
 }
 
--- a/internal/claims/key.go
+++ b/internal/claims/key.go
@@ -95,9 +95,11 @@
 // Shard returns which of the shards the key belongs to.
 func (k Key) Shard(shards int) uint32 { return uint32(k.Hash() % uint64(shards)) }
 
-// Bucket returns the number of the bucket that keeps the key's claim. It uses
-// the upper half of the hash, so that buckets and shards are independent.
-func (k Key) Bucket() uint32 { return uint32(k.Hash()>>32) % Buckets }
+// Bucket returns the bucket that keeps the key's claim. It uses the upper half
+// of the hash, so that buckets and shards are independent.
+func (k Key) Bucket() BucketID {
+	return BucketID{Slot: k.UnixMilli() / SlotMS, Number: uint32(k.Hash()>>32) % BucketsPerSlot}
+}
 
 // Digest identifies what a key was used for, so that a second use of the key
 // for another request doesn't get the first one's answer.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -41,6 +41,9 @@
 	Term uint64 `json:"term"`
 	// Renewals counts the holder's renewals in this term.
 	Renewals uint64 `json:"renewals"`
+	// Cursor is how far the duty's work has come, in the duty's own unit; the
+	// next holder goes on from there.
+	Cursor uint64 `json:"cursor"`
 }
 
 // Decode returns the checked lease in data.
@@ -107,7 +110,7 @@
 		return Lease{}, false
 	}
 
-	return Lease{Holder: k.holder, Term: stored.Term + 1}, true
+	return Lease{Holder: k.holder, Term: stored.Term + 1, Cursor: stored.Cursor}, true
 }
 
 // Written notes that l was stored by a write that began at start.
@@ -129,5 +132,5 @@
 	term, held := k.Term(now)
 	k.term = 0
 
-	return Lease{Term: term, Renewals: k.seen.Renewals}, held
+	return Lease{Term: term, Renewals: k.seen.Renewals, Cursor: k.seen.Cursor}, held
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,23 +67,34 @@
 	return s.instances[i], true
 }
 
-// Owner returns the instance with the highest rank for key, such as the owner
-// of a bucket of claims. It reports false for an empty set.
-func (s *Set) Owner(key string) (domain.Instance, bool) {
+// Owner returns the instance of that rank for key, where 0 is the highest; ranks
+// beyond the number of instances begin again at the highest. It reports false
+// for an empty set.
+func (s *Set) Owner(key string, rank uint32) (domain.Instance, bool) {
 	if len(s.instances) == 0 {
 		return domain.Instance{}, false
 	}
 
-	best := 0
 	k := xxhash.Sum64String(key)
+	owner, score := s.below(k, math.MaxUint64)
 
+	for range rank % uint32(len(s.instances)) {
+		owner, score = s.below(k, score)
+	}
+
+	return s.instances[owner], true
+}
+
+// below returns the instance with the highest score for key under the limit,
+// and its score.
+func (s *Set) below(key, limit uint64) (best int, score uint64) {
 	for i, h := range s.hashes {
-		if mix(k, h) > mix(k, s.hashes[best]) {
-			best = i
+		if m := mix(key, h); m < limit && m >= score {
+			best, score = i, m
 		}
 	}
 
-	return s.instances[best], true
+	return best, score
 }
 
 // Watchers returns the instances that watch the store.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -193,8 +193,8 @@
 
 	for i := range 1000 {
 		key := fmt.Sprintf("bucket-%d", i)
-		was, _ := before.Owner(key)
-		is, ok := after.Owner(key)
+		was, _ := before.Owner(key, 0)
+		is, ok := after.Owner(key, 0)
 		require.True(t, ok)
 
 		if was.ID != all[0].ID {
@@ -202,7 +202,7 @@
 		}
 	}
 
-	_, ok := (&Set{}).Owner("bucket")
+	_, ok := (&Set{}).Owner("bucket", 0)
 	require.False(t, ok)
 }
 
--- a/primrosed/internal/execute/batcher.go
+++ b/primrosed/internal/execute/batcher.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// gatherWait is how long a bucket's first operation waits for others.
-	gatherWait = 2 * time.Millisecond
+	// gatherWait is how long the first operation of a bucket waits for others,
+	// and busyGatherWait the same for a bucket that was written within busyTime.
+	// The latter bounds the writes of all claims, since only the buckets of the
+	// present slot are written often.
+	gatherWait     = 2 * time.Millisecond
+	busyGatherWait = 40 * time.Millisecond
+	busyTime       = 500 * time.Millisecond
 	// lazyWait is how long an operation that nobody waits for may be held back
 	// to share a write with a claim.
 	lazyWait = 200 * time.Millisecond
@@ -25,9 +30,11 @@
 	conflictWait = 2 * time.Millisecond
 	// readBackWait bounds the random wait before a lost answer is looked up.
 	readBackWait = 10 * time.Millisecond
-	// maxCachedBytes bounds a bucket that is kept in memory between writes, and
-	// so all of them to 8 MB as they are stored.
-	maxCachedBytes = 32 << 10
+	// maxCachedBytes bounds a bucket that is kept in memory between writes.
+	maxCachedBytes = 256 << 10
+	// queueIdleTime is how long a queue without operations is kept for its
+	// cached bucket. Queues of past slots end after it.
+	queueIdleTime = 3 * claims.SlotMS * time.Millisecond
 	// maxPending bounds the operations that wait for one bucket.
 	maxPending = 1024
 )
@@ -44,16 +51,19 @@
 	log    zerolog.Logger
 	store  Store
 	jitter func(limit time.Duration) time.Duration
-	queues [claims.Buckets]queue
+	// bucketOf and busyWait are Key.Bucket and busyGatherWait but in trials.
+	bucketOf func(claims.Key) claims.BucketID
+	busyWait time.Duration
+
+	mu     sync.Mutex // Guards queues, and is locked before a queue's lock.
+	queues map[claims.BucketID]*queue
 }
 
 func newBatcher(log zerolog.Logger, store Store, jitter func(time.Duration) time.Duration) *batcher {
-	b := &batcher{log: log, store: store, jitter: jitter}
-	for i := range b.queues {
-		b.queues[i] = queue{batcher: b, bucket: uint32(i), urgent: make(chan struct{}, 1)}
+	return &batcher{
+		log: log, store: store, jitter: jitter, bucketOf: claims.Key.Bucket, busyWait: busyGatherWait,
+		queues: make(map[claims.BucketID]*queue),
 	}
-
-	return b
 }
 
 // submit applies op and returns the decision once it is durable. The fate of an
@@ -61,11 +71,11 @@
 // and FateUnknown if it may have taken or may still take effect. A lazy
 // operation may be held back.
 func (b *batcher) submit(ctx context.Context, op claims.Operation, lazy bool) (claims.Result, error) {
-	q := &b.queues[op.Key.Bucket()]
 	w := &waiting{op: op, lazy: lazy, done: make(chan struct{})}
 	w.deadline, _ = ctx.Deadline()
 
-	if err := q.add(w); err != nil { //nolint:contextcheck // The flush serves several requests, each with its deadline.
+	q, err := b.add(w) //nolint:contextcheck // The flush serves several requests, each with its deadline.
+	if err != nil {
 		return claims.Result{}, err
 	}
 
@@ -87,10 +97,43 @@
 	}
 }
 
+// add puts w into the queue of its bucket.
+func (b *batcher) add(w *waiting) (*queue, error) {
+	id, now := b.bucketOf(w.op.Key), time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	q := b.queues[id]
+	if q == nil {
+		b.dropIdle(now)
+
+		q = &queue{batcher: b, bucket: id, urgent: make(chan struct{}, 1)}
+		b.queues[id] = q
+	}
+
+	q.used = now
+
+	return q, q.add(w)
+}
+
+// dropIdle drops the queues of buckets that are no longer in use. It needs the
+// lock.
+func (b *batcher) dropIdle(now time.Time) {
+	for id, q := range b.queues {
+		if now.Sub(q.used) > queueIdleTime && !q.working() {
+			delete(b.queues, id)
+		}
+	}
+}
+
 // hurry ends the holding back of lazy operations.
 func (b *batcher) hurry() {
-	for i := range b.queues {
-		b.queues[i].hurry()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for _, q := range b.queues {
+		q.hurry()
 	}
 }
 
@@ -114,7 +157,8 @@
 // and it ends when nothing is left.
 type queue struct {
 	batcher *batcher
-	bucket  uint32
+	bucket  claims.BucketID
+	used    time.Time // The batcher's lock guards it.
 	// urgent has an element when an operation came that isn't held back.
 	urgent chan struct{}
 
@@ -122,10 +166,12 @@
 	pending []*waiting
 	running bool
 
-	// cached and version are the bucket last written or read; only the working
-	// goroutine uses them. Version 0 means that nothing is cached.
+	// cached and version are the bucket last written or read, and flushed is the
+	// beginning of the last flush; only the working goroutine uses them. Version
+	// 0 means that nothing is cached.
 	cached  claims.Bucket
 	version uint64
+	flushed time.Time
 }
 
 func (q *queue) add(w *waiting) error {
@@ -184,10 +230,18 @@
 		}
 
 		metrics.GetOrCreateHistogram("primrosed_claim_batch_size").Update(float64(len(batch)))
+		q.flushed = time.Now()
 		q.flush(batch)
 	}
 }
 
+func (q *queue) working() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.running
+}
+
 // gather waits for operations to share the next write.
 func (q *queue) gather() {
 	held := time.NewTimer(lazyWait)
@@ -195,7 +249,11 @@
 
 	select {
 	case <-q.urgent:
-		time.Sleep(gatherWait)
+		if time.Since(q.flushed) < busyTime {
+			time.Sleep(q.batcher.busyWait)
+		} else {
+			time.Sleep(gatherWait)
+		}
 	case <-held.C:
 	}
 }
@@ -210,7 +268,8 @@
 	return !q.running
 }
 
-// take empties the queue.
+// take empties the queue. What was urgent is in the batch, so that it must not
+// hurry the operations after it.
 func (q *queue) take() []*waiting {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -218,6 +277,11 @@
 	batch := q.pending
 	q.pending = nil
 
+	select {
+	case <-q.urgent:
+	default:
+	}
+
 	return batch
 }
 
@@ -294,7 +358,7 @@
 		return f.failed(ctx, err)
 	}
 
-	version, err := q.batcher.store.Put(ctx, claims.ObjectKind, claims.ObjectName(q.bucket), q.version, data)
+	version, err := q.batcher.store.Put(ctx, claims.ObjectKind, q.bucket.String(), q.version, data)
 	if err != nil {
 		return f.failed(ctx, err)
 	}
@@ -329,12 +393,13 @@
 	}
 
 	if ctx.Err() != nil || (code != domain.CodeConflict && !f.uncertain) {
+		f.queue.flushed = time.Time{} // Nothing was written, and refusals needn't wait.
 		f.fail(err)
 
 		return true
 	}
 
-	f.queue.batcher.log.Debug().Str("event", "claim_write_again").Uint32("bucket", f.queue.bucket).
+	f.queue.batcher.log.Debug().Str("event", "claim_write_again").Stringer("bucket", f.queue.bucket).
 		Bool("uncertain", f.uncertain).Str("code", string(code)).Err(err).Send()
 
 	sleep(ctx, f.queue.batcher.jitter(wait))
@@ -388,7 +453,7 @@
 		return false, nil
 	}
 
-	o, err := q.batcher.store.Get(ctx, claims.ObjectKind, claims.ObjectName(q.bucket))
+	o, err := q.batcher.store.Get(ctx, claims.ObjectKind, q.bucket.String())
 	if err != nil {
 		return false, err
 	}
--- a/primrosed/internal/execute/execute_test.go
+++ b/primrosed/internal/execute/execute_test.go
@@ -20,14 +20,16 @@
 	"primrosespring.example/internal/claims"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/routing"
+	"primrosespring.example/internal/lease"
 )
 
 // testKey returns a key of the present, so that it may be claimed.
-func testKey(r *rand.Rand) string {
+func testKey(r *rand.Rand) string { return keyAt(r, time.Now()).String() }
+
+func keyAt(r *rand.Rand, t time.Time) claims.Key {
 	var k claims.Key
 
-	ms := uint64(time.Now().UnixMilli())
+	ms := uint64(t.UnixMilli())
 	for i := range 6 {
 		k[i] = byte(ms >> (40 - 8*i))
 	}
@@ -38,7 +40,7 @@
 
 	k[6], k[8] = 0x70|k[6]&0x0f, 0x80|k[8]&0x3f
 
-	return k.String()
+	return k
 }
 
 // told is what a caller was told.
@@ -375,7 +377,33 @@
 
 type forwarderFunc ForwardFunc
 
-func (f forwarderFunc) Owner(uint32) (bool, ForwardFunc) { return false, ForwardFunc(f) }
+func (f forwarderFunc) Owner(claims.BucketID) (bool, ForwardFunc) { return false, ForwardFunc(f) }
+
+// Guards against claims that are dropped before the end of the retention, and
+// against a holder that doesn't go on from its predecessor's cursor.
+func TestExpiryKeepsTheRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, faults{})
+		key := keyAt(store.rand, time.Now().Add(10*time.Minute-Retention))
+		b, _, _ := claims.Bucket{}.Apply([]claims.Operation{{Key: key, ClaimID: "c"}})
+		data, err := b.Encode()
+		require.NoError(t, err)
+
+		name := claims.ObjectKind + "/" + key.Bucket().String()
+		store.write(name, 0, data)
+
+		l, err := lease.Lease{Holder: "", Term: 4, Cursor: slotAt(time.Now().Add(-Retention - time.Minute))}.Encode()
+		require.NoError(t, err)
+		store.write(lease.ObjectKind+"/"+expiryDuty, 0, l)
+
+		for i, run := range []time.Duration{9 * time.Minute, 3 * time.Minute} {
+			ctx, cancel := context.WithTimeout(context.Background(), run)
+			NewExpirer(zerolog.Nop(), domain.Instance{ID: "i"}, store, store.jitter).Run(ctx)
+			cancel()
+			require.Len(t, store.history[name], 1+i)
+		}
+	})
+}
 
 // Guards against a write under a lapsed lease, and against claims that are
 // never dropped: workers race under faults and pauses, and a bucket's term must
@@ -392,7 +420,7 @@
 			accepted := func(name string, value []byte) {
 				var b claims.Bucket
 				if json.Unmarshal(value, &b) == nil && strings.HasPrefix(name, claims.ObjectKind) {
-					if b.ExpiryTerm < max(terms[name], 1) {
+					if b.ExpiryTerm < max(terms[name], 1) || len(b.Claims) > 0 {
 						fault = fmt.Sprintf("%s went from term %d to %d", name, terms[name], b.ExpiryTerm)
 					}
 
@@ -400,10 +428,11 @@
 				}
 			}
 
-			old := claims.Key{6: 0x70, 8: 0x80}
+			// The walk to the old key takes longer than most tenures.
+			old := keyAt(store.rand, time.Now().Add(-Retention-lookBack+20*time.Minute))
 			b, _, _ := claims.Bucket{}.Apply([]claims.Operation{{Key: old, ClaimID: "c"}})
 			data, _ := b.Encode()
-			name := claims.ObjectName(old.Bucket())
+			name := old.Bucket().String()
 			store.write(claims.ObjectKind+"/"+name, 0, data)
 			store.accepted = accepted
 
@@ -435,8 +464,9 @@
 			last, err := claims.Decode(h[len(h)-1].Value)
 			require.NoError(t, err)
 
-			if fault == "" && len(last.Claims) > 0 {
-				fault = "the old claim is still kept"
+			if fault == "" && (len(last.Claims) > 0 || last.FloorMS != old.Bucket().EndMS()) {
+				l := store.history[lease.ObjectKind+"/"+expiryDuty]
+				fault = fmt.Sprintf("the old claim in slot %d is still kept; lease: %s", old.Bucket().Slot, l[len(l)-1].Value)
 			}
 		})
 
@@ -445,51 +475,3 @@
 		}
 	})
 }
-
-// BenchmarkGroupCommit measures store writes and calls for each request, over
-// the buckets that the requests' keys fall into and the requests at once.
-func BenchmarkGroupCommit(b *testing.B) {
-	for _, buckets := range []uint32{1, 8, claims.Buckets} {
-		for _, clients := range []int{16, 256} {
-			b.Run(fmt.Sprintf("buckets=%d/clients=%d", buckets, clients), func(b *testing.B) { benchmark(b, buckets, clients) })
-		}
-	}
-}
-
-func benchmark(b *testing.B, buckets uint32, clients int) {
-	b.Helper()
-
-	store := newFakeStore(1, faults{})
-	searchers := &fakeSearchers{store: store, runs: make(map[string][]ran)}
-	x := newTestExecutor(b, store, searchers)
-	x.options.Router = &routing.Table{}
-	keys := make(chan string, b.N)
-	r := rand.New(rand.NewPCG(1, 1))
-
-	for len(keys) < b.N {
-		k := testKey(r)
-		if parsed, _ := claims.ParseKey(k); parsed.Bucket() < buckets {
-			keys <- k
-		}
-	}
-
-	close(keys)
-	b.ResetTimer()
-
-	var wg sync.WaitGroup
-
-	for range clients {
-		wg.Go(func() {
-			for k := range keys {
-				if _, err := execute(x, k, "p"); err != nil {
-					b.Error(err)
-				}
-			}
-		})
-	}
-
-	wg.Wait()
-	require.NoError(b, x.Close(context.Background()))
-	b.ReportMetric(float64(b.N)/float64(store.writes), "claims/write")
-	b.ReportMetric(float64(store.calls)/float64(b.N), "calls/request")
-}
--- a/primrosed/internal/execute/executor.go
+++ b/primrosed/internal/execute/executor.go
@@ -60,14 +60,14 @@
 type Forwarder interface {
 	// Owner reports whether this instance owns the bucket; otherwise forward
 	// reaches the owner.
-	Owner(bucket uint32) (self bool, forward ForwardFunc)
+	Owner(bucket claims.BucketID) (self bool, forward ForwardFunc)
 }
 
 // Local is the Forwarder of an instance that owns every bucket.
 type Local struct{}
 
 // Owner implements Forwarder.
-func (Local) Owner(uint32) (bool, ForwardFunc) { return true, nil }
+func (Local) Owner(claims.BucketID) (bool, ForwardFunc) { return true, nil }
 
 // Options are what an executor depends on.
 type Options struct {
@@ -241,7 +241,7 @@
 // decide, the operation is applied here: it has the same claim id, so that it
 // finds what the owner may have written.
 func (x *Executor) route(ctx context.Context, op claims.Operation, lazy bool) (claims.Result, error) {
-	self, forward := x.options.Forwarder.Owner(op.Key.Bucket())
+	self, forward := x.options.Forwarder.Owner(x.batcher.bucketOf(op.Key))
 	if self {
 		return x.batcher.submit(ctx, op, lazy)
 	}
--- a/primrosed/internal/execute/expiry.go
+++ b/primrosed/internal/execute/expiry.go
@@ -16,27 +16,29 @@
 	// Retention is how long claims are kept at least, by the time in their keys,
 	// unless a bucket reaches its size bound.
 	Retention = 24 * time.Hour
+	// lookBack is how far before the retention the first walk begins. Later
+	// walks go on from the cursor in the lease.
+	lookBack = 24 * time.Hour
 	// expiryStep is the time between two buckets: at most four calls a second.
 	expiryStep = 500 * time.Millisecond
-	// walkInterval is the time between two walks over all buckets.
-	walkInterval = 10 * time.Minute
 	// retryWait bounds the random wait after a failure.
 	retryWait = 4 * expiryStep
 	// expiryDuty is the name of the lease.
 	expiryDuty = "claim-expiry"
 )
 
-// Expirer drops old claims while it holds the lease for that. Every bucket it
-// visits is marked with its term, so that a predecessor that was paused can't
-// change the bucket any more.
+// Expirer closes the buckets of old slots while it holds the lease for that.
+// Buckets that nobody wrote are passed over, so that a clock ahead of time can't
+// shut out keys of the future. The cursor in the lease is the first slot that
+// isn't known to be closed.
 type Expirer struct {
 	log    zerolog.Logger
 	store  Store
 	jitter func(limit time.Duration) time.Duration
 	keeper *lease.Keeper
-	// next is the bucket to visit at due, and left how many this walk still has.
-	next uint32
-	left uint32
+	// term is the one for which next, the bucket to visit at due, is set.
+	term uint64
+	next claims.BucketID
 	due  time.Time
 }
 
@@ -94,14 +96,21 @@
 		return lease.ObserveInterval
 	}
 
+	// The term is new here, too, if the answer to taking the lease was lost.
+	if next.Term != e.term {
+		e.next = claims.BucketID{Slot: firstSlot(next.Cursor, start)}
+	}
+
+	next.Cursor = e.next.Slot
+
 	if err := e.put(ctx, o.Version, next); err != nil {
 		return e.leaseFailed("write lease", err)
 	}
 
-	if next.Term != stored.Term {
-		// The start is random, so that short tenures reach every bucket.
-		e.next, e.left, e.due = uint32(e.jitter(claims.Buckets-1)), claims.Buckets, start
-		e.log.Info().Str("event", "lease_taken").Str("duty", expiryDuty).Uint64("term", next.Term).Send()
+	if next.Term != e.term {
+		e.term, e.due = next.Term, start
+		e.log.Info().Str("event", "lease_taken").Str("duty", expiryDuty).Uint64("term", next.Term).
+			Uint64("slot", next.Cursor).Send()
 	}
 
 	e.keeper.Written(start, next)
@@ -109,6 +118,20 @@
 	return lease.RenewInterval
 }
 
+// firstSlot returns where a holder begins: at the cursor, but not after the
+// slots that are due by its own clock, since an earlier holder's clock may have
+// been ahead.
+func firstSlot(cursor uint64, now time.Time) uint64 {
+	due := slotAt(now.Add(-Retention))
+	if cursor == 0 {
+		return slotAt(now.Add(-Retention - lookBack))
+	}
+
+	return min(cursor, due)
+}
+
+func slotAt(t time.Time) uint64 { return uint64(max(t.UnixMilli(), 0)) / claims.SlotMS }
+
 func (e *Expirer) put(ctx context.Context, version uint64, l lease.Lease) error {
 	data, err := l.Encode()
 	if err != nil {
@@ -126,13 +149,20 @@
 	return lease.RenewInterval/2 + e.jitter(lease.RenewInterval/2)
 }
 
-// visit expires the next bucket if the lease is held.
+// visit closes the next bucket if the lease is held and the bucket's slot is
+// older than the retention.
 func (e *Expirer) visit(ctx context.Context) {
 	term, held := e.keeper.Term(time.Now())
 	if !held {
 		return
 	}
 
+	if end := time.UnixMilli(int64(e.next.EndMS())).Add(Retention); time.Now().Before(end) {
+		e.due = end
+
+		return
+	}
+
 	e.due = time.Now().Add(expiryStep)
 
 	err := e.expire(ctx, e.next, term)
@@ -140,40 +170,44 @@
 
 	switch {
 	case err == nil:
-		e.next = (e.next + 1) % claims.Buckets
-		e.left--
+		e.advance()
 	case code == domain.CodeConflict:
 		// A claim was written meanwhile, or the term has lapsed; the next visit
 		// reads the bucket and the lease again.
-		e.log.Info().Str("event", "expiry_conflict").Uint32("bucket", e.next).Uint64("term", term).Err(err).Send()
+		e.log.Info().Str("event", "expiry_conflict").Stringer("bucket", e.next).Uint64("term", term).Err(err).Send()
 	default:
-		e.log.Warn().Str("event", "expiry_failed").Uint32("bucket", e.next).Uint64("term", term).Err(err).Send()
+		e.log.Warn().Str("event", "expiry_failed").Stringer("bucket", e.next).Uint64("term", term).Err(err).Send()
 
 		e.due = time.Now().Add(expiryStep + e.jitter(retryWait))
 	}
+}
+
+func (e *Expirer) advance() {
+	e.next.Number++
 
-	if e.left == 0 {
-		e.left, e.due = claims.Buckets, time.Now().Add(walkInterval)
-		e.log.Info().Str("event", "expiry_walked").Uint64("term", term).Send()
+	if e.next.Number == claims.BucketsPerSlot {
+		e.next = claims.BucketID{Slot: e.next.Slot + 1}
 	}
 }
 
-func (e *Expirer) expire(ctx context.Context, bucket uint32, term uint64) error {
-	name := claims.ObjectName(bucket)
+func (e *Expirer) expire(ctx context.Context, bucket claims.BucketID, term uint64) error {
+	name := bucket.String()
 
 	o, err := e.store.Get(ctx, claims.ObjectKind, name)
 	if err != nil {
 		return err
 	}
 
-	var b claims.Bucket
-	if o.Version > 0 {
-		if b, err = claims.Decode(o.Value); err != nil {
-			return err
-		}
+	if o.Version == 0 {
+		return nil
 	}
 
-	next, changed, err := b.Expire(term, uint64(max(time.Now().Add(-Retention).UnixMilli(), 0)))
+	b, err := claims.Decode(o.Value)
+	if err != nil {
+		return err
+	}
+
+	next, changed, err := b.Close(term, bucket.EndMS())
 	if err != nil || !changed {
 		return err
 	}
@@ -189,8 +223,8 @@
 
 	dropped := len(b.Claims) - len(next.Claims)
 	metrics.GetOrCreateCounter("primrosed_claims_expired_total").Add(dropped)
-	e.log.Info().Str("event", "bucket_expired").Uint32("bucket", bucket).Uint64("term", term).
-		Int("dropped", dropped).Uint64("floor_ms", next.FloorMS).Send()
+	e.log.Info().Str("event", "bucket_expired").Stringer("bucket", bucket).Uint64("term", term).
+		Int("dropped", dropped).Send()
 
 	return nil
 }
@@ -202,6 +236,8 @@
 		return
 	}
 
+	l.Cursor = e.next.Slot
+
 	o, err := e.store.Get(ctx, lease.ObjectKind, expiryDuty)
 	if err != nil {
 		return
--- a/primrosed/internal/execute/fake_test.go
+++ b/primrosed/internal/execute/fake_test.go
@@ -49,6 +49,14 @@
 	return s.faults
 }
 
+// counts returns the writes that took effect and all calls that did.
+func (s *fakeStore) counts() (writes, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.writes, s.calls
+}
+
 func (s *fakeStore) setFaults(f faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -203,7 +203,7 @@
 
 func (r *run) log(event string, result claims.Result, err error) {
 	line := r.executor.options.Log.Info().Str("event", event).Str("service", r.svc.Name).Str("key", r.op.Key.String()).
-		Str("claim_id", r.op.ClaimID).Uint32("bucket", r.op.Key.Bucket()).Str("outcome", result.Outcome.String())
+		Str("claim_id", r.op.ClaimID).Stringer("bucket", r.op.Key.Bucket()).Str("outcome", result.Outcome.String())
 	if err != nil {
 		fate, code := fateOf(err)
 		line = line.Str("fate", fate.String()).Str("code", string(code)).Err(err)
--- a/primrosed/internal/peer/owners.go
+++ b/primrosed/internal/peer/owners.go
@@ -18,7 +18,7 @@
 
 // Owner reports whether this instance owns a bucket; otherwise the function
 // sends an operation to the owner.
-func (o *Owners) Owner(bucket uint32) (bool, func(context.Context, claims.Operation) (claims.Result, error)) {
+func (o *Owners) Owner(bucket claims.BucketID) (bool, func(context.Context, claims.Operation) (claims.Result, error)) {
 	owner, self := o.placement.BucketOwner(bucket)
 	if self {
 		return true, nil
--- a/primrosed/internal/peer/placement.go
+++ b/primrosed/internal/peer/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/claims"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/membership"
 	"primrosespring.example/internal/placement"
@@ -86,12 +87,13 @@
 }
 
 // BucketOwner returns the owner of a bucket of claims, and whether it is this
-// instance. An owner under suspicion is passed over: ownership saves writes and
+// instance. The buckets of one slot have different owners, since each instance
+// has only its share of the store's write budget. An owner under suspicion is passed over: ownership saves writes and
 // isn't needed for safety.
-func (p *Placement) BucketOwner(bucket uint32) (owner domain.Instance, self bool) {
+func (p *Placement) BucketOwner(bucket claims.BucketID) (owner domain.Instance, self bool) {
 	view := p.table.View()
 
-	in, ok := view.Live.Owner("claims/" + strconv.FormatUint(uint64(bucket), 10))
+	in, ok := view.Live.Owner("claims/"+strconv.FormatUint(bucket.Slot, 10), bucket.Number)
 	if !ok || view.Suspects[in.ID] {
 		return domain.Instance{}, true
 	}
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"primrosespring.example/internal/claims"
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -175,7 +176,7 @@
 type forwarder struct{ owners *peer.Owners }
 
 // Owner implements execute.Forwarder.
-func (f forwarder) Owner(bucket uint32) (bool, execute.ForwardFunc) {
+func (f forwarder) Owner(bucket claims.BucketID) (bool, execute.ForwardFunc) {
 	self, forward := f.owners.Owner(bucket)
 
 	return self, forward
