execute, peer: tell a repeated request not run only from its record

A refusal with store_unavailable said not run of one sending only, so that a caller who had sent the key before could take it for the fate of the key. ExecuteRequest.repeated now marks a key that may have been sent before. Its refusals speak of all sendings: not run needs the key's record, and every other refusal (store down, budget spent, stopping, no such service) is unknown. A relay keeps the flag; it passes on a holder's not run only with the code already_claimed, since it can't tell the others apart.

The property test marks half of its calls as repeated and allows no not run for a key that ran at any time.

--- a/primrosed/internal/execute/execute_test.go
+++ b/primrosed/internal/execute/execute_test.go
@@ -46,6 +46,7 @@
 // told is what a caller was told.
 type told struct {
 	key, payload string
+	repeated     bool
 	resp         *pb.ExecuteResponse
 	err          error
 }
@@ -57,10 +58,14 @@
 }
 
 // settled reports whether the answer says that the key itself never runs,
-// rather than that this call wasn't sent.
+// rather than that this call wasn't sent. A repeated call is never told less.
 func (c told) settled() bool {
 	var e *domain.Error
 
+	if c.repeated {
+		return c.fate() == domain.FateNotRun
+	}
+
 	return c.fate() == domain.FateNotRun && errors.As(c.err, &e) &&
 		(e.Step != "claim key" || e.Code == domain.CodeAlreadyClaimed) && e.Code != domain.CodeStopping
 }
@@ -152,7 +157,7 @@
 
 	for i := range calls {
 		c := &calls[i]
-		c.key, c.payload = keys[r.IntN(len(keys))], "p"
+		c.key, c.payload, c.repeated = keys[r.IntN(len(keys))], "p", r.IntN(2) == 0
 
 		if r.IntN(10) == 0 {
 			c.payload = "other"
@@ -167,7 +172,9 @@
 			ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), callID{}, i), patience)
 			defer cancel()
 
-			c.resp, c.err = x.Execute(ctx, cfg, &pb.ExecuteRequest{Service: "garantias", Key: c.key, Payload: c.payload})
+			c.resp, c.err = x.Execute(ctx, cfg, &pb.ExecuteRequest{
+				Service: "garantias", Key: c.key, Payload: c.payload, Repeated: c.repeated,
+			})
 		})
 	}
 
@@ -234,6 +241,13 @@
 	return x.Execute(context.Background(), testConfiguration(), &pb.ExecuteRequest{Service: "garantias", Key: key, Payload: payload})
 }
 
+func executeAgain(x *Executor, key string) error {
+	_, err := x.Execute(context.Background(), testConfiguration(),
+		&pb.ExecuteRequest{Service: "garantias", Key: key, Payload: "p", Repeated: true})
+
+	return err
+}
+
 func requireError(t *testing.T, err error, fate domain.Fate, code domain.Code) {
 	t.Helper()
 
@@ -281,6 +295,7 @@
 
 		_, err = execute(x, small, "p")
 		requireError(t, err, domain.FateNotRun, domain.CodeStopping)
+		requireError(t, executeAgain(x, small), domain.FateUnknown, domain.CodeStopping)
 
 		resp, err := execute(y, small, "p")
 		require.NoError(t, err)
@@ -296,15 +311,20 @@
 		for _, key := range []string{shed, unheld} {
 			_, err = execute(y, key, "p")
 			requireError(t, err, domain.FateNotRun, domain.CodeAlreadyClaimed)
+			requireError(t, executeAgain(y, key), domain.FateNotRun, domain.CodeAlreadyClaimed)
 		}
 
+		y.options.Snapshots = &fakeSnapshots{none: true}
+		requireError(t, executeAgain(y, testKey(r)), domain.FateNotRun, domain.CodeNoLiveSearcher)
+
 		require.Len(t, searchers.runs, 2)
 		require.NoError(t, y.Close(context.Background()))
 	})
 }
 
 // Guards against a request that waits for its deadline while the store is down,
-// and one that is refused as unknown though nothing was sent.
+// one that is refused as unknown though nothing was sent, and a repeated one
+// that is refused as not run though an earlier sending may have run.
 func TestStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore(1, faults{refused: 100})
@@ -314,6 +334,12 @@
 		_, err := execute(x, testKey(store.rand), "p")
 		requireError(t, err, domain.FateNotRun, domain.CodeStoreUnavailable)
 		require.LessOrEqual(t, time.Since(start), 10*time.Millisecond)
+		requireError(t, executeAgain(x, testKey(store.rand)), domain.FateUnknown, domain.CodeStoreUnavailable)
+
+		_, err = x.Execute(context.Background(), testConfiguration(), &pb.ExecuteRequest{
+			Service: "no such service", Key: testKey(store.rand), Repeated: true,
+		})
+		requireError(t, err, domain.FateUnknown, domain.CodeNotFound)
 
 		_, err = execute(x, "3b241101-e2bb-4255-8caf-4136c566a962", "p")
 		requireError(t, err, domain.FateNotRun, domain.CodeInvalid)
--- a/primrosed/internal/execute/executor.go
+++ b/primrosed/internal/execute/executor.go
@@ -155,14 +155,14 @@
 // domain.Error. The request goes on to its deadline when the caller leaves, so
 // that its end is known when the key is repeated.
 //
-// The fate of an error speaks of this request. FateNotRun with the code
-// store_unavailable says that this request wasn't sent; it says nothing about
-// an earlier request with the same key.
+// The fate of an error speaks of this request, and of every request with its key
+// if this one is marked as repeated. Then FateNotRun is only told from the key's
+// record, or for a key that no request can have.
 func (x *Executor) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
 	start := time.Now()
 
 	if !x.enter() {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "execute", "the instance is stopping")
+		return nil, withoutRecord(req, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "execute", "the instance is stopping"))
 	}
 	defer x.open.Done()
 
@@ -177,6 +177,10 @@
 	defer cancel()
 
 	resp, err := r.run(ctx)
+	if err != nil && !r.consulted {
+		err = withoutRecord(req, err)
+	}
+
 	x.count(resp, err)
 
 	if err != nil {
@@ -188,6 +192,16 @@
 	return resp, nil
 }
 
+// withoutRecord returns err as the answer to a request whose key's record wasn't
+// consulted: an earlier request with the key may have run.
+func withoutRecord(req *pb.ExecuteRequest, err error) error {
+	if e := asError(err); req.GetRepeated() && e.Fate == domain.FateNotRun {
+		return e.WithFate(domain.FateUnknown)
+	}
+
+	return err
+}
+
 func (x *Executor) enter() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -202,19 +216,21 @@
 }
 
 func (x *Executor) newRun(cfg *domain.Configuration, req *pb.ExecuteRequest) (*run, error) {
+	key, err := claims.ParseKey(req.GetKey())
+	if err != nil {
+		return nil, err
+	}
+
+	// Another configuration may have let an earlier request with the key pass.
 	svc, ok := cfg.Service(req.GetService())
 	if !ok {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "execute", "service %q doesn't exist", req.GetService())
+		return nil, withoutRecord(req,
+			domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "execute", "service %q doesn't exist", req.GetService()))
 	}
 
 	if !svc.Rules.NonRepeatable {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "execute",
-			"service %s takes only repeatable requests", svc.Name)
-	}
-
-	key, err := claims.ParseKey(req.GetKey())
-	if err != nil {
-		return nil, err
+		return nil, withoutRecord(req, domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "execute",
+			"service %s takes only repeatable requests", svc.Name))
 	}
 
 	// Another instance's clock may have let the key pass, so the fate is open.
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -20,6 +20,8 @@
 	op       claims.Operation
 	payload  string
 	snap     domain.Snapshot
+	// consulted is set once the answer rests on the key's record.
+	consulted bool
 }
 
 func (r *run) timeout(req *pb.ExecuteRequest) time.Duration {
@@ -159,6 +161,8 @@
 
 		return nil, refusal.WithFate(domain.FateUnknown)
 	case result.Outcome == claims.Aborted && result.Claim.ClaimID == r.op.ClaimID:
+		r.consulted = true
+
 		return nil, refusal.WithFate(domain.FateNotRun)
 	default:
 		return r.recorded(result)
@@ -168,6 +172,7 @@
 // recorded answers from the record of an earlier request with the key.
 func (r *run) recorded(result claims.Result) (*pb.ExecuteResponse, error) {
 	c := result.Claim
+	r.consulted = true
 
 	switch result.Outcome {
 	case claims.Ran:
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -484,6 +484,16 @@
 			require.ErrorAs(t, err, &e)
 			require.Equal(t, fate, e.Fate)
 			require.Equal(t, want, sent.Load(), fate.String())
+
+			// No holder read the record, so a repeated request may have run.
+			_, err = r.Execute(t.Context(), cfg, &pb.ExecuteRequest{Service: "service", Key: "k", Repeated: true})
+			require.ErrorAs(t, err, &e)
+
+			if fate == domain.FateNotRun {
+				require.Equal(t, domain.FateUnknown, e.Fate)
+			} else {
+				require.Equal(t, fate, e.Fate)
+			}
 		}
 
 		for _, n := range nodes {
--- a/primrosed/internal/peer/search.go
+++ b/primrosed/internal/peer/search.go
@@ -100,7 +100,8 @@
 }
 
 // Execute implements caller.Executor. A request goes to a second holder only if
-// it didn't run at the first.
+// it didn't run at the first. For a repeated request, only a holder that read
+// the key's record can say that none of its sendings ran.
 func (r *Relay) Execute(ctx context.Context, cfg *domain.Configuration, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
 	svc, ok := cfg.Service(req.GetService())
 	if !ok || r.placement.Holds(cfg, svc.Name) {
@@ -127,7 +128,7 @@
 		return time.Duration(resp.GetElapsedUs()) * time.Microsecond, err
 	})
 	if err != nil {
-		return nil, err
+		return nil, withoutRecord(req, err)
 	}
 
 	resp.ElapsedUs = uint64(max(time.Since(start), 0).Microseconds())
@@ -135,6 +136,17 @@
 	return resp, nil
 }
 
+// withoutRecord turns the fate not run of a repeated request into unknown,
+// unless the key's record was read.
+func withoutRecord(req *pb.ExecuteRequest, err error) error {
+	var e *domain.Error
+	if !req.GetRepeated() || !errors.As(err, &e) || e.Fate != domain.FateNotRun || e.Code == domain.CodeAlreadyClaimed {
+		return err
+	}
+
+	return e.WithFate(domain.FateUnknown)
+}
+
 // final marks an error after which no other holder may be tried.
 type final struct{ cause *domain.Error }
 
