load: mark keys that are sent again

The check of false not run looked at the last answer only. It now takes every answer to a sending that was marked as repeated, and the answer to a key that was sent once. An address that refuses a repeated sending makes it unknown, since an earlier one may have run.

--- a/primrosefake/internal/load/result_test.go
+++ b/primrosefake/internal/load/result_test.go
@@ -29,14 +29,19 @@
 		{key: "refused falsely", failures: []*failure{unknown, notRun}},
 		{key: "refused, sent again and ran", failures: []*failure{notRun, unknown}},
 		{key: "refused, sent again and answered", failures: []*failure{notRun}, answered: true},
+		{key: "refused falsely, sent again and answered", failures: []*failure{unknown, notRun}, answered: true},
+		{key: "refused falsely at once", failures: []*failure{notRun}},
 	}, map[string]int{
 		"ran once": 1, "ran twice": 2, "refused falsely": 1, "refused, sent again and ran": 1, "refused, sent again and answered": 1,
+		"refused falsely, sent again and answered": 1, "refused falsely at once": 1,
 	})
 
-	require.Equal(t, Counts{Doubled: 1, FalseNotRun: 1}, r.Counts)
+	require.Equal(t, Counts{Doubled: 1, FalseNotRun: 3}, r.Counts)
 	require.Equal(t, []string{
 		"doubled: key ran twice ran 2 times; its answers: caller_timeout (unknown), answered",
 		"false_not_run: key refused falsely ran 1 times; its answers: caller_timeout (unknown), overloaded (not run)",
+		"false_not_run: key refused falsely, sent again and answered ran 1 times; its answers: caller_timeout (unknown), overloaded (not run), answered",
+		"false_not_run: key refused falsely at once ran 1 times; its answers: overloaded (not run)",
 	}, r.Problems)
 }
 
--- a/primrosefake/internal/load/run.go
+++ b/primrosefake/internal/load/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/primrosefake/internal/workload"
 )
@@ -92,6 +93,19 @@
 	answered bool
 }
 
+// toldNotRun reports whether an answer says that the key didn't run. The answer
+// to the first of several sendings speaks of that one only.
+func (e *executed) toldNotRun() bool {
+	for i, f := range e.failures {
+		only := len(e.failures) == 1 && !e.answered
+		if f.notRun() && (i > 0 || only) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // last returns the failure of the last try, or nil if it was answered.
 func (e *executed) last() *failure {
 	if e.answered || len(e.failures) == 0 {
@@ -344,10 +358,15 @@
 
 	resp, err := p.system.execute(ctx, a.number, try, &pb.ExecuteRequest{
 		Service: a.service.Name, Member: a.member, Key: key, Payload: "payload of " + key,
-		TimeoutMs: uint32(timeout.Milliseconds()),
+		TimeoutMs: uint32(timeout.Milliseconds()), Repeated: try > 0,
 	})
 	if err != nil {
-		return classify(ctx, err)
+		f := classify(ctx, err)
+		if f.code == codeUnreachable && try > 0 {
+			f.fate = domain.FateUnknown // Only this sending is known not to have run.
+		}
+
+		return f
 	}
 
 	if resp.GetKey() != key || resp.GetResult() != key+":done" {
@@ -366,9 +385,7 @@
 			r.addProblem("doubled: key %s ran %d times; its answers: %s", e.key, n, &e)
 		}
 
-		// Only the last answer is final: after an earlier one the caller sent
-		// the key again.
-		if last := e.last(); n > 0 && last != nil && last.notRun() {
+		if n > 0 && e.toldNotRun() {
 			r.Counts.FalseNotRun++
 			r.addProblem("false_not_run: key %s ran %d times; its answers: %s", e.key, n, &e)
 		}
