execute: report an unreachable searcher as unreachable

A refused connection has the fate not run, and was reported to routing as a searcher that sheds load, so that it kept being chosen. It now counts as unreachable, as in queries. A test shows that the same claimer sends to another searcher and records aborted when none is left; that part already worked.

--- a/primrosed/internal/execute/execute_test.go
+++ b/primrosed/internal/execute/execute_test.go
@@ -21,6 +21,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/lease"
+	"primrosespring.example/internal/routing"
 )
 
 // testKey returns a key of the present, so that it may be claimed.
@@ -322,6 +323,32 @@
 	})
 }
 
+// Guards against a searcher that can't be reached and costs the request its run,
+// though nothing was sent, or that keeps being chosen.
+func TestSearcherUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, faults{})
+		searchers := &fakeSearchers{store: store, runs: make(map[string][]ran), down: 1}
+		x := newTestExecutor(t, store, searchers)
+
+		_, err := execute(x, testKey(store.rand), "p")
+		require.NoError(t, err)
+		require.Len(t, searchers.asked, 2)
+		require.NotEqual(t, searchers.asked[0], searchers.asked[1])
+
+		searchers.down = 10
+		key := testKey(store.rand)
+		_, err = execute(x, key, "p")
+		requireError(t, err, domain.FateNotRun, domain.CodeSearcherUnavailable)
+		requireError(t, executeAgain(x, key), domain.FateNotRun, domain.CodeAlreadyClaimed)
+		require.Len(t, searchers.runs, 1)
+		require.NoError(t, x.Close(context.Background()))
+
+		unreachable := domain.Errorf(domain.FateNotRun, domain.CodeSearcherUnavailable, "connect", "refused")
+		require.Equal(t, routing.Unreachable, outcomeOf(unreachable))
+	})
+}
+
 // Guards against a request that waits for its deadline while the store is down,
 // one that is refused as unknown though nothing was sent, and a repeated one
 // that is refused as not run though an earlier sending may have run.
--- a/primrosed/internal/execute/fake_test.go
+++ b/primrosed/internal/execute/fake_test.go
@@ -185,6 +185,8 @@
 	mu    sync.Mutex // Guards all below.
 	runs  map[string][]ran
 	asked []string
+	// down is how many of the next attempts find no connection.
+	down int
 }
 
 func (f *fakeSearchers) Run(ctx context.Context, sr *domain.Searcher, req *pb.RunRequest) (*pb.RunResponse, error) {
@@ -192,8 +194,14 @@
 
 	f.mu.Lock()
 	f.asked = append(f.asked, sr.ID)
+	down := f.down > 0
+	f.down--
 	f.mu.Unlock()
 
+	if down {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeSearcherUnavailable, "connect", "no connection").WithPeer(sr.ID)
+	}
+
 	switch {
 	case f.store.chance(f.store.rates().shed):
 		return nil, domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "run", "shed").WithPeer(sr.ID)
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -239,6 +239,8 @@
 	}
 
 	switch fate, code := fateOf(err); {
+	case code == domain.CodeSearcherUnavailable:
+		return routing.Unreachable
 	case fate == domain.FateNotRun:
 		return routing.Shed
 	case code == domain.CodeDeadline || code == domain.CodeCancelled:
