--- /dev/null
+++ b/internal/hedging/hedging_test.go
@@ -0,0 +1,93 @@
+package hedging
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const service = 10 * time.Millisecond
+
+// uniform returns a Delayer that saw latencies spread evenly from 0 to 10
+// service times.
+func uniform() *Delayer {
+	d := &Delayer{}
+	for i := range 1000 {
+		d.Observe(Estimate{Service: service}, time.Duration(i)*service/100)
+	}
+
+	return d
+}
+
+// Guards against hedges that are sent at another share of the attempts than
+// the quantiles say.
+func TestDelayIsTheQuantile(t *testing.T) {
+	d := uniform()
+	e := Estimate{Service: service}
+
+	// One bucket is 9% wide.
+	require.InEpsilon(t, FirstQuantile*10*float64(service), float64(d.Delay(e, true)), 0.09)
+	require.InEpsilon(t, LaterQuantile*10*float64(service), float64(d.Delay(e, false)), 0.09)
+}
+
+// Guards against a queued or remote attempt that is hedged as if it were at a
+// free searcher nearby, and slow searchers that are hedged as if they were
+// fast.
+func TestDelayFollowsTheEstimate(t *testing.T) {
+	d := uniform()
+	plain := d.Delay(Estimate{Service: service}, true)
+
+	require.Equal(t, plain+7*time.Millisecond, d.Delay(Estimate{Before: 7 * time.Millisecond, Service: service}, true))
+	require.InEpsilon(t, float64(2*plain), float64(d.Delay(Estimate{Service: 2 * service}, true)), 1e-6)
+}
+
+// Guards against a delay from too few latencies.
+func TestDelayBeforeLatenciesAreKnown(t *testing.T) {
+	var d Delayer
+
+	for range minObserved - 1 {
+		d.Observe(Estimate{Service: service}, time.Microsecond)
+	}
+
+	require.Equal(t, time.Duration(defaultRatio*float64(service)), d.Delay(Estimate{Service: service}, true))
+}
+
+// Guards against a delay that sinks with every hedge won, because the attempts
+// that were given up are left out.
+func TestAttemptsGivenUpCount(t *testing.T) {
+	d := uniform()
+	e := Estimate{Service: service}
+	before := d.Delay(e, true)
+
+	for range 100 {
+		d.ObserveCensored(e, 20*service)
+	}
+
+	require.Greater(t, d.Delay(e, true), before)
+}
+
+// Guards against latencies of long ago that outweigh those of now.
+func TestOldLatenciesLoseWeight(t *testing.T) {
+	d := uniform()
+	e := Estimate{Service: service}
+
+	for range 3 * maxWeight {
+		d.Observe(e, service)
+	}
+
+	require.InEpsilon(t, float64(service), float64(d.Delay(e, true)), 0.09)
+}
+
+// Guards against a hedge that is held back because its straggler is expected to
+// answer at once.
+func TestTimeLeftGrowsWithTheTimeTaken(t *testing.T) {
+	d := uniform()
+
+	for i := range 200 {
+		elapsed := time.Duration(i) * service / 2
+		require.GreaterOrEqual(t, d.Left(Estimate{Service: service}, elapsed), tailFactor*elapsed)
+	}
+
+	require.InEpsilon(t, 5*float64(service), float64(d.Left(Estimate{Service: service}, 0)), 0.09)
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,93 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const slots = 2
+
+var start = time.Unix(1_000_000, 0)
+
+// answers ends n windows whose requests waited for wait, at a service time of
+// 10 ms.
+func answers(l *Limit, n int, wait time.Duration) {
+	for range n * windowAnswers {
+		l.Answered(start, slots, Sample{Wait: wait, Service: 10 * time.Millisecond})
+	}
+}
+
+// Guards against a limit that stays high while requests wait in a long queue,
+// and one that falls to nothing.
+func TestLimitFallsWithTheWait(t *testing.T) {
+	var l Limit
+
+	before := l.Allowed(slots)
+	answers(&l, 1, 40*time.Millisecond)
+	require.Less(t, l.Allowed(slots), before)
+
+	answers(&l, 50, time.Second)
+	require.Equal(t, 1, l.Allowed(slots))
+}
+
+// Guards against a limit that never recovers, and one without an upper bound.
+func TestLimitRisesWithoutWait(t *testing.T) {
+	var l Limit
+
+	answers(&l, 50, time.Second)
+	answers(&l, 2, 0)
+	require.Equal(t, 3, l.Allowed(slots))
+
+	answers(&l, 100, 0)
+	require.Equal(t, maxSlotsMultiple*slots, l.Allowed(slots))
+}
+
+// Guards against a limit that swings while the wait is between its two bounds.
+func TestLimitKeepsAtATolerableWait(t *testing.T) {
+	var l Limit
+
+	before := l.Allowed(slots)
+	answers(&l, 20, 10*time.Millisecond)
+	require.Equal(t, before, l.Allowed(slots))
+}
+
+// Guards against a burst of sheds of one moment that cuts the limit many times.
+func TestShedsOfOneMomentCutOnce(t *testing.T) {
+	var l Limit
+
+	answers(&l, 100, 0)
+
+	for range 10 {
+		l.Shed(start, slots)
+	}
+
+	require.Equal(t, 5, l.Allowed(slots), "70% of 8")
+
+	l.Shed(start.Add(cutInterval), slots)
+	require.Equal(t, 3, l.Allowed(slots))
+}
+
+// Guards against a cold searcher that gets its full share at once, or never.
+func TestColdSearcherIsRampedUp(t *testing.T) {
+	var l Limit
+
+	l.Warm()
+	require.Equal(t, 1, l.Allowed(slots))
+
+	answers(&l, 1, 0)
+	require.Equal(t, 2, l.Allowed(slots))
+}
+
+// Guards against a decision that waits for a full window at a searcher with few
+// requests.
+func TestSlowWindowEndsInTime(t *testing.T) {
+	var l Limit
+
+	for i := range minAnswers {
+		l.Answered(start.Add(time.Duration(i)*windowTime), slots, Sample{Wait: time.Second, Service: 10 * time.Millisecond})
+	}
+
+	require.Less(t, l.Allowed(slots), initialSlotsMultiple*slots)
+}
