routing: refuse queries at a shorter standing queue

The one searcher left in a shard is offered 120% of its slots, and accepted queries waited in a queue of up to 4 service times. The bound is 2.5 now.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -93,7 +93,7 @@
 	// standingWait is how many service times the queue of a searcher may be long
 	// before no new query is let in for it. A longer queue adds to every
 	// latency and nothing to the throughput.
-	standingWait = 4
+	standingWait = 2.5
 	// extraOverLimit is how far hedges may exceed a searcher's limit.
 	// Without it, a straggler that takes up a limit of 1 blocks its own hedge.
 	extraOverLimit = 1
@@ -331,7 +331,7 @@
 				continue
 			}
 
-			if st.wait(now, float64(sr.Slots)) <= standingWait*st.service {
+			if float64(st.wait(now, float64(sr.Slots))) <= standingWait*float64(st.service) {
 				free += max(st.limit.Allowed(sr.Slots)-st.outstanding, 0)
 			}
 
