query: explain the choice of searchers

Explain left the shards, their searchers and the hedging delay empty. It now fills them from routing.Table.Explain, which reserves nothing, learns nothing and draws no random number; the check of a searcher is the one that Choose uses.

--- /dev/null
+++ b/internal/routing/explain_test.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Guards against an explanation that draws random numbers, takes the place of
+// a probe, or adds searchers to the table.
+func TestExplainChangesNothing(t *testing.T) {
+	tb := Table{Random: func() uint64 {
+		require.Fail(t, "a random number was drawn")
+
+		return 0
+	}}
+	sh := testShard(3)
+
+	c, standings := tb.Explain(start, Request{Shard: sh, Nearby: "near"})
+	require.NotNil(t, c.Searcher)
+	require.Len(t, standings, 3)
+	require.Empty(t, tb.searchers)
+
+	tb.Random = nil
+	now := kill(&tb, sh, "s1").Add(maxBackoff)
+
+	for range 3 {
+		c, _ = tb.Explain(now, Request{Shard: sh, Nearby: "near"})
+		require.Equal(t, "s1", c.Searcher.ID, "the probe is due")
+	}
+
+	require.True(t, choose(t, &tb, now, sh).Probe)
+}
+
+// Guards against a dead searcher that is shown as usable.
+func TestExplainExcludesDeadSearchers(t *testing.T) {
+	var tb Table
+
+	sh := testShard(2)
+	now := kill(&tb, sh, "s0")
+
+	c, standings := tb.Explain(now, Request{Shard: sh, Nearby: "near"})
+	require.Equal(t, "s1", c.Searcher.ID)
+	require.Equal(t, domain.CodeNoLiveSearcher, standings[0].Excluded)
+	require.Empty(t, standings[1].Excluded)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -128,6 +128,10 @@
 	return c.cost < o.cost
 }
 
+func (c candidate) choice() Choice {
+	return Choice{Searcher: c.searcher, Expected: c.cost, Service: c.state.service, Probe: c.probe}
+}
+
 // Choose picks the searcher with the least expected time, and reserves a place
 // on it until Release. It reports false if no searcher can be used.
 func (t *Table) Choose(now time.Time, r Request) (Choice, bool) {
@@ -141,10 +145,7 @@
 
 	best.state.dispatch(now, best.searcher.Slots, best.probe)
 
-	return Choice{
-		Searcher: best.searcher, Expected: best.cost, Probe: best.probe,
-		Service: best.state.service,
-	}, true
+	return best.choice(), true
 }
 
 func (t *Table) pick(now time.Time, r *Request) (candidate, domain.Code) {
@@ -156,7 +157,9 @@
 	var best candidate
 
 	for i, found := 0, 0; i < maxDraws && found < draws; i++ {
-		c, _ := t.consider(now, r, &r.Shard.Searchers[t.random()%uint64(n)])
+		sr := &r.Shard.Searchers[t.random()%uint64(n)]
+
+		c, _ := consider(now, r, sr, t.state(sr.ID))
 		if c.searcher == nil || c.penalty >= penaltyLastResort {
 			continue
 		}
@@ -184,7 +187,8 @@
 	start := int(t.random() % uint64(n))
 
 	for i := range n {
-		c, code := t.consider(now, r, &r.Shard.Searchers[(start+i)%n])
+		sr := &r.Shard.Searchers[(start+i)%n]
+		c, code := consider(now, r, sr, t.state(sr.ID))
 
 		switch {
 		case c.searcher == nil:
@@ -199,10 +203,9 @@
 	return best, refusal
 }
 
-// consider returns the searcher as a candidate, or why it can't be one.
-func (t *Table) consider(now time.Time, r *Request, sr *domain.Searcher) (candidate, domain.Code) {
-	st := t.state(sr.ID)
-
+// consider returns the searcher as a candidate, or why it can't be one. It
+// changes nothing.
+func consider(now time.Time, r *Request, sr *domain.Searcher, st *state) (candidate, domain.Code) {
 	switch {
 	case r.Elsewhere && r.Avoid[len(r.Avoid)-1] == sr.ID:
 		return candidate{}, domain.CodeOverloaded
@@ -373,7 +376,7 @@
 			t.searchers = make(map[string]*state)
 		}
 
-		st = &state{service: initialService}
+		st = newState()
 		t.searchers[searcher] = st
 	}
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -101,6 +101,9 @@
 	drainMemory = 10 * time.Second
 )
 
+// newState returns what is assumed of a searcher never met.
+func newState() *state { return &state{service: initialService} }
+
 // expected returns the expected time to the answer of a request sent now.
 func (s *state) expected(now time.Time, sr *domain.Searcher, nearby string) time.Duration {
 	work := s.service + s.wait(now, float64(max(sr.Slots, 1)))
--- a/primrosed/internal/query/explain.go
+++ b/primrosed/internal/query/explain.go
@@ -1,18 +1,74 @@
 package query
 
 import (
+	"time"
+
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/routing"
 )
 
 // Explain tells how a query of svc would be routed now, without sending
-// anything.
+// anything or changing what routing knows. HedgeAfterUs is the delay of the
+// shard that would wait longest for its hedge; zero if none would be sent.
 func (r *Runner) Explain(cfg *domain.Configuration, svc *domain.Service) *pb.ExplainResponse {
 	resp := &pb.ExplainResponse{ConfigurationVersion: cfg.Version, Instance: r.instance.ID}
 
-	if snap, ok := r.snapshots.Choose(svc); ok {
+	snap, ok := r.snapshots.Choose(svc)
+	if ok {
 		resp.IndexVersion, resp.PartitionMapVersion = snap.IndexVersion, snap.PartitionMapVersion
 	}
 
+	now := time.Now()
+	hedged := svc.Rules.Hedging && svc.Rules.MaxAttempts > 1
+
+	for i := range svc.PartitionMap.Shards {
+		sh := &svc.PartitionMap.Shards[i]
+		choice, standings := r.routing.Explain(now, routing.Request{
+			Shard: sh, Nearby: r.instance.FailureDomain,
+			Eligible: func(searcher string) bool {
+				return ok && r.snapshots.Holds(svc.Name, uint32(i), searcher, snap)
+			},
+		})
+		resp.Shards = append(resp.Shards, explainShard(sh, choice, standings))
+
+		if hedged && choice.Searcher != nil {
+			resp.HedgeAfterUs = max(resp.HedgeAfterUs, uint32(r.hedgeAfter(svc, choice).Microseconds()))
+		}
+	}
+
 	return resp
 }
+
+// hedgeAfter returns the delay of the hedge of a first attempt.
+func (r *Runner) hedgeAfter(svc *domain.Service, c routing.Choice) time.Duration {
+	r.mu.RLock()
+	state, ok := r.services[svc.Name]
+	r.mu.RUnlock()
+
+	if !ok {
+		state = &serviceState{}
+	}
+
+	e := hedging.Estimate{Before: c.Expected - c.Service, Service: c.Service}
+
+	// The hedge of a probe is sent early, as in package scatter.
+	return state.delayer.Delay(e, !c.Probe)
+}
+
+func explainShard(sh *domain.Shard, c routing.Choice, standings []routing.Standing) *pb.ExplainShard {
+	e := &pb.ExplainShard{Shard: sh.Number}
+	if c.Searcher != nil {
+		e.Chosen = c.Searcher.ID
+	}
+
+	for _, s := range standings {
+		e.Searchers = append(e.Searchers, &pb.ExplainSearcher{
+			Id: s.Searcher, ExpectedUs: uint64(s.Expected.Microseconds()), Outstanding: uint32(s.Outstanding),
+			Queued: uint32(s.Queued), Limit: uint32(s.Limit), Excluded: string(s.Excluded),
+		})
+	}
+
+	return e
+}
