--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"regexp"
@@ -56,6 +57,56 @@
 	}
 }
 
+// switchIndex has one searcher after another hold one index version and no
+// other, so that queries under way lose their snapshot.
+func switchIndex(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+
+	for _, sr := range f.Searchers {
+		if sr.Service != args[0] {
+			continue
+		}
+
+		body := fmt.Sprintf(`{"service": %q, "shard": %d, "snapshots": [{"index_version": %s, "partition_map_version": 1}]}`,
+			sr.Service, sr.Shard, args[1])
+		_, err := request("POST", "http://"+f.SearcherControl+"/fake/hold?id="+sr.ID, []byte(body))
+		ts.Check(err)
+	}
+}
+
+// awaitIndex waits until each instance gives whole answers from an index
+// version.
+func awaitIndex(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	body := []byte(`{"service": "portal-inst", "query": "heater", "requestId": "index"}`)
+
+	for _, in := range f.Instances {
+		wait(ts, "waiting for index version "+args[0]+" at "+in.ID, func() error {
+			data, err := request("POST", "http://"+in.Caller+"/primrosespring.v1.SearchService/Search", body)
+			if err == nil && (!bytes.Contains(data, []byte(`@1.`+args[0]+`"`)) || bytes.Contains(data, []byte(`"missing"`))) {
+				err = fmt.Errorf("the answer is %s", data)
+			}
+
+			return err
+		})
+	}
+}
+
+// restarts restarts every instance gracefully, one after another, several
+// times.
+func restarts(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+
+	rounds, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	for range rounds {
+		for _, in := range f.Instances {
+			ts.Check(f.restart(in.ID))
+		}
+	}
+}
+
 // load runs the load on the system, acts on the faults that it announces, and
 // fails if its exit code isn't 0.
 func load(ts *testscript.TestScript, neg bool, args []string) {
@@ -141,6 +192,35 @@
 	})
 }
 
+// awaitFleetStatus repeats "primrosectl status" until its output matches a pattern.
+func awaitFleetStatus(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[0])
+
+	wait(ts, "waiting for the status "+args[0], func() error {
+		out, err := fleetOf(ts).program("primrosectl", "--server", ts.Getenv("PRIMROSECTL_SERVER"), "status")
+		if err == nil && !pattern.Match(out) {
+			err = fmt.Errorf("the status is\n%s", out)
+		}
+
+		return err
+	})
+}
+
+// awaitPartial repeats a post until the answer lacks a shard that has no live
+// searcher.
+func awaitPartial(ts *testscript.TestScript, _ bool, args []string) {
+	body := []byte(ts.ReadFile(args[1]))
+
+	wait(ts, "waiting for a partial answer of "+args[0], func() error {
+		data, err := request("POST", args[0], body)
+		if err == nil && !strings.Contains(string(data), "no_live_searcher") {
+			err = fmt.Errorf("the answer is %s", data)
+		}
+
+		return err
+	})
+}
+
 // join waits until a process that ends by itself has ended, and fails if its
 // exit code isn't 0.
 func join(ts *testscript.TestScript, neg bool, args []string) {
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"primrosespring.example/internal/claims"
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -112,8 +113,12 @@
 	return membership.New(s.Instance(), uint64(time.Now().UnixMilli()), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
-func newMesh(log zerolog.Logger, s settings.Settings, t *membership.Table, h *configuration.Holder, c *platform.Client) *peer.Mesh {
-	return peer.NewMesh(peer.Options{Log: log, Table: t, Holder: h, Seeds: s.Seeds, Lister: c, Jitter: jitter})
+func newMesh(log zerolog.Logger, s settings.Settings, t *membership.Table, h *configuration.Holder, c *platform.Client,
+	rt *routing.Table,
+) *peer.Mesh {
+	return peer.NewMesh(peer.Options{
+		Log: log, Table: t, Holder: h, Seeds: s.Seeds, Lister: c, SetLeaving: rt.SetLeaving, Jitter: jitter,
+	})
 }
 
 func newPlacement(log zerolog.Logger, t *membership.Table) *peer.Placement {
@@ -175,7 +180,7 @@
 type forwarder struct{ owners *peer.Owners }
 
 // Owner implements execute.Forwarder.
-func (f forwarder) Owner(bucket uint32) (bool, execute.ForwardFunc) {
+func (f forwarder) Owner(bucket claims.BucketID) (bool, execute.ForwardFunc) {
 	self, forward := f.owners.Owner(bucket)
 
 	return self, forward
--- a/primrosefake/internal/command/load.go
+++ b/primrosefake/internal/command/load.go
@@ -22,10 +22,12 @@
 	workload string
 	seed     uint64
 	duration time.Duration
+	rate     float64
 	systems  []string
 	direct   bool
 	faults   []string
 	whole    bool
+	until    string
 	pids     []int
 	out      string
 }
@@ -45,9 +47,11 @@
 		"built-in workload or file in the place of the one in DIR; its services must have the same searchers")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 0, "seed in the place of the workload's")
 	cmd.Flags().DurationVar(&f.duration, "duration", 0, "length of the load in the place of the workload's")
+	cmd.Flags().Float64Var(&f.rate, "rate", 0, "requests a second in the place of the workload's load")
 	cmd.Flags().StringSliceVar(&f.systems, "system", []string{load.Baseline, load.Product}, "systems to run, in order")
 	cmd.Flags().BoolVar(&f.direct, "direct", false, "send to the instances instead of the balancer")
 	cmd.Flags().StringArrayVar(&f.faults, "fault", nil, "fault as JSON, beside those of the workload")
+	cmd.Flags().StringVar(&f.until, "until", "", "file whose appearance ends the load before its time")
 	cmd.Flags().BoolVar(&f.whole, "await-whole", false, "fail unless the product answers whole again after the load")
 	cmd.Flags().IntSliceVar(&f.pids, "pid", nil, "process ids of the instances, whose CPU time is measured")
 	cmd.Flags().StringVar(&f.out, "out", "", "file for the results as JSON")
@@ -75,12 +79,16 @@
 		w.DurationMS = uint32(f.duration.Milliseconds())
 	}
 
+	if f.rate != 0 {
+		w.Load.QueriesPerSecond, w.Load.SlotsPermille = f.rate, 0
+	}
+
 	if w, err = w.WithFaults(f.faults); err != nil {
 		return err
 	}
 
 	results, err := load.Run(cmd.Context(), load.Options{
-		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, AwaitWhole: f.whole, PIDs: f.pids, Log: out,
+		Workload: w, Topology: t, Systems: f.systems, Direct: f.direct, AwaitWhole: f.whole, Until: f.until, PIDs: f.pids, Log: out,
 	})
 	if err != nil {
 		return err
