scenario: read versions from instances and reserve port ranges

Cause: primrosectl watch passes on only versions that rise, so the check that versions never fall could not fail. Systems of other test processes took ports of a run: 9 of 243 pairs didn't start.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // topology is the part of a generated topology that scenarios use.
@@ -67,6 +67,8 @@
 }
 
 const (
+	// pollStep is the time between two reads of an instance's version.
+	pollStep = 2 * time.Millisecond
 	// startTries bounds the starts of one run. Another test's processes may
 	// take a port between its choice and its use.
 	startTries = 3
@@ -77,14 +79,28 @@
 	portRangeCount = (highestPort - lowestPort) / portsPerRun
 )
 
-// nextPorts is the number of the next range of ports. It begins at random, so
-// that tests of other processes have others.
-var nextPorts atomic.Uint32
+// reservePorts returns the first of a range of ports that no other test on this
+// machine has, also in other processes, and what gives it back: a range belongs
+// to who holds the lock of its file.
+func reservePorts() (string, func(), error) {
+	begin := rand.IntN(portRangeCount)
 
-func init() { nextPorts.Store(rand.Uint32N(portRangeCount)) }
+	for i := range portRangeCount {
+		n := (begin + i) % portRangeCount
 
-func firstPort() string {
-	return strconv.Itoa(lowestPort + int(nextPorts.Add(1)%portRangeCount)*portsPerRun)
+		lock, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("primrosespring-ports-%d.lock", n)), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			return "", nil, err
+		}
+
+		if syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			return strconv.Itoa(lowestPort + n*portsPerRun), func() { _ = lock.Close() }, nil
+		}
+
+		_ = lock.Close()
+	}
+
+	return "", nil, errors.New("every range of ports is taken")
 }
 
 // startAll generates the run, starts every process and returns once the
@@ -101,11 +117,17 @@
 }
 
 func (f *fleet) startOnce(workload string) error {
-	_, err := f.program("primrosefake", "workload", "generate", "--workload", workload, "--first-port", firstPort(), f.run)
+	port, release, err := reservePorts()
 	if err != nil {
 		return err
 	}
 
+	f.atEnd(release)
+
+	if _, err := f.program("primrosefake", "workload", "generate", "--workload", workload, "--first-port", port, f.run); err != nil {
+		return err
+	}
+
 	if err := f.open(); err != nil {
 		return err
 	}
@@ -243,6 +265,64 @@
 	})
 }
 
+// pollVersions asks an instance for its configuration version again and again,
+// one call after another, until the processes are stopped or stop is called,
+// which returns an error if a version was lower than the one before.
+func pollVersions(operator string) (stop func() error) {
+	var (
+		last   int
+		fell   error
+		closed = make(chan struct{})
+		done   = make(chan struct{})
+	)
+
+	go func() {
+		defer close(done)
+
+		t := time.NewTicker(pollStep)
+		defer t.Stop()
+
+		for {
+			select {
+			case <-closed:
+				return
+			case <-t.C:
+			}
+
+			v, err := versionAt(operator)
+			if err == nil && v < last {
+				fell = errors.Join(fell, fmt.Errorf("%s: version %d came after version %d", operator, v, last))
+			}
+
+			last = max(last, v)
+		}
+	}()
+
+	return sync.OnceValue(func() error {
+		close(closed)
+		<-done
+
+		if last == 0 {
+			return fmt.Errorf("%s: no version was read", operator)
+		}
+
+		return fell
+	})
+}
+
+func versionAt(operator string) (int, error) {
+	data, err := request(http.MethodPost, "http://"+operator+"/primrosespring.v1.AdminService/GetConfiguration", []byte("{}"))
+	if err != nil {
+		return 0, err
+	}
+
+	var c struct {
+		Version int `json:"version,string"`
+	}
+
+	return c.Version, json.Unmarshal(data, &c)
+}
+
 // announcement is a line of the load command's log.
 type announcement map[string]string
 
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -16,8 +16,9 @@
 type processes struct {
 	bin, dir string
 
-	mu      sync.Mutex // Guards running.
+	mu      sync.Mutex // Guards all below.
 	running map[string]*process
+	ends    []func()
 }
 
 type process struct {
@@ -89,6 +90,14 @@
 	delete(p.running, name)
 }
 
+// atEnd has stopAll call f last.
+func (p *processes) atEnd(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.ends = append(p.ends, f)
+}
+
 // ended returns an error if a process that should run has ended by itself.
 func (p *processes) ended() error {
 	p.mu.Lock()
@@ -184,6 +193,12 @@
 	}
 
 	clear(p.running)
+
+	for _, f := range p.ends {
+		f()
+	}
+
+	p.ends = nil
 }
 
 // await calls f until it succeeds. It returns f's error after waitLimit, or at
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -18,7 +18,8 @@
 //	restarts ROUNDS           restarts every instance gracefully, one after another
 //	load ARG...               runs the load and acts on the faults that it announces
 //	race SERVICE ROUNDS       has operators change one version at once; one must win
-//	rising NAME...            fails unless the versions that a process logged only rise
+//	poll                      begins to read every instance's configuration version
+//	rising V                  waits for version V; fails if any version read fell
 //	join NAME                 waits until a process has ended by itself
 //	ready URL                 waits until URL answers 200
 //	until PROGRAM ARG...      repeats a command until it succeeds
@@ -106,6 +107,7 @@
 			p := newProcesses(binaries, env.WorkDir)
 			env.Values[processesKey{}] = p
 			env.Values[fleetKey{}] = new(*fleet)
+			env.Values[pollersKey{}] = new([]func() error)
 			env.Defer(p.stopAll)
 
 			return nil
@@ -114,7 +116,7 @@
 			"ports": ports, "expand": expand, "start": start, "shutdown": shutdown, "crash": crash,
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
 			"system": system, "instance": instance, "restarts": restarts,
-			"switch-index": switchIndex, "await-index": awaitIndex, "load": load, "join": join, "race": race, "rising": rising,
+			"switch-index": switchIndex, "await-index": awaitIndex, "load": load, "join": join, "race": race, "poll": poll, "rising": rising,
 			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
 			"await-get": awaitGet, "await-log": awaitLog,
 			"await-status": awaitFleetStatus, "await-partial": awaitPartial,
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -139,27 +139,39 @@
 	}
 }
 
-// rising fails unless the versions that each process logged only rise.
-func rising(ts *testscript.TestScript, _ bool, args []string) {
-	pattern := regexp.MustCompile(`(?m)^version=(\d+)$`)
+type pollersKey struct{}
 
-	for _, name := range args {
-		last := 0
+// poll begins to read the configuration version of each instance.
+func poll(ts *testscript.TestScript, _ bool, _ []string) {
+	pollers := ts.Value(pollersKey{}).(*[]func() error)
 
-		for _, m := range pattern.FindAllStringSubmatch(ts.ReadFile(name+".log"), -1) {
-			v, err := strconv.Atoi(m[1])
-			ts.Check(err)
+	for _, in := range fleetOf(ts).Instances {
+		stop := pollVersions(in.Operator)
+		of(ts).atEnd(func() { _ = stop() })
 
-			if v <= last {
-				ts.Fatalf("%s: version %d came after version %d", name, v, last)
+		*pollers = append(*pollers, stop)
+	}
+}
+
+// rising fails if a version that an instance had since poll was lower than the
+// one before, or if an instance doesn't come to the version of the argument.
+func rising(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	for _, in := range fleetOf(ts).Instances {
+		wait(ts, "waiting for version "+args[0]+" at "+in.ID, func() error {
+			v, err := versionAt(in.Operator)
+			if err == nil && v < want {
+				err = fmt.Errorf("version %d is in force", v)
 			}
 
-			last = v
-		}
+			return err
+		})
+	}
 
-		if last == 0 {
-			ts.Fatalf("%s: no version was logged", name)
-		}
+	for _, stop := range *ts.Value(pollersKey{}).(*[]func() error) {
+		ts.Check(stop())
 	}
 }
 
