--- a/primrosed/internal/execute/fake_test.go
+++ b/primrosed/internal/execute/fake_test.go
@@ -49,6 +49,14 @@
 	return s.faults
 }
 
+// counts returns the writes that took effect and all calls that did.
+func (s *fakeStore) counts() (writes, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.writes, s.calls
+}
+
 func (s *fakeStore) setFaults(f faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -177,6 +185,8 @@
 	mu    sync.Mutex // Guards all below.
 	runs  map[string][]ran
 	asked []string
+	// down is how many of the next attempts find no connection.
+	down int
 }
 
 func (f *fakeSearchers) Run(ctx context.Context, sr *domain.Searcher, req *pb.RunRequest) (*pb.RunResponse, error) {
@@ -184,8 +194,14 @@
 
 	f.mu.Lock()
 	f.asked = append(f.asked, sr.ID)
+	down := f.down > 0
+	f.down--
 	f.mu.Unlock()
 
+	if down {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeSearcherUnavailable, "connect", "no connection").WithPeer(sr.ID)
+	}
+
 	switch {
 	case f.store.chance(f.store.rates().shed):
 		return nil, domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "run", "shed").WithPeer(sr.ID)
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -20,6 +20,8 @@
 	op       claims.Operation
 	payload  string
 	snap     domain.Snapshot
+	// consulted is set once the answer rests on the key's record.
+	consulted bool
 }
 
 func (r *run) timeout(req *pb.ExecuteRequest) time.Duration {
@@ -159,6 +161,8 @@
 
 		return nil, refusal.WithFate(domain.FateUnknown)
 	case result.Outcome == claims.Aborted && result.Claim.ClaimID == r.op.ClaimID:
+		r.consulted = true
+
 		return nil, refusal.WithFate(domain.FateNotRun)
 	default:
 		return r.recorded(result)
@@ -168,6 +172,7 @@
 // recorded answers from the record of an earlier request with the key.
 func (r *run) recorded(result claims.Result) (*pb.ExecuteResponse, error) {
 	c := result.Claim
+	r.consulted = true
 
 	switch result.Outcome {
 	case claims.Ran:
@@ -203,7 +208,7 @@
 
 func (r *run) log(event string, result claims.Result, err error) {
 	line := r.executor.options.Log.Info().Str("event", event).Str("service", r.svc.Name).Str("key", r.op.Key.String()).
-		Str("claim_id", r.op.ClaimID).Uint32("bucket", r.op.Key.Bucket()).Str("outcome", result.Outcome.String())
+		Str("claim_id", r.op.ClaimID).Stringer("bucket", r.op.Key.Bucket()).Str("outcome", result.Outcome.String())
 	if err != nil {
 		fate, code := fateOf(err)
 		line = line.Str("fate", fate.String()).Str("code", string(code)).Err(err)
@@ -234,6 +239,8 @@
 	}
 
 	switch fate, code := fateOf(err); {
+	case code == domain.CodeSearcherUnavailable:
+		return routing.Unreachable
 	case fate == domain.FateNotRun:
 		return routing.Shed
 	case code == domain.CodeDeadline || code == domain.CodeCancelled:
