--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -19,13 +19,14 @@
 
 // Generate writes the files of every process of a run to dir: the settings of
 // each instance, the searchers, the links of the fault proxy, the
-// configuration to create, and where everything is. It chooses free ports.
-func Generate(w *Workload, dir string) (*Topology, error) {
+// configuration to create, and where everything is. It chooses free ports,
+// beginning with firstPort, or anywhere if that is 0.
+func Generate(w *Workload, dir string, firstPort int) (*Topology, error) {
 	if err := os.MkdirAll(dir, directoryPermission); err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
 
-	g := &generator{workload: w, dir: dir, ports: newPorts()}
+	g := &generator{workload: w, dir: dir, ports: newPorts(firstPort)}
 	g.generate()
 
 	if g.err != nil {
@@ -74,10 +75,12 @@
 	CallerAddress   string `json:"caller_address"`
 	OperatorAddress string `json:"operator_address"`
 	PeerAddress     string `json:"peer_address"`
-	HealthAddress   string `json:"health_address"`
-	DebugAddress    string `json:"debug_address"`
-	PlatformAddress string `json:"platform_address"`
-	Stop            stop   `json:"stop"`
+	// PeerListenAddress is set if PeerAddress is that of a link.
+	PeerListenAddress string `json:"peer_listen_address,omitempty"`
+	HealthAddress     string `json:"health_address"`
+	DebugAddress      string `json:"debug_address"`
+	PlatformAddress   string `json:"platform_address"`
+	Stop              stop   `json:"stop"`
 }
 
 type stop struct {
@@ -177,6 +180,11 @@
 		CallerAddress: g.address(), OperatorAddress: g.address(), PeerAddress: g.address(), HealthAddress: g.address(),
 		DebugAddress: g.address(), PlatformAddress: g.topology.Platform, Stop: stop{BalancerDelayMS: balancerDelayMS},
 	}
+	if g.workload.PeerLinks {
+		f.PeerListenAddress = f.PeerAddress
+		f.PeerAddress = g.addLink(PeerLink(in.ID), f.PeerListenAddress, g.workload.Delays.BetweenFailureDomainsUS)
+	}
+
 	g.topology.Instances = append(g.topology.Instances, InstanceAddress{
 		ID: in.ID, Caller: f.CallerAddress, Operator: f.OperatorAddress, Health: f.HealthAddress, Debug: f.DebugAddress,
 	})
