--- a/primrosefake/internal/workload/ports.go
+++ b/internal/loopback/loopback.go
@@ -1,4 +1,6 @@
-package workload
+// Package loopback hands out free ports on the loopback address to tests and to
+// runs on one machine.
+package loopback
 
 import (
 	"errors"
@@ -9,26 +11,28 @@
 )
 
 const (
-	loopback = "127.0.0.1"
-	minPort  = 10_000
+	host    = "127.0.0.1"
+	minPort = 10_000
+	// minSpan is the least number of ports to choose from.
+	minSpan = 3_000
 	// defaultMaxPort is below the range from which Linux takes the ports of
 	// outgoing connections, so that none of them takes the port of a process
 	// that is being restarted.
 	defaultMaxPort = 32_767
 )
 
-// ports hands out free ports on the loopback address, each once.
-type ports struct {
+// Ports hands out free ports, each once. It isn't safe for concurrent use.
+type Ports struct {
 	next, last, left int
 }
 
-// newPorts starts at the port first, or at any if it is 0.
-func newPorts(first int) *ports {
+// NewPorts returns Ports that start at first, or at any port if it is 0.
+func NewPorts(first int) *Ports {
 	last := defaultMaxPort
 
 	if data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
 		var low int
-		if _, err := fmt.Sscan(string(data), &low); err == nil && low > minPort+MaxSearchers {
+		if _, err := fmt.Sscan(string(data), &low); err == nil && low > minPort+minSpan {
 			last = low - 1
 		}
 	}
@@ -40,13 +44,13 @@
 		offset = (max(first, minPort) - minPort) % span
 	}
 
-	return &ports{next: minPort + offset, last: last, left: span}
+	return &Ports{next: minPort + offset, last: last, left: span}
 }
 
-// address returns an address that nothing listens on.
-func (p *ports) address() (string, error) {
+// Address returns an IP address and port that nothing listens on.
+func (p *Ports) Address() (string, error) {
 	for ; p.left > 0; p.left-- {
-		address := fmt.Sprintf("%s:%d", loopback, p.next)
+		address := fmt.Sprintf("%s:%d", host, p.next)
 
 		p.next++
 		if p.next > p.last {
@@ -64,5 +68,5 @@
 		return address, nil
 	}
 
-	return "", errors.New("no free port is left on " + loopback)
+	return "", errors.New("no free port is left on " + host)
 }
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -51,7 +51,9 @@
 			r.executor.recorder.add(r.operation(claims.AbortKey)) //nolint:contextcheck // The record outlives the request.
 		}
 
-		return nil, err
+		// Only the holder of a claim id sends its request, so this one never runs,
+		// whether the claim became durable or not.
+		return nil, asError(err).WithFate(domain.FateNotRun)
 	}
 
 	if result.Outcome != claims.Granted {
--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -107,6 +107,7 @@
 	// working counts the relayed requests at work here; drained is closed when
 	// it reaches zero after draining began.
 	working  int
+	ready    bool
 	draining bool
 	drained  chan struct{}
 
@@ -132,6 +133,14 @@
 // Serve sets what answers relayed requests; it is called before Listen.
 func (m *Mesh) Serve(s Searcher, e Executor) { m.local, m.executor = s, e }
 
+// SetReady lets the mesh run relayed requests.
+func (m *Mesh) SetReady() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.ready = true
+}
+
 // Listen takes connections at address until Run ends.
 func (m *Mesh) Listen(ctx context.Context, address string) error {
 	var lc net.ListenConfig
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -91,6 +91,7 @@
 
 	n := &node{Mesh: NewMesh(o), instance: in}
 	n.Serve(search, search)
+	n.SetReady()
 	n.listener = l
 
 	ctx, cancel := context.WithCancel(context.Background())
--- a/primrosed/internal/peer/relay.go
+++ b/primrosed/internal/peer/relay.go
@@ -257,8 +257,8 @@
 func (m *Mesh) runRelayed(ctx context.Context, s *session, timeoutUS, version uint64,
 	run func(context.Context, *domain.Configuration) (proto.Message, error),
 ) ([]byte, error) {
-	if !m.begin() {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "run relayed request", "the instance is stopping")
+	if err := m.begin("run relayed request"); err != nil {
+		return nil, err
 	}
 	defer m.end()
 
@@ -285,8 +285,8 @@
 }
 
 func (m *Mesh) runClaim(ctx context.Context, c *pb.ClaimApply) ([]byte, error) {
-	if !m.begin() {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeStopping, "apply claim", "the instance is stopping")
+	if err := m.begin("apply claim"); err != nil {
+		return nil, err
 	}
 	defer m.end()
 
@@ -306,17 +306,22 @@
 	return json.Marshal(result)
 }
 
-func (m *Mesh) begin() bool {
+// begin counts a relayed request in, or refuses it so that the sender tries
+// another instance.
+func (m *Mesh) begin(step string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	if m.draining || m.local == nil {
-		return false
+	switch {
+	case m.draining:
+		return domain.Errorf(domain.FateNotRun, domain.CodeStopping, step, "the instance is stopping")
+	case !m.ready || m.local == nil:
+		return domain.Errorf(domain.FateNotRun, domain.CodeNotReady, step, "the instance isn't ready")
 	}
 
 	m.working++
 
-	return true
+	return nil
 }
 
 func (m *Mesh) end() {
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -53,9 +53,12 @@
 	routing   *routing.Table
 	holdings  Holdings
 	answers   *Answers
-	version   uint64
-	holders   map[string]int
-	targets   map[string]*target
+	// polled is closed after the first round on a loaded configuration.
+	polled  chan struct{}
+	once    sync.Once
+	version uint64
+	holders map[string]int
+	targets map[string]*target
 }
 
 // target is one searcher with the shards that it serves.
@@ -78,9 +81,15 @@
 ) *Poller {
 	return &Poller{
 		log: log, source: source, holder: holder, snapshots: snapshots, routing: rt, holdings: holdings, answers: answers,
+		polled: make(chan struct{}),
 	}
 }
 
+// Polled returns a channel that is closed once every searcher of a loaded
+// configuration has been asked: before that no query can be answered, as no
+// snapshot is known.
+func (p *Poller) Polled() <-chan struct{} { return p.polled }
+
 // Run polls until ctx ends. A new configuration is polled at once.
 func (p *Poller) Run(ctx context.Context) {
 	t := time.NewTicker(checkInterval)
@@ -88,9 +97,14 @@
 
 	for {
 		changed := p.holder.Changed()
+		loaded := p.holder.Loaded()
 		p.configure(p.holder.Configuration())
 		p.round(ctx)
 
+		if loaded {
+			p.once.Do(func() { close(p.polled) })
+		}
+
 		select {
 		case <-ctx.Done():
 			return
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -78,6 +78,7 @@
 	defer func() { _ = i.logs.Close() }()
 
 	i.health.Set("configuration", "no configuration from the store or a peer yet")
+	i.health.Set("searchers", "the searchers haven't been asked for their snapshots yet")
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -97,7 +98,7 @@
 	wg.Go(func() { i.parts.Poller.Run(background) })
 	wg.Go(func() { i.parts.Expirer.Run(background) })
 	wg.Go(func() { i.parts.Watcher.Run(background) })
-	wg.Go(func() { i.awaitConfiguration(background) })
+	wg.Go(func() { i.awaitReady(background) })
 
 	i.log.Info().Str("event", "started").Str("caller_address", i.settings.CallerAddress).Send()
 	<-ctx.Done()
@@ -117,8 +118,25 @@
 	return nil
 }
 
-// awaitConfiguration makes the instance ready when it has a configuration.
-func (i *Instance) awaitConfiguration(ctx context.Context) {
+// awaitReady makes the instance ready when it has a configuration and has asked
+// the searchers which snapshots they hold.
+func (i *Instance) awaitReady(ctx context.Context) {
+	if !i.awaitConfiguration(ctx) {
+		return
+	}
+
+	select {
+	case <-ctx.Done():
+	case <-i.parts.Poller.Polled():
+		i.health.Set("searchers", "")
+		i.parts.Mesh.SetReady()
+		i.log.Info().Str("event", "ready").Send()
+	}
+}
+
+// awaitConfiguration reports whether there is a configuration; it returns false
+// if ctx ends first.
+func (i *Instance) awaitConfiguration(ctx context.Context) bool {
 	for {
 		changed := i.parts.Holder.Changed()
 
@@ -126,12 +144,12 @@
 			i.health.Set("configuration", "")
 			i.log.Info().Str("event", "configuration_loaded").Uint64("version", i.parts.Holder.Configuration().Version).Send()
 
-			return
+			return true
 		}
 
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-changed:
 		}
 	}
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/loopback"
 )
 
 const (
@@ -26,7 +27,7 @@
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
 
-	g := &generator{workload: w, dir: dir, ports: newPorts(firstPort)}
+	g := &generator{workload: w, dir: dir, ports: loopback.NewPorts(firstPort)}
 	g.generate()
 
 	if g.err != nil {
@@ -40,7 +41,7 @@
 type generator struct {
 	workload *Workload
 	dir      string
-	ports    *ports
+	ports    *loopback.Ports
 	topology Topology
 	links    linksFile
 	err      error
@@ -213,7 +214,7 @@
 
 	var a string
 
-	a, g.err = g.ports.address()
+	a, g.err = g.ports.Address()
 
 	return a
 }
