--- a/internal/scenario/pairs_test.go
+++ b/internal/scenario/pairs_test.go
@@ -164,10 +164,6 @@
 		t.Run(p.String(), func(t *testing.T) {
 			t.Parallel()
 
-			if known := knownRed(t); known != "" {
-				t.Skip("KNOWN-RED.txt: " + known)
-			}
-
 			out, err := runPair(t, p)
 			table.add(p, out, err)
 			require.NoError(t, err, "faults %s and %s\n%s", p.faults[0], p.faults[1], out)
