--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -77,8 +77,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	defer func() { _ = i.logs.Close() }()
 
-	i.health.Set("configuration", "no configuration from the store or a peer yet")
-	i.health.Set("searchers", "the searchers haven't been asked for their snapshots yet")
+	i.health.Set("start", "no configuration from the store or a peer yet")
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -125,10 +124,12 @@
 		return
 	}
 
+	i.health.Set("start", "the searchers haven't been asked for their snapshots yet")
+
 	select {
 	case <-ctx.Done():
 	case <-i.parts.Poller.Polled():
-		i.health.Set("searchers", "")
+		i.health.Set("start", "")
 		i.parts.Mesh.SetReady()
 		i.log.Info().Str("event", "ready").Send()
 	}
@@ -141,7 +142,6 @@
 		changed := i.parts.Holder.Changed()
 
 		if i.parts.Holder.Loaded() {
-			i.health.Set("configuration", "")
 			i.log.Info().Str("event", "configuration_loaded").Uint64("version", i.parts.Holder.Configuration().Version).Send()
 
 			return true
--- a/primrosed/internal/server/server_test.go
+++ b/primrosed/internal/server/server_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
