--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -194,6 +194,16 @@
 // Timeout returns TimeoutMS as a duration.
 func (r Rules) Timeout() time.Duration { return time.Duration(r.TimeoutMS) * time.Millisecond }
 
+// TimeoutFor returns the deadline of a request that wants wantedMS
+// milliseconds: that time, or Timeout if it wants none or more than allowed.
+func (r Rules) TimeoutFor(wantedMS uint32) time.Duration {
+	if wanted := time.Duration(wantedMS) * time.Millisecond; wanted > 0 && wanted < r.Timeout() {
+		return wanted
+	}
+
+	return r.Timeout()
+}
+
 // PartialWait returns PartialWaitMS as a duration.
 func (r Rules) PartialWait() time.Duration { return time.Duration(r.PartialWaitMS) * time.Millisecond }
 
--- a/primrosed/internal/execute/executor.go
+++ b/primrosed/internal/execute/executor.go
@@ -173,7 +173,7 @@
 		return nil, err
 	}
 
-	ctx, cancel := withoutCancel(ctx, r.timeout(req))
+	ctx, cancel := withoutCancel(ctx, r.svc.Rules.TimeoutFor(req.GetTimeoutMs()))
 	defer cancel()
 
 	resp, err := r.run(ctx)
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -24,15 +24,6 @@
 	consulted bool
 }
 
-func (r *run) timeout(req *pb.ExecuteRequest) time.Duration {
-	timeout := r.svc.Rules.Timeout()
-	if t := time.Duration(req.GetTimeoutMs()) * time.Millisecond; t > 0 && t < timeout {
-		timeout = t
-	}
-
-	return timeout
-}
-
 func (r *run) run(ctx context.Context) (*pb.ExecuteResponse, error) {
 	snap, ok := r.executor.options.Snapshots.Choose(r.svc)
 	if !ok {
@@ -134,7 +125,7 @@
 	})
 	now := time.Now()
 
-	o.Router.Release(now, sr.ID, outcomeOf(err), now.Sub(start), loadOf(resp.GetLoad()))
+	o.Router.Release(now, sr.ID, outcomeOf(err), now.Sub(start), routing.LoadOf(resp.GetLoad()))
 
 	return resp, err
 }
@@ -223,17 +214,6 @@
 	return &pb.Snapshot{IndexVersion: s.IndexVersion, PartitionMapVersion: s.PartitionMapVersion}
 }
 
-func loadOf(l *pb.SearcherLoad) *routing.Load {
-	if l == nil {
-		return nil
-	}
-
-	return &routing.Load{
-		Running: l.GetRunning(), Queued: l.GetQueued(), Draining: l.GetDraining(),
-		Service: time.Duration(l.GetServiceUs()) * time.Microsecond,
-	}
-}
-
 // outcomeOf tells routing how an attempt ended.
 func outcomeOf(err error) routing.Outcome {
 	if err == nil {
--- /dev/null
+++ b/primrosed/internal/peer/control.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+
+	"primrosespring.example/internal/domain"
+)
+
+// runSession serves a session until it is closed.
+func (m *Mesh) runSession(ctx context.Context, s *session) {
+	if s.id() == m.options.Table.Self().Instance.ID {
+		s.close()
+
+		return
+	}
+
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	defer s.close()
+
+	if !m.register(s) {
+		return
+	}
+	defer m.unregister(s)
+
+	m.goRun(func() { m.acceptStreams(ctx, s) })
+
+	switch s.kind {
+	case pb.SessionKind_SESSION_KIND_CONTROL:
+		m.runControl(ctx, s)
+	case pb.SessionKind_SESSION_KIND_RELAY:
+		<-s.mux.CloseChan()
+	case pb.SessionKind_SESSION_KIND_PROBE, pb.SessionKind_SESSION_KIND_UNSPECIFIED:
+		// The hello was the answer; the other end closes.
+		m.waitClosed(s, helloTimeout)
+	}
+}
+
+func (m *Mesh) waitClosed(s *session, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+
+	select {
+	case <-s.mux.CloseChan():
+	case <-t.C:
+	}
+}
+
+func (m *Mesh) register(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.closed {
+		return false
+	}
+
+	m.all[s] = true
+	if s.kind == pb.SessionKind_SESSION_KIND_CONTROL {
+		m.sessions[s.id()] = append(m.sessions[s.id()], s)
+	}
+
+	return true
+}
+
+func (m *Mesh) unregister(s *session) {
+	m.mu.Lock()
+	delete(m.all, s)
+
+	if m.relays[s.id()] == s {
+		delete(m.relays, s.id())
+	}
+
+	last := false
+
+	if s.kind == pb.SessionKind_SESSION_KIND_CONTROL {
+		rest := slices.DeleteFunc(m.sessions[s.id()], func(o *session) bool { return o == s })
+		m.sessions[s.id()] = rest
+
+		if last = len(rest) == 0; last {
+			delete(m.sessions, s.id())
+		}
+	}
+	m.mu.Unlock()
+
+	if last {
+		m.options.Table.Disconnected(s.id())
+	}
+}
+
+// runControl exchanges frames on a control session.
+func (m *Mesh) runControl(ctx context.Context, s *session) {
+	m.goRun(s.write)
+	m.perform(m.options.Table.Connected(time.Now(), s.peer, s.digest, s.dialled))
+	m.catchUp(ctx, s)
+	m.sendLeaving([]*session{s})
+
+	for {
+		f, err := readFrame(s.stream, s.id(), maxControlFrame)
+		if err == nil {
+			countFrame(f, "received")
+			err = m.receive(ctx, s, f)
+		}
+
+		if err != nil {
+			m.logFrameError(err)
+
+			return
+		}
+	}
+}
+
+// receive takes one frame of a control session. An error closes the session.
+func (m *Mesh) receive(ctx context.Context, s *session, f *pb.PeerFrame) error {
+	now := time.Now()
+
+	switch b := f.GetBody().(type) {
+	case *pb.PeerFrame_Heartbeat:
+		m.perform(m.options.Table.Heartbeat(now, s.id(), b.Heartbeat))
+		s.version.Store(b.Heartbeat.GetConfigurationVersion())
+		m.catchUp(ctx, s)
+	case *pb.PeerFrame_Membership:
+		r, err := m.options.Table.Delta(now, s.id(), b.Membership)
+		if err != nil {
+			return &FrameError{Peer: s.id(), Reason: "membership delta", Cause: err}
+		}
+
+		m.perform(r)
+	case *pb.PeerFrame_Sync:
+		m.perform(m.options.Table.Sync(s.id(), b.Sync))
+	case *pb.PeerFrame_Configuration:
+		m.takePush(ctx, s, b.Configuration)
+	case *pb.PeerFrame_LeavingSearchers:
+		m.takeLeaving(leavingSearchers{b.LeavingSearchers.GetListVersion(), b.LeavingSearchers.GetSearchers()})
+	case *pb.PeerFrame_Probe:
+		m.goRun(func() { m.probeFor(ctx, s, b.Probe) })
+	case *pb.PeerFrame_ProbeAnswer:
+		m.options.Table.Probed(now, b.ProbeAnswer.GetInstance(), b.ProbeAnswer.GetReached())
+	default:
+		return &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't expected on a control stream", b)}
+	}
+
+	return nil
+}
+
+// probeFor reaches an instance on behalf of a peer. It answers only if it did.
+func (m *Mesh) probeFor(ctx context.Context, s *session, p *pb.ProbeRequest) {
+	if domain.CheckAddress("peer_address", p.GetPeerAddress()) != nil {
+		return
+	}
+
+	target, err := m.dial(ctx, p.GetPeerAddress(), pb.SessionKind_SESSION_KIND_PROBE)
+	if err != nil {
+		return
+	}
+	defer target.close()
+
+	if target.id() != p.GetInstance() {
+		return
+	}
+
+	s.send(&pb.PeerFrame{Body: &pb.PeerFrame_ProbeAnswer{ProbeAnswer: &pb.ProbeAnswer{
+		Reached: true, Instance: p.GetInstance(),
+	}}})
+}
--- a/primrosed/internal/peer/leaving.go
+++ b/primrosed/internal/peer/list.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"context"
 	"slices"
+	"time"
 
+	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/primrosed/internal/platform"
 )
@@ -78,3 +81,74 @@
 		s.send(f)
 	}
 }
+
+// listLoop reads the platform's list: at the start, while this instance has no
+// session, and as a watcher.
+func (m *Mesh) listLoop(ctx context.Context) {
+	if m.options.Lister == nil {
+		return
+	}
+
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		lonely := len(m.sessions) == 0
+		m.mu.Unlock()
+
+		if lonely || m.IsWatcher() {
+			m.readList(ctx)
+		}
+
+		m.pause(ctx, listInterval/2+m.options.Jitter(listInterval/2))
+	}
+}
+
+func (m *Mesh) readList(ctx context.Context) {
+	listCalls.Inc()
+
+	m.mu.Lock()
+	listed := m.listed
+	m.mu.Unlock()
+
+	list, err := m.options.Lister.Instances(ctx, listed)
+	if err != nil {
+		m.options.Log.Debug().Str("event", "instance_list_failed").Err(err).Send()
+
+		return
+	}
+
+	if list.Version == 0 {
+		return
+	}
+
+	m.takeLeaving(leavingOf(list))
+
+	leaving := make(map[string]bool)
+
+	var entries []domain.Instance
+
+	for _, l := range list.Instances {
+		in := domain.Instance{ID: l.ID, PeerAddress: l.Address, FailureDomain: l.FailureDomain, Region: l.Region}
+		if l.Role != "entry" || in.Validate() != nil {
+			continue
+		}
+
+		entries = append(entries, in)
+		if l.Leaving {
+			leaving[l.ID] = true
+		}
+	}
+
+	r, seeds := m.options.Table.Listed(time.Now(), entries, leaving)
+
+	m.mu.Lock()
+	m.seeds = seeds
+	m.listed = list.Version
+	m.mu.Unlock()
+
+	m.perform(r)
+}
+
+// IsWatcher reports whether this instance watches the store.
+func (m *Mesh) IsWatcher() bool {
+	return m.options.Table.View().Live.IsWatcher(m.options.Table.Self().Instance.ID)
+}
--- a/primrosed/internal/peer/search.go
+++ b/primrosed/internal/peer/search.go
@@ -78,7 +78,7 @@
 
 	start := time.Now()
 
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
+	ctx, cancel := context.WithTimeout(ctx, svc.Rules.TimeoutFor(req.GetTimeoutMs()))
 	defer cancel()
 
 	var resp *pb.SearchResponse
@@ -110,7 +110,7 @@
 
 	start := time.Now()
 
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(svc, req.GetTimeoutMs()))
+	ctx, cancel := context.WithTimeout(ctx, svc.Rules.TimeoutFor(req.GetTimeoutMs()))
 	defer cancel()
 
 	var resp *pb.ExecuteResponse
@@ -156,15 +156,6 @@
 // Unwrap returns the cause.
 func (f final) Unwrap() error { return f.cause }
 
-func timeoutOf(svc *domain.Service, wantedMS uint32) time.Duration {
-	timeout := svc.Rules.Timeout()
-	if t := time.Duration(wantedMS) * time.Millisecond; t > 0 && t < timeout {
-		timeout = t
-	}
-
-	return timeout
-}
-
 // sendFunc sends a request to a holder and returns the time that the holder
 // itself took.
 type sendFunc func(h domain.Instance, left time.Duration, id string) (time.Duration, error)
--- a/primrosefake/internal/load/run.go
+++ b/primrosefake/internal/load/run.go
@@ -14,6 +14,7 @@
 
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosefake/internal/procfs"
 	"primrosespring.example/primrosefake/internal/workload"
 )
 
@@ -160,7 +161,7 @@
 		return nil, err
 	}
 
-	cpuBefore, loadBefore := cpuTime(p.options.PIDs), loadAverage()
+	cpuBefore, loadBefore := cpuTime(p.options.PIDs), procfs.LoadAverage()
 
 	if err := p.send(ctx); err != nil {
 		return nil, err
@@ -186,7 +187,7 @@
 	}
 
 	r := p.recorder.result(w, p.name)
-	r.LoadAverageBefore, r.LoadAverageAfter = loadBefore, loadAverage()
+	r.LoadAverageBefore, r.LoadAverageAfter = loadBefore, procfs.LoadAverage()
 	r.Counts.SearcherRuns = runsAfter - runsBefore
 	countRuns(r, p.executes, byKey)
 
--- /dev/null
+++ b/primrosefake/internal/procfs/procfs.go
@@ -0,0 +1,92 @@
+// Package procfs reads what Linux tells of processes and of the machine.
+package procfs
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// clockTick is the unit of the CPU times in /proc/PID/stat.
+	clockTick = 10 * time.Millisecond
+	kibibyte  = 1024
+	megabyte  = 1_000_000
+)
+
+// CPUTime returns the user and system time that a process has used.
+func CPUTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read CPU time: %w", err)
+	}
+
+	ticks, err := cpuTicks(data)
+	if err != nil {
+		return 0, fmt.Errorf("read CPU time of %d: %w", pid, err)
+	}
+
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// cpuTicks returns the sum of the fields utime and stime. The name before them
+// is in parentheses and may hold spaces.
+func cpuTicks(stat []byte) (int64, error) {
+	const utime, stime = 11, 12
+
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	if len(fields) <= stime {
+		return 0, fmt.Errorf("stat has %d fields after the name", len(fields))
+	}
+
+	user, err := strconv.ParseInt(string(fields[utime]), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("user time: %w", err)
+	}
+
+	system, err := strconv.ParseInt(string(fields[stime]), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("system time: %w", err)
+	}
+
+	return user + system, nil
+}
+
+// ResidentMB returns the memory that a process has in use, in megabytes of
+// 1,000,000 bytes.
+func ResidentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+
+	for line := range strings.Lines(string(data)) {
+		rest, ok := strings.CutPrefix(line, "VmRSS:")
+		if !ok {
+			continue
+		}
+
+		kb, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
+
+		return kb * kibibyte / megabyte, err
+	}
+
+	return 0, fmt.Errorf("read memory of %d: no VmRSS", pid)
+}
+
+// LoadAverage returns the machine's load average over one minute, or zero if it
+// isn't known.
+func LoadAverage() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+
+	first, _, _ := strings.Cut(string(data), " ")
+	v, _ := strconv.ParseFloat(first, 64)
+
+	return v
+}
