--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,7 +18,7 @@
 const (
 	// MaxWait bounds the time in the queue. A refusal is due within 5 ms, and a
 	// query that would wait longer is better off at another instance.
-	MaxWait = 4 * time.Millisecond
+	MaxWait = 2500 * time.Microsecond
 	// maxWaiting bounds the queue of one service.
 	maxWaiting = 64
 	// contention is how long a refusal holds the other member organisations to
