query, server: bound requests and made-up member organisations

Cause: a caller got a share of capacity, and a lasting entry at the gate, for each member organisation that it made up; requests had no limit of size. Change: names that aren't configured share one place; 256 KiB for callers and 2 MiB for operators. Measured: make test passes; the domain test fails with a place for each name.

--- a/internal/domain/configuration.go
+++ b/internal/domain/configuration.go
@@ -72,17 +72,18 @@
 	return &c.Services[i], true
 }
 
-// Weight returns the weight of a member organisation; one that isn't
-// configured has DefaultMemberWeight.
-func (c *Configuration) Weight(member string) uint32 {
-	i, ok := slices.BinarySearchFunc(c.Members, member, func(m Member, n string) int {
+// Member returns the member organisation of that name. All names that aren't
+// configured stand for one nameless member organisation, so that a caller gains
+// no share of capacity by making names up.
+func (c *Configuration) Member(name string) Member {
+	i, ok := slices.BinarySearchFunc(c.Members, name, func(m Member, n string) int {
 		return strings.Compare(m.Name, n)
 	})
 	if !ok {
-		return DefaultMemberWeight
+		return Member{Weight: DefaultMemberWeight}
 	}
 
-	return c.Members[i].Weight
+	return c.Members[i]
 }
 
 // WithVersion returns a copy with another version.
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -88,7 +88,8 @@
 	require.True(t, found)
 
 	changed := cfg.WithService(drained).WithMember(Member{Name: "agreca", Weight: 9}).WithVersion(7)
-	require.Equal(t, uint32(9), changed.Weight("agreca"))
+	require.Equal(t, Member{Name: "agreca", Weight: 9}, changed.Member("agreca"))
+	require.Equal(t, changed.Member("made-up"), changed.Member("made-up-too"), "made-up names share one place")
 	require.Empty(t, changed.WithoutService("portal-inst").Services)
 
 	after, err := json.Marshal(cfg)
--- a/primrosed/internal/query/execution.go
+++ b/primrosed/internal/query/execution.go
@@ -9,6 +9,7 @@
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/scatter"
 )
 
@@ -149,7 +150,7 @@
 
 		x.runner.Answers.note(e.searcher, now, e.resp.GetLoad().GetHeldVersion())
 
-		return x.query.Answered(now, e.attempt, loadOf(e.resp.GetLoad()))
+		return x.query.Answered(now, e.attempt, routing.LoadOf(e.resp.GetLoad()))
 	}
 
 	outcome, code := classify(e.err)
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -216,7 +216,7 @@
 		return
 	}
 
-	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), loadOf(st.GetLoad()))
+	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), routing.LoadOf(st.GetLoad()))
 
 	g.heldVersion = st.GetLoad().GetHeldVersion()
 	held := make(map[servedShard][]domain.Snapshot)
--- a/primrosed/internal/query/runner.go
+++ b/primrosed/internal/query/runner.go
@@ -113,12 +113,7 @@
 func (r *Runner) search(ctx context.Context, start time.Time, cfg *domain.Configuration, svc *domain.Service,
 	state *serviceState, req *pb.SearchRequest,
 ) (*pb.SearchResponse, error) {
-	timeout := svc.Rules.Timeout()
-	if t := time.Duration(req.GetTimeoutMs()) * time.Millisecond; t > 0 && t < timeout {
-		timeout = t
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, svc.Rules.TimeoutFor(req.GetTimeoutMs()))
 	defer cancel()
 
 	ticket, err := r.admit(ctx, cfg, svc, state, req.GetMember())
@@ -164,8 +159,10 @@
 	deadline, _ := ctx.Deadline()
 	capacity := r.pressure(now, svc, state)
 
+	m := cfg.Member(member)
+
 	ticket, err := state.gate.Offer(now, admission.Request{
-		Member: member, Weight: cfg.Weight(member), Left: deadline.Sub(now),
+		Member: m.Name, Weight: m.Weight, Left: deadline.Sub(now),
 	}, capacity)
 	if err != nil {
 		return nil, err
@@ -287,14 +284,3 @@
 		return routing.Refused, e.Code
 	}
 }
-
-func loadOf(l *pb.SearcherLoad) *routing.Load {
-	if l == nil {
-		return nil
-	}
-
-	return &routing.Load{
-		Running: l.GetRunning(), Queued: l.GetQueued(), Draining: l.GetDraining(), Cold: l.GetCold(),
-		Service: time.Duration(l.GetServiceUs()) * time.Microsecond,
-	}
-}
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
@@ -30,6 +31,10 @@
 )
 
 const (
+	// maxCallerBytes and maxOperatorBytes bound one request; an operator's holds
+	// a whole service, of which the store takes one megabyte.
+	maxCallerBytes    = 256 << 10
+	maxOperatorBytes  = 2 << 20
 	readHeaderTimeout = 5 * time.Second
 	// lastWait bounds the end of the servers that tell the instance's state.
 	lastWait = time.Second
@@ -212,10 +217,10 @@
 	callers.Use(i.closeWhenStopping)
 	operators.Use(i.closeWhenStopping, i.endStreamsWhenStopping)
 
-	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller)
+	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller, connect.WithReadMaxBytes(maxCallerBytes))
 	callers.Mount(path, h)
 
-	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator)
+	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator, connect.WithReadMaxBytes(maxOperatorBytes))
 	operators.Mount(path, h)
 
 	out := &servers{}
