routing, fleet: split the two longest functions

Cause: Pressure and MeasureSpread were the longest functions of the tree, with two loops and three jobs each.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -327,56 +327,73 @@
 	defer t.mu.Unlock()
 
 	var (
-		p           Pressure
-		busy, slots float64
-		counted     bool
+		p     Pressure
+		total shardPressure
 	)
 
 	for i := range s.PartitionMap.Shards {
-		var (
-			free, usable int
-			wait         time.Duration
-		)
+		sp := t.shardPressure(now, &s.PartitionMap.Shards[i], nearby, eligible)
+		p.Degraded = p.Degraded || sp.degraded
 
-		for j := range s.PartitionMap.Shards[i].Searchers {
-			sr := &s.PartitionMap.Shards[i].Searchers[j]
-			st := t.state(sr.ID)
-			p.Degraded = p.Degraded || st.failures > 0
+		if sp.usable == 0 {
+			p.Lost++
 
-			if sr.Draining || st.leaves() || st.failures >= knownDead || !eligible(uint32(i), sr.ID) {
-				continue
-			}
+			continue
+		}
 
-			if float64(st.wait(now, float64(sr.Slots))) <= standingWait*float64(st.service) {
-				free += max(st.limit.Allowed(sr.Slots)-st.outstanding, 0)
-			}
+		if total.usable == 0 || sp.free < p.Free {
+			p.Free = sp.free
+		}
 
-			busy += min(st.busy, float64(sr.Slots))
-			slots += float64(sr.Slots)
+		p.Wait = max(p.Wait, sp.wait)
+		total.usable += sp.usable
+		total.busy += sp.busy
+		total.slots += sp.slots
+	}
 
-			if w := st.expected(now, sr, nearby); usable == 0 || w < wait {
-				wait = w
-			}
+	if total.slots > 0 {
+		p.Saturation = total.busy / total.slots
+	}
 
-			usable++
-		}
+	return p
+}
 
-		if usable == 0 {
-			p.Lost++
+// shardPressure sums up the searchers of one shard.
+type shardPressure struct {
+	// free is the room that the limits of the usable searchers leave; one whose
+	// queue stands too long has none.
+	free   int
+	usable int
+	// wait is the least expected time to an answer.
+	wait        time.Duration
+	busy, slots float64
+	degraded    bool
+}
+
+func (t *Table) shardPressure(now time.Time, sh *domain.Shard, nearby string, eligible func(shard uint32, searcher string) bool,
+) shardPressure {
+	var p shardPressure
 
+	for j := range sh.Searchers {
+		sr := &sh.Searchers[j]
+		st := t.state(sr.ID)
+		p.degraded = p.degraded || st.failures > 0
+
+		if sr.Draining || st.leaves() || st.failures >= knownDead || !eligible(sh.Number, sr.ID) {
 			continue
 		}
 
-		if !counted || free < p.Free {
-			p.Free = free
+		if float64(st.wait(now, float64(sr.Slots))) <= standingWait*float64(st.service) {
+			p.free += max(st.limit.Allowed(sr.Slots)-st.outstanding, 0)
 		}
 
-		p.Wait = max(p.Wait, wait)
-		counted = true
-	}
+		if w := st.expected(now, sr, nearby); p.usable == 0 || w < p.wait {
+			p.wait = w
+		}
 
-	if slots > 0 {
-		p.Saturation = busy / slots
+		p.busy += min(st.busy, float64(sr.Slots))
+		p.slots += float64(sr.Slots)
+		p.usable++
 	}
 
 	return p
--- a/primrosefake/internal/fleet/spread.go
+++ b/primrosefake/internal/fleet/spread.go
@@ -100,6 +100,13 @@
 	a.changed = make(chan struct{})
 }
 
+func (a *arrivals) revertCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.reverts
+}
+
 // wait returns the time of version at each instance once all have it, or what
 // there is when ctx ends.
 func (a *arrivals) wait(ctx context.Context, version uint64) []time.Time {
@@ -135,64 +142,84 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	arrived := newArrivals(len(t.Instances))
+	m := spreadMeasurement{
+		clients: make([]primrosespringv1connect.AdminServiceClient, len(t.Instances)),
+		arrived: newArrivals(len(t.Instances)),
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		spread:  Spread{Changes: changes},
+	}
 
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 
-	clients := make([]primrosespringv1connect.AdminServiceClient, len(t.Instances))
 	for i, in := range t.Instances {
-		clients[i] = primrosespringv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+in.Operator)
+		m.clients[i] = primrosespringv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+in.Operator)
 
-		wg.Go(func() { watch(ctx, clients[i], i, arrived) })
+		wg.Go(func() { watch(ctx, m.clients[i], i, m.arrived) })
 	}
 
-	random := rand.New(rand.NewPCG(seed, 0))
-	s := Spread{Changes: changes}
-
-	var each, everywhere []time.Duration
-
 	for n := range changes {
-		sent := time.Now()
+		m.change(ctx, uint32(n+1))
 
-		version, err := change(ctx, clients[random.IntN(len(clients))], uint32(n+1))
-		if err != nil {
-			s.Failed++
-
-			continue
+		select {
+		case <-ctx.Done():
+			return m.spread, fmt.Errorf("measure spread: %w", ctx.Err())
+		case <-time.After(pause):
 		}
+	}
 
-		waiting, stop := context.WithTimeout(ctx, changeTimeout)
-		times := arrived.wait(waiting, version)
+	return m.result(), nil
+}
 
-		stop()
+// spreadMeasurement collects the times of changes.
+type spreadMeasurement struct {
+	clients []primrosespringv1connect.AdminServiceClient
+	arrived *arrivals
+	random  *rand.Rand
+	spread  Spread
+	// each has a time for each change and instance, everywhere the longest of
+	// each change.
+	each, everywhere []time.Duration
+}
 
-		if len(times) < len(clients) {
-			s.Missing++
+// change makes one change at a random instance and waits until it is in force
+// everywhere, or for changeTimeout.
+func (m *spreadMeasurement) change(ctx context.Context, weight uint32) {
+	sent := time.Now()
 
-			continue
-		}
+	version, err := change(ctx, m.clients[m.random.IntN(len(m.clients))], weight)
+	if err != nil {
+		m.spread.Failed++
 
-		last := time.Duration(0)
+		return
+	}
 
-		for _, at := range times {
-			each = append(each, at.Sub(sent))
-			last = max(last, at.Sub(sent))
-		}
+	ctx, stop := context.WithTimeout(ctx, changeTimeout)
+	defer stop()
 
-		everywhere = append(everywhere, last)
+	times := m.arrived.wait(ctx, version)
+	if len(times) < len(m.clients) {
+		m.spread.Missing++
 
-		select {
-		case <-ctx.Done():
-			return s, fmt.Errorf("measure spread: %w", ctx.Err())
-		case <-time.After(pause):
-		}
+		return
 	}
 
-	s.Each, s.Everywhere, s.Reverts = summarise(each), summarise(everywhere), arrived.reverts
+	last := time.Duration(0)
+
+	for _, at := range times {
+		m.each = append(m.each, at.Sub(sent))
+		last = max(last, at.Sub(sent))
+	}
+
+	m.everywhere = append(m.everywhere, last)
+}
+
+func (m *spreadMeasurement) result() Spread {
+	m.spread.Each, m.spread.Everywhere = summarise(m.each), summarise(m.everywhere)
+	m.spread.Reverts = m.arrived.revertCount()
 
-	return s, nil
+	return m.spread
 }
 
 func watch(ctx context.Context, client primrosespringv1connect.AdminServiceClient, instance int, a *arrivals) {
