server: test a gRPC client against a real instance

Cause: the schema is meant for gRPC clients too, and nothing showed that one is served. Change: a search over gRPC that is refused; its code and fate arrive.

--- a/primrosed/internal/server/server_test.go
+++ b/primrosed/internal/server/server_test.go
@@ -13,14 +13,17 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/dig"
 	"go.uber.org/goleak"
 
+	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/loopback"
+	"primrosespring.example/internal/refusal"
 	"primrosespring.example/primrosed/internal/settings"
 )
 
@@ -320,3 +323,25 @@
 	require.NoError(t, watch.Close())
 	<-r.done
 }
+
+// Guards against an instance that serves curl and Connect clients only, and
+// against a refusal that loses its code and fate over gRPC.
+func TestGRPCClient(t *testing.T) {
+	r := startInstance(t, "entry-0", servePlatform(t, &store{}))
+	eventually(t, "the instance is ready", func() bool { return r.ready() == "ready" })
+
+	var protocols http.Protocols
+
+	protocols.SetUnencryptedHTTP2(true)
+
+	transport := &http.Transport{Protocols: &protocols}
+	t.Cleanup(transport.CloseIdleConnections)
+
+	client := primrosespringv1connect.NewSearchServiceClient(
+		&http.Client{Transport: transport}, "http://"+r.settings.CallerAddress, connect.WithGRPC())
+
+	_, err := client.Search(t.Context(), &pb.SearchRequest{Service: "nobody"})
+	e := refusal.FromConnect(err, "search", "entry-0")
+	require.Equal(t, domain.CodeNotFound, e.Code)
+	require.Equal(t, domain.FateNotRun, e.Fate)
+}
