peer: collect the control sessions in one place

Cause: push and takeLeaving gathered the latest session with each peer by the same loop. Change: controlSessions serves both; no change of behaviour. Measured: go test -race ./primrosed/internal/peer passes, lint clean.

--- a/primrosed/internal/peer/control.go
+++ b/primrosed/internal/peer/control.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// controlSessions returns the latest control session with each connected peer.
+func (m *Mesh) controlSessions() []*session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	out := make([]*session, 0, len(m.sessions))
+	for _, all := range m.sessions {
+		out = append(out, all[len(all)-1])
+	}
+
+	return out
+}
+
 // runControl exchanges frames on a control session.
 func (m *Mesh) runControl(ctx context.Context, s *session) {
 	m.goRun(s.write)
--- a/primrosed/internal/peer/list.go
+++ b/primrosed/internal/peer/list.go
@@ -44,23 +44,17 @@
 	same := slices.Equal(l.searchers, m.leaving.searchers)
 	m.leaving = l
 
-	if same {
-		m.mu.Unlock()
+	m.mu.Unlock()
 
+	if same {
 		return
 	}
 
-	targets := make([]*session, 0, len(m.sessions))
-	for _, all := range m.sessions {
-		targets = append(targets, all[len(all)-1])
-	}
-	m.mu.Unlock()
-
 	if m.options.SetLeaving != nil {
 		m.options.SetLeaving(l.searchers)
 	}
 
-	m.sendLeaving(targets)
+	m.sendLeaving(m.controlSessions())
 }
 
 // sendLeaving sends what is known to the given sessions.
--- a/primrosed/internal/peer/spread.go
+++ b/primrosed/internal/peer/spread.go
@@ -42,15 +42,7 @@
 	version := m.options.Holder.Configuration().Version
 	frames := make(map[uint64]*pb.PeerFrame)
 
-	m.mu.Lock()
-	targets := make([]*session, 0, len(m.sessions))
-
-	for _, all := range m.sessions {
-		targets = append(targets, all[len(all)-1])
-	}
-	m.mu.Unlock()
-
-	for _, s := range targets {
+	for _, s := range m.controlSessions() {
 		have := s.version.Load()
 		if have >= version {
 			continue
