peer: act on lists of leaving searchers in their order

Cause: two sessions may bring two versions of the list at once; the newer one was kept, but the older one could reach routing last and stay there. Found by reading; no run showed it. Change: one lock from taking a list to acting on it, taken before the mesh's. Measured: go test -race ./primrosed/internal/peer ./primrosed/internal/server passes; no test forces the order.

--- a/primrosed/internal/peer/list.go
+++ b/primrosed/internal/peer/list.go
@@ -33,6 +33,9 @@
 // that the platform serves late doesn't replace a newer one, and one that says
 // the same isn't passed on.
 func (m *Mesh) takeLeaving(l leavingSearchers) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+
 	m.mu.Lock()
 
 	if l.listVersion <= m.leaving.listVersion {
--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -90,6 +90,10 @@
 	fetching atomic.Bool
 	nextID   atomic.Uint64
 
+	// applying is held from taking a list of leaving searchers to acting on it,
+	// so that an older list isn't acted on last. It is taken before mu.
+	applying sync.Mutex
+
 	mu       sync.Mutex // Guards all below.
 	sessions map[string][]*session
 	relays   map[string]*session
