--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -118,3 +118,12 @@
 
 	return share
 }
+
+// Shared is a Budget that the shards of a service have in common.
+type Shared struct{ *Budget }
+
+// Take pays for one extra attempt of any shard.
+func (s Shared) Take(_ uint32, k Kind) bool { return s.Budget.Take(k) }
+
+// Return gives back what Take paid for an attempt that wasn't sent.
+func (s Shared) Return(uint32) { s.Budget.Return() }
--- /dev/null
+++ b/internal/budget/window.go
@@ -0,0 +1,130 @@
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Limit is what extra attempts a pool of searchers allows in any span of
+// Window, summed over all instances.
+type Limit struct {
+	// Ratio is how many extra attempts are allowed for each request.
+	Ratio float64
+	// Slack is how many are allowed beyond that, for all instances together.
+	Slack int
+	// Window is the span that is counted.
+	Window time.Duration
+}
+
+const (
+	// steps is how many parts a window is counted in; a part is counted whole
+	// until all of it has left the window.
+	steps = 20
+	// ratioShare is the part of the ratio that an instance uses. The rest covers
+	// requests that a client counts into another window than the instance does.
+	ratioShare = 0.9
+	// slackShare is the part of the slack that instances divide; the rest covers
+	// instances that started a moment ago and are counted late.
+	slackShare = 0.5
+)
+
+// Window counts the requests and extra attempts of one pool over a sliding
+// window, so that an instance's extra attempts stay within its own requests'
+// share and its part of the slack. Instances that all keep to it keep the limit
+// together without a meeting. The zero value allows no extra attempts until
+// SetLimit. It is safe for concurrent use.
+type Window struct {
+	mu        sync.Mutex // Guards what follows.
+	limit     Limit
+	instances int
+	requests  [steps + 1]int
+	extras    [steps + 1]int
+	// current is the number of the part that is counted into.
+	current int64
+	started time.Time
+}
+
+// SetLimit sets the limit and how many instances divide the slack.
+func (w *Window) SetLimit(l Limit, instances int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.limit, w.instances = l, max(instances, 1)
+}
+
+// Request counts one request for the pool.
+func (w *Window) Request(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.roll(now)
+	w.requests[w.current%(steps+1)]++
+}
+
+// Take counts one extra attempt and reports whether the limit allowed it.
+func (w *Window) Take(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.roll(now)
+
+	if w.sum(&w.extras)+1 > w.allowed() {
+		return false
+	}
+
+	w.extras[w.current%(steps+1)]++
+
+	return true
+}
+
+// Return gives back what Take counted for an attempt that wasn't sent.
+func (w *Window) Return(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.roll(now)
+
+	if i := w.current % (steps + 1); w.extras[i] > 0 {
+		w.extras[i]--
+	}
+}
+
+// allowed returns how many extra attempts the window may hold.
+func (w *Window) allowed() int {
+	slack := math.Floor(slackShare * float64(w.limit.Slack) / float64(max(w.instances, 1)))
+
+	return int(w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)) + slack)
+}
+
+func (w *Window) sum(counts *[steps + 1]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+
+	return n
+}
+
+// roll moves to the part of now and clears the parts that have left the window.
+func (w *Window) roll(now time.Time) {
+	if w.limit.Window <= 0 {
+		return
+	}
+
+	if w.started.IsZero() {
+		w.started = now
+	}
+
+	part := int64(now.Sub(w.started) / (w.limit.Window / steps))
+	for n := 0; w.current < part; n++ {
+		if n > steps {
+			w.current = part
+
+			break
+		}
+
+		w.current++
+		w.requests[w.current%(steps+1)], w.extras[w.current%(steps+1)] = 0, 0
+	}
+}
--- a/internal/coverage/coverage.go
+++ b/internal/coverage/coverage.go
@@ -2,11 +2,7 @@
 // rules of its service accept them.
 package coverage
 
-import (
-	"primrosespring.example/internal/domain"
-	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/integrity"
-)
+import "primrosespring.example/internal/domain"
 
 // Missing is a shard that an answer lacks.
 type Missing struct {
@@ -44,27 +40,3 @@
 func AcceptsCount(rules domain.Rules, included, shards int) bool {
 	return included > 0 && uint64(included)*domain.Permille >= uint64(shards)*uint64(rules.MinCoveragePermille)
 }
-
-// Check returns nil if answer is a whole, undamaged answer to request, drawn
-// from the snapshot that the request pinned.
-func Check(request *pb.RunRequest, answer *pb.RunResponse) *domain.Error {
-	mismatch := func(format string, args ...any) *domain.Error {
-		return domain.Errorf(domain.FateUnknown, domain.CodeCorrupt, "check answer", format, args...)
-	}
-
-	switch {
-	case answer.GetQueryId() != request.GetQueryId():
-		return mismatch("answer is for query %q, not %q", answer.GetQueryId(), request.GetQueryId())
-	case answer.GetAttempt() != request.GetAttempt():
-		return mismatch("answer is for attempt %d, not %d", answer.GetAttempt(), request.GetAttempt())
-	case answer.GetShard() != request.GetShard():
-		return mismatch("answer is for shard %d, not %d", answer.GetShard(), request.GetShard())
-	case answer.GetSnapshot().GetIndexVersion() != request.GetSnapshot().GetIndexVersion(),
-		answer.GetSnapshot().GetPartitionMapVersion() != request.GetSnapshot().GetPartitionMapVersion():
-		return mismatch("answer is from snapshot %v, not %v", answer.GetSnapshot(), request.GetSnapshot())
-	case answer.GetChecksum() != integrity.RunChecksum(answer):
-		return mismatch("checksum of the answer doesn't match its content")
-	}
-
-	return nil
-}
--- a/internal/domain/fate.go
+++ b/internal/domain/fate.go
@@ -65,6 +65,10 @@
 	CodeNotReady            Code = "not_ready"
 	CodeStopping            Code = "stopping"
 	CodeInternal            Code = "internal"
+	CodeHistoryGone         Code = "history_gone"
+	CodeTooLarge            Code = "too_large"
+	CodeNoConfiguration     Code = "no_configuration"
+	CodeSearcherFailed      Code = "searcher_failed"
 )
 
 // Error is the typed error of the system. Step says what was being done and
--- /dev/null
+++ b/internal/domain/route.go
@@ -0,0 +1,179 @@
+package domain
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Pool is a named group of searchers that answer alike. A pool is one shard of
+// a gathered route, or the whole target of any other route.
+type Pool struct {
+	Name string `json:"name"`
+	// HealthPath is the path of the searchers' health check.
+	HealthPath string `json:"health_path"`
+	// Connections is how many connections one searcher accepts from all
+	// instances.
+	Connections uint32 `json:"connections"`
+}
+
+// WeightedPool is one alternative of a traffic split.
+type WeightedPool struct {
+	Pool   string `json:"pool"`
+	Weight uint32 `json:"weight"`
+}
+
+// Route sends the requests of one host and path prefix to searchers.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string `json:"path_prefix"`
+	// Repeatable requests may run more than once.
+	Repeatable bool `json:"repeatable"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration `json:"timeout_ns"`
+	// LatencyObjective is the time within which an answer has its full worth;
+	// zero means that there is none.
+	LatencyObjective time.Duration `json:"latency_objective_ns"`
+	// MaxAttempts bounds the searchers that one request may be sent to, for each
+	// shard.
+	MaxAttempts uint32 `json:"max_attempts"`
+	// Priority ranks routes; 0 is the highest.
+	Priority uint32 `json:"priority"`
+	// Split names the pools that share the requests; a single pool has them all.
+	// It is empty for a gathered route.
+	Split []WeightedPool `json:"split,omitempty"`
+	// Shards names one pool for each shard of a gathered route.
+	Shards []string `json:"shards,omitempty"`
+	// TopRecords is how many records a gathered answer holds at most.
+	TopRecords int `json:"top_records,omitempty"`
+	// MinCoverage is the least share of shards that makes a gathered answer.
+	MinCoverage float64 `json:"min_coverage,omitempty"`
+}
+
+// Validate reports the first field that can't be accepted.
+func (r Route) Validate() error {
+	switch {
+	case r.Name == "":
+		return invalid("name", "must not be empty")
+	case r.Host == "":
+		return invalid("host", "must not be empty")
+	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
+		return invalid("path_prefix", "%q must begin and end with a slash", r.PathPrefix)
+	case r.Timeout <= 0:
+		return invalid("timeout", "is %s; must be positive", r.Timeout)
+	case r.MaxAttempts == 0:
+		return invalid("max_attempts", "must be at least 1")
+	case (len(r.Split) == 0) == (len(r.Shards) == 0):
+		return invalid("split", "a route has either a split or shards")
+	case r.MinCoverage < 0 || r.MinCoverage > 1:
+		return invalid("min_coverage", "is %g; must be 0 to 1", r.MinCoverage)
+	case len(r.Shards) > MaxShards:
+		return invalid("shards", "has %d entries; at most %d are allowed", len(r.Shards), MaxShards)
+	}
+
+	return nil
+}
+
+// Gathered reports whether a request goes to every shard of the route.
+func (r *Route) Gathered() bool { return len(r.Shards) > 0 }
+
+// CallerLimits bound what a caller may send; zero means no bound.
+type CallerLimits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int64         `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout_ns"`
+	IdleTimeout   time.Duration `json:"idle_timeout_ns"`
+}
+
+// RouteTable is a version of the routing configuration. It is immutable; its
+// zero value stands for no configuration at all.
+type RouteTable struct {
+	Version uint64       `json:"version"`
+	Routes  []Route      `json:"routes"`
+	Pools   []Pool       `json:"pools"`
+	Limits  CallerLimits `json:"limits"`
+}
+
+// Validate reports the first field that can't be accepted.
+func (t RouteTable) Validate() error {
+	if t.Version == 0 {
+		return invalid("version", "must be at least 1")
+	}
+
+	for i := range t.Routes {
+		if err := t.Routes[i].Validate(); err != nil {
+			return InField("routes["+t.Routes[i].Name+"]", err)
+		}
+	}
+
+	return nil
+}
+
+// Match returns the index of the route with the longest prefix of path among
+// those of host.
+func (t *RouteTable) Match(host, path string) (int, bool) {
+	best := -1
+
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Host == host && strings.HasPrefix(path, r.PathPrefix) &&
+			(best < 0 || len(r.PathPrefix) > len(t.Routes[best].PathPrefix)) {
+			best = i
+		}
+	}
+
+	return best, best >= 0
+}
+
+// Pool returns the pool of that name.
+func (t *RouteTable) Pool(name string) (Pool, bool) {
+	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+
+	return t.Pools[i], true
+}
+
+// Registration is what a searcher says of itself in the store.
+type Registration struct {
+	ID            string `json:"id"`
+	Pool          string `json:"pool"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Slots         uint32 `json:"slots"`
+	Draining      bool   `json:"draining"`
+	// ColdFor is how much longer the searcher is slow after its start.
+	ColdFor time.Duration `json:"cold_for_ns"`
+	// Started is the start of the searcher's process in Unix milliseconds; it
+	// tells incarnations of one id apart. Zero if the searcher doesn't say.
+	Started int64 `json:"started"`
+	// Sequence counts the registrations of one incarnation.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Validate reports the first field that can't be accepted.
+func (r Registration) Validate() error {
+	switch {
+	case r.ID == "":
+		return invalid("id", "must not be empty")
+	case r.Pool == "":
+		return invalid("pool", "must not be empty")
+	case r.Slots == 0 || r.Slots > MaxSlots:
+		return invalid("slots", "is %d; must be 1 to %d", r.Slots, MaxSlots)
+	}
+
+	return CheckAddress("address", r.Address)
+}
+
+// Supersedes reports whether r is a later word of the searcher than o. A write
+// that the store carried out late may bring an earlier one back.
+func (r Registration) Supersedes(o Registration) bool {
+	if r.Started != o.Started {
+		return r.Started > o.Started
+	}
+
+	return r.Sequence >= o.Sequence
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,177 @@
+// Package follower keeps a copy of a collection in the platform's store: it
+// lists it once, then watches for changes, and lists again when the history is
+// gone. Outages are waited out with growing pauses; what was known stays known.
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Change is one change of a collection.
+type Change[T any] struct {
+	Name string
+	// Item is set unless the item was removed.
+	Item    T
+	Removed bool
+}
+
+// Source reads a collection from the store. Errors are domain.Error; the code
+// history_gone says that a watch has to begin with a new list.
+type Source[T any] interface {
+	// List returns all items and the revision that they are at least as new as.
+	// A stale list may be seconds old and costs less.
+	List(ctx context.Context, stale bool) (items []T, revision uint64, err error)
+	// Watch returns the changes after a revision, or none after wait.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) (changes []Change[T], next uint64, err error)
+}
+
+// Sink takes the copy.
+type Sink[T any] interface {
+	Replace(items []T)
+	Apply(c Change[T])
+	// Returned says that the store answers again after an outage; it comes
+	// before the first change that was read since.
+	Returned()
+}
+
+const (
+	// watchWait is the longest time that one watch waits. Each watch is a call
+	// with a price; TCP probes find a dead connection sooner.
+	watchWait = 25 * time.Second
+	// listTimeout bounds one list. The store answers in milliseconds; a slow one
+	// takes some tens of times longer.
+	listTimeout = 3 * time.Second
+	// watchSlack is how much longer than its wait a watch may take.
+	watchSlack = 3 * time.Second
+	minBackoff = 100 * time.Millisecond
+	// maxBackoff bounds how long after its return the store is found again.
+	// Searchers' registrations are back within 2 s then.
+	maxBackoff = 800 * time.Millisecond
+)
+
+// Follower follows one collection.
+type Follower[T any] struct {
+	Log    zerolog.Logger
+	Name   string
+	Source Source[T]
+	Sink   Sink[T]
+	// Pause is kept between two watches, so that changes in quick succession
+	// cost one call.
+	Pause time.Duration
+}
+
+// Run follows the collection until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	var (
+		revision uint64
+		listed   bool
+		lost     time.Time
+		backoff  = minBackoff
+		stale    = true
+	)
+
+	for ctx.Err() == nil {
+		var err error
+
+		if !listed {
+			revision, err = f.list(ctx, stale, &lost)
+		} else {
+			revision, err = f.watch(ctx, revision, &lost)
+		}
+
+		switch {
+		case err == nil:
+			listed, backoff = true, minBackoff
+
+			pause(ctx, f.Pause)
+		case historyGone(err):
+			// A stale list may be older than the history that is left.
+			listed, stale = false, false
+			f.Log.Info().Str("event", "store_history_gone").Str("collection", f.Name).Uint64("revision", revision).Send()
+		case ctx.Err() == nil:
+			if lost.IsZero() {
+				lost = time.Now()
+				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).Uint64("revision", revision).Err(err).Send()
+			}
+
+			pause(ctx, backoff/2+rand.N(backoff/2+1))
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
+func (f *Follower[T]) list(ctx context.Context, stale bool, lost *time.Time) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+
+	items, revision, err := f.Source.List(ctx, stale)
+	if err != nil {
+		return 0, err
+	}
+
+	f.returned(lost)
+	f.Sink.Replace(items)
+	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
+		Uint64("revision", revision).Bool("stale", stale).Send()
+
+	return revision, nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context, revision uint64, lost *time.Time) (uint64, error) {
+	wait := watchWait
+	if !lost.IsZero() {
+		// The first watch after an outage shows soon that the store is back.
+		wait = minBackoff
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+
+	changes, next, err := f.Source.Watch(ctx, revision, wait)
+	if err != nil {
+		return revision, err
+	}
+
+	f.returned(lost)
+
+	for _, c := range changes {
+		f.Sink.Apply(c)
+	}
+
+	return max(next, revision), nil
+}
+
+func (f *Follower[T]) returned(lost *time.Time) {
+	if lost.IsZero() {
+		return
+	}
+
+	f.Log.Info().Str("event", "store_regained").Str("collection", f.Name).
+		Int64("lost_for_ms", time.Since(*lost).Milliseconds()).Send()
+	f.Sink.Returned()
+
+	*lost = time.Time{}
+}
+
+func historyGone(err error) bool {
+	var e *domain.Error
+
+	return errors.As(err, &e) && e.Code == domain.CodeHistoryGone
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/hosting/settings.go
@@ -0,0 +1,90 @@
+// Package hosting holds what an instance learns from the platform that hosts
+// it, in the product's own types.
+package hosting
+
+import (
+	"reflect"
+	"slices"
+	"time"
+
+	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/domain"
+)
+
+// Settings are what the platform tells an instance at its start and whenever
+// they change.
+type Settings struct {
+	Instance domain.Instance
+	// CallerAddress serves callers, HealthAddress the platform's balancer; IP
+	// address and port.
+	CallerAddress string
+	HealthAddress string
+	// MetricsAddress serves counters and histograms.
+	MetricsAddress string
+	// Seeds are the peer addresses of a few instances; they may be out of date.
+	Seeds []string
+	// StoreAddress is the platform's store.
+	StoreAddress string
+	// StoreWrites and StoreReads are the calls per second that all instances
+	// together may make.
+	StoreWrites float64
+	StoreReads  float64
+	// RegistrationInterval is how often a searcher renews its registration.
+	RegistrationInterval time.Duration
+	// MemoryBytes is the memory limit of the process.
+	MemoryBytes int64
+	Bounds      Bounds
+}
+
+// Bounds are the times within which the platform's users expect effects.
+type Bounds struct {
+	// Drain is how long a searcher that leaves still serves.
+	Drain time.Duration
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// ConfigurationDelay is the time within which a change is in force.
+	ConfigurationDelay time.Duration
+	// ExtraAttempts bounds retries and hedges for each pool.
+	ExtraAttempts budget.Limit
+}
+
+// Equal reports whether nothing differs.
+func (s Settings) Equal(o Settings) bool {
+	seeds := slices.Equal(s.Seeds, o.Seeds)
+	s.Seeds, o.Seeds = nil, nil
+
+	return seeds && reflect.DeepEqual(s, o)
+}
+
+// Validate reports the first field that can't be accepted.
+func (s Settings) Validate() error {
+	for _, a := range []struct{ field, address string }{
+		{"caller_address", s.CallerAddress},
+		{"health_address", s.HealthAddress},
+		{"metrics_address", s.MetricsAddress},
+		{"store_address", s.StoreAddress},
+	} {
+		if err := domain.CheckAddress(a.field, a.address); err != nil {
+			return err
+		}
+	}
+
+	for _, d := range []struct {
+		field string
+		value time.Duration
+	}{
+		{"bounds.drain", s.Bounds.Drain},
+		{"bounds.grace", s.Bounds.Grace},
+		{"bounds.configuration_delay", s.Bounds.ConfigurationDelay},
+		{"bounds.extra_attempts.window", s.Bounds.ExtraAttempts.Window},
+	} {
+		if d.value <= 0 {
+			e := domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "check settings", "is %s; must be positive", d.value)
+			e.Field = d.field
+
+			return e
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,266 @@
+// Package http1 keeps client connections that speak HTTP/1.1 one request at a
+// time, with control that net/http's Transport doesn't give: nothing is ever
+// sent again behind the caller's back, a caller learns whether any byte of a
+// request was sent, and a connection on which something unexpected arrived is
+// closed before it serves another request.
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBuffer holds the header of an answer and a small body, in bytes.
+	readBuffer = 2 << 10
+	// maxAnswerBytes bounds the body of one answer; the store pages its lists at
+	// about 1 MB.
+	maxAnswerBytes = 8 << 20
+	// A connection whose peer acknowledges nothing for silenceLimit is closed
+	// by the kernel. Probes go out every probeInterval while it is idle. The
+	// limit stays below the shortest bound that a silent connection could break
+	// (3 s for changes and draining searchers).
+	silenceLimit  = 2500 * time.Millisecond
+	probeInterval = time.Second
+	probeCount    = 2
+	// tcpUserTimeout is the TCP_USER_TIMEOUT socket option of Linux; package
+	// syscall doesn't name it.
+	tcpUserTimeout = 18
+)
+
+// Errors of a connection. They say what the peer did; the sending step says
+// whether anything was sent.
+var (
+	// ErrDirty says that the peer closed an idle connection or sent bytes that
+	// belong to no request.
+	ErrDirty = errors.New("the connection was closed or has stray bytes")
+	// ErrTooLarge says that the body of an answer exceeds the limit.
+	ErrTooLarge = errors.New("the answer is too large")
+)
+
+// Request is one request as it goes on the wire.
+type Request struct {
+	Method string
+	// Target is the request target, unchanged from the caller.
+	Target string
+	Host   string
+	// Header is sent as it is; Content-Length and Host are added.
+	Header http.Header
+	Body   []byte
+}
+
+// Response is a complete answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// SendError is the failure of an exchange.
+type SendError struct {
+	// Sent says that at least one byte of the request may have left.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *SendError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Conn is one connection. It serves one request at a time.
+type Conn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	// idleSince is when the last exchange ended.
+	idleSince time.Time
+	// idleLimit is how long the peer keeps the connection open while idle, as
+	// far as it said; zero if it didn't.
+	idleLimit time.Duration
+	// used says that an exchange was completed on the connection.
+	used bool
+}
+
+// Dial opens a connection.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failure error
+
+			err := c.Control(func(fd uintptr) {
+				failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
+			})
+
+			return errors.Join(err, failure)
+		},
+	}
+
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+
+	return &Conn{conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), idleSince: time.Now()}, nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// clean reports whether nothing has arrived since the last exchange and the
+// peer hasn't closed the connection.
+func (c *Conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+
+	sc, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	quiet := false
+
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = errors.Is(err, syscall.EAGAIN)
+
+		return true
+	})
+
+	return err == nil && quiet
+}
+
+// Exchange sends a request and reads the whole answer. It ends with ctx, which
+// closes the connection for good. keep says whether the connection may serve
+// another request. Errors are *SendError.
+func (c *Conn) Exchange(ctx context.Context, r *Request) (resp *Response, keep bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+
+	resp, keep, err = c.exchange(r)
+
+	if !stop() {
+		keep = false
+	}
+
+	if err != nil && ctx.Err() != nil {
+		err = &SendError{Sent: true, Err: ctx.Err()}
+	}
+
+	c.idleSince = time.Now()
+	c.used = true
+
+	return resp, keep && err == nil, err
+}
+
+func (c *Conn) exchange(r *Request) (*Response, bool, error) {
+	if n, err := c.conn.Write(r.encode()); err != nil {
+		return nil, false, &SendError{Sent: n > 0, Err: err}
+	}
+
+	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, false, &SendError{Sent: true, Err: err}
+	}
+
+	for hr.StatusCode >= 100 && hr.StatusCode < 200 {
+		if hr, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}); err != nil {
+			return nil, false, &SendError{Sent: true, Err: err}
+		}
+	}
+
+	body, err := readBody(hr)
+	if err != nil {
+		return nil, false, &SendError{Sent: true, Err: err}
+	}
+
+	keep := !hr.Close && c.reader.Buffered() == 0
+	c.idleLimit = keepAliveTimeout(hr.Header)
+
+	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, keep, nil
+}
+
+func readBody(hr *http.Response) ([]byte, error) {
+	defer func() { _ = hr.Body.Close() }()
+
+	if n := hr.ContentLength; n >= 0 {
+		if n > maxAnswerBytes {
+			return nil, ErrTooLarge
+		}
+
+		body := make([]byte, n)
+		_, err := io.ReadFull(hr.Body, body)
+
+		return body, err
+	}
+
+	body, err := io.ReadAll(io.LimitReader(hr.Body, maxAnswerBytes+1))
+	if len(body) > maxAnswerBytes {
+		return nil, ErrTooLarge
+	}
+
+	return body, err
+}
+
+func (r *Request) encode() []byte {
+	b := make([]byte, 0, 256+len(r.Body))
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+
+	b = append(b, "\r\n"...)
+
+	return append(b, r.Body...)
+}
+
+// keepAliveTimeout returns the timeout that a Keep-Alive header states, or zero.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for _, v := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(v, ",") {
+			text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+			if !ok {
+				continue
+			}
+
+			if s, err := strconv.Atoi(text); err == nil && s > 0 {
+				return time.Duration(s) * time.Second
+			}
+		}
+	}
+
+	return 0
+}
--- /dev/null
+++ b/internal/http1/pool.go
@@ -0,0 +1,258 @@
+package http1
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; the longest way is some
+	// ten milliseconds and a lost opening packet is sent again after 1 s.
+	dialTimeout = 1500 * time.Millisecond
+	// idleShare is the part of a peer's stated idle timeout after which its
+	// connection isn't used any more, so that a request doesn't cross its close.
+	idleShare = 0.6
+	// idleDefault is used for a peer that states no idle timeout.
+	idleDefault = 10 * time.Second
+)
+
+// Pool holds the connections to one peer address. Its zero value is empty; use
+// NewPool. It is safe for concurrent use.
+type Pool struct {
+	address string
+
+	mu   sync.Mutex // Guards what follows.
+	idle []*Conn
+	// open counts the connections, those being opened included.
+	open   int
+	limit  int
+	closed bool
+	// waiting are the requests that wait for a connection, in order. A waiter
+	// gets an idle connection, or nil as leave to open one.
+	waiting []chan *Conn
+}
+
+// NewPool returns a pool of at most limit connections to address.
+func NewPool(address string, limit int) *Pool { return &Pool{address: address, limit: max(limit, 1)} }
+
+// SetLimit changes how many connections may be open.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.limit = max(limit, 1)
+}
+
+// Do sends a request on an idle connection or a new one and returns the whole
+// answer; while the limit is reached it waits for a connection. opened says
+// that a new connection was used. A request that an idle connection didn't
+// take, because the peer had closed it, goes to the next; nothing of it was
+// sent. Errors are *SendError.
+func (p *Pool) Do(ctx context.Context, r *Request) (resp *Response, opened bool, err error) {
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return nil, false, &SendError{Err: err}
+	}
+
+	opened = !c.used
+
+	resp, keep, err := c.Exchange(ctx, r)
+	p.release(c, keep)
+
+	return resp, opened, err
+}
+
+// Close closes the idle connections now and the others after their exchange.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+func (p *Pool) acquire(ctx context.Context) (*Conn, error) {
+	for {
+		c, err := p.take(ctx)
+		if err != nil {
+			return nil, err
+		}
+
+		if c != nil {
+			if time.Since(c.idleSince) < c.usableFor() && c.clean() {
+				return c, nil
+			}
+
+			p.release(c, false)
+
+			continue
+		}
+
+		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		c, err = Dial(dctx, p.address)
+
+		cancel()
+
+		if err != nil {
+			p.drop()
+
+			return nil, err
+		}
+
+		return c, nil
+	}
+}
+
+func (c *Conn) usableFor() time.Duration {
+	if c.idleLimit == 0 {
+		return idleDefault
+	}
+
+	return time.Duration(idleShare * float64(c.idleLimit))
+}
+
+// take returns an idle connection, or nil as leave to open one.
+func (p *Pool) take(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+
+		return c, nil
+	}
+
+	if p.open < p.limit {
+		p.open++
+		p.mu.Unlock()
+
+		return nil, nil //nolint:nilnil // Nil is the leave to open a connection.
+	}
+
+	turn := make(chan *Conn, 1)
+	p.waiting = append(p.waiting, turn)
+	p.mu.Unlock()
+
+	select {
+	case c := <-turn:
+		return c, nil
+	case <-ctx.Done():
+		p.leave(turn)
+
+		return nil, ctx.Err()
+	}
+}
+
+// leave takes a waiter out, and passes on what it got in the meantime.
+func (p *Pool) leave(turn chan *Conn) {
+	p.mu.Lock()
+	i := slices.Index(p.waiting, turn)
+
+	if i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		p.mu.Unlock()
+
+		return
+	}
+
+	p.mu.Unlock()
+
+	if c := <-turn; c != nil {
+		p.release(c, true)
+	} else {
+		p.drop()
+	}
+}
+
+// release ends the use of a connection.
+func (p *Pool) release(c *Conn, keep bool) {
+	p.mu.Lock()
+
+	switch {
+	case !keep || p.closed:
+		p.mu.Unlock()
+		c.Close()
+		p.drop()
+
+		return
+	case len(p.waiting) > 0:
+		p.hand(c)
+	default:
+		p.idle = append(p.idle, c)
+	}
+
+	p.mu.Unlock()
+}
+
+// drop takes a connection out of the count; the first waiter may open one.
+func (p *Pool) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.open--
+
+	if len(p.waiting) > 0 && p.open < p.limit {
+		p.open++
+		p.hand(nil)
+	}
+}
+
+// hand gives a connection, or nil, to the first waiter.
+func (p *Pool) hand(c *Conn) {
+	turn := p.waiting[0]
+	p.waiting = slices.Delete(p.waiting, 0, 1)
+	turn <- c
+}
+
+// Group holds a Pool for each peer, named by a key such as the peer's id. Its
+// zero value is ready to use, and it is safe for concurrent use.
+type Group struct {
+	mu    sync.Mutex // Guards pools.
+	pools map[string]*Pool
+}
+
+// Pool returns the pool for the peer of that key at address, with its limit set.
+// A peer that has moved gets a new pool; the old one is closed.
+func (g *Group) Pool(key, address string, limit int) *Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	p, ok := g.pools[key]
+	if ok && p.address == address {
+		p.SetLimit(limit)
+
+		return p
+	}
+
+	if ok {
+		p.Close()
+	}
+
+	if g.pools == nil {
+		g.pools = make(map[string]*Pool)
+	}
+
+	p = NewPool(address, limit)
+	g.pools[key] = p
+
+	return p
+}
+
+// Retain closes the pools of all peers but those that keep reports.
+func (g *Group) Retain(keep func(key string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for key, p := range g.pools {
+		if !keep(key) {
+			p.Close()
+			delete(g.pools, key)
+		}
+	}
+}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -2,7 +2,6 @@
 package logline
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"strconv"
@@ -13,23 +12,31 @@
 )
 
 const (
+	// bufferBytes bounds the lines that wait to be written; what exceeds it is
+	// dropped and counted. It holds some seconds of lines under load.
 	bufferBytes   = 256 << 10
 	flushInterval = 200 * time.Millisecond
 )
 
-// Writer converts zerolog's JSON events to key=value lines and buffers them.
-// It is safe for concurrent use.
+// Writer converts zerolog's JSON events to key=value lines and buffers them. A
+// reader that is slow or gone never blocks Write: lines are dropped instead,
+// and the next flush says how many. It is safe for concurrent use.
 type Writer struct {
-	mu   sync.Mutex // Guards out and line.
-	out  *bufio.Writer
-	line []byte
+	mu      sync.Mutex // Guards pending and dropped.
+	pending []byte
+	dropped int
+
+	flushing sync.Mutex // Guards out and spare; taken before mu.
+	out      io.Writer
+	spare    []byte
+
 	stop chan struct{}
 	done chan struct{}
 }
 
 // New returns a Writer to out that flushes itself; Close stops it.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: bufio.NewWriterSize(out, bufferBytes), stop: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{out: out, stop: make(chan struct{}), done: make(chan struct{})}
 
 	go w.flushLoop()
 
@@ -46,13 +53,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.line = appendPairs(w.line[:0], bytes.TrimSpace(p))
-	w.line = append(w.line, '\n')
+	if len(w.pending)+len(p) > bufferBytes {
+		w.dropped++
 
-	if _, err := w.out.Write(w.line); err != nil {
-		return 0, err
+		return len(p), nil
 	}
 
+	w.pending = appendPairs(w.pending, bytes.TrimSpace(p))
+	w.pending = append(w.pending, '\n')
+
 	return len(p), nil
 }
 
@@ -64,11 +73,29 @@
 	return w.flush()
 }
 
+// flush writes the pending lines without holding up Write.
 func (w *Writer) flush() error {
+	w.flushing.Lock()
+	defer w.flushing.Unlock()
+
 	w.mu.Lock()
-	defer w.mu.Unlock()
+	lines, dropped := w.pending, w.dropped
+	w.pending, w.dropped = w.spare[:0], 0
+	w.mu.Unlock()
+
+	if dropped > 0 {
+		lines = append(lines, "level=warn event=log_lines_dropped lines="+strconv.Itoa(dropped)+"\n"...)
+	}
+
+	w.spare = lines
+
+	if len(lines) == 0 {
+		return nil
+	}
+
+	_, err := w.out.Write(lines)
 
-	return w.out.Flush()
+	return err
 }
 
 func (w *Writer) flushLoop() {
@@ -80,7 +107,7 @@
 	for {
 		select {
 		case <-t.C:
-			_ = w.flush()
+			_ = w.flush() // Nowhere is left to report it; the next flush tries again.
 		case <-w.stop:
 			return
 		}
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -49,7 +49,7 @@
 
 	for b.Loop() {
 		w.mu.Lock()
-		w.out.Reset(&bytes.Buffer{})
+		w.pending = w.pending[:0]
 		w.mu.Unlock()
 		log.Info().Str("event", "route").Str("query_id", "entry-0-56aa6813a7c8-1").Uint32("attempt", 1).
 			Uint32("shard", 3).Str("searcher", "s3").Str("reason", "first").Int64("expected_us", 5000).Send()
--- a/internal/routing/hearsay.go
+++ b/internal/routing/hearsay.go
@@ -42,6 +42,19 @@
 	t.review()
 }
 
+// Retain forgets the searchers that keep doesn't report and that have no
+// request outstanding.
+func (t *Table) Retain(keep func(searcher string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for id, st := range t.searchers {
+		if st.outstanding == 0 && !keep(id) {
+			delete(t.searchers, id)
+		}
+	}
+}
+
 // SetLeaving replaces the set of searchers that the platform's list calls
 // leaving. They get no new work, unless the list is mistrusted.
 func (t *Table) SetLeaving(searchers []string) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"primrosespring.example/internal/domain"
-	pb "primrosespring.example/internal/gen/primrosespring/v1"
 )
 
 // Outcome is how an attempt ended, as far as routing is concerned.
@@ -42,18 +41,6 @@
 	Service time.Duration
 }
 
-// LoadOf returns the load in a searcher's answer, or nil if it has none.
-func LoadOf(l *pb.SearcherLoad) *Load {
-	if l == nil {
-		return nil
-	}
-
-	return &Load{
-		Running: l.GetRunning(), Queued: l.GetQueued(), Draining: l.GetDraining(), Cold: l.GetCold(),
-		Service: time.Duration(l.GetServiceUs()) * time.Microsecond,
-	}
-}
-
 // Request asks for a searcher of one shard.
 type Request struct {
 	Shard *domain.Shard
@@ -197,6 +184,10 @@
 
 	refusal := domain.CodeNoLiveSearcher
 	n := len(r.Shard.Searchers)
+	if n == 0 {
+		return best, refusal
+	}
+
 	start := int(t.random() % uint64(n))
 
 	for i := range n {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -33,11 +33,11 @@
 	ObserveCensored(e hedging.Estimate, elapsed time.Duration)
 }
 
-// Budget pays for retries and hedges.
+// Budget pays for the retries and hedges of each shard.
 type Budget interface {
 	Fill(n int, permille uint32)
-	Take(k budget.Kind) bool
-	Return()
+	Take(shard uint32, k budget.Kind) bool
+	Return(shard uint32)
 }
 
 // Reason says why an attempt is sent.
@@ -82,6 +82,12 @@
 	Nearby string
 	// Eligible reports whether a searcher holds the snapshot of a shard.
 	Eligible func(shard uint32, searcher string) bool
+	// Objective is when an answer loses most of its worth: the query then ends
+	// as soon as the rules accept its coverage. Zero means that there is none.
+	Objective time.Time
+	// KeepLosers lets attempts run on whose shard has been answered by another.
+	// It suits transports where cancelling an attempt costs its connection.
+	KeepLosers bool
 }
 
 const (
@@ -189,13 +195,17 @@
 		q.hedger.Observe(a.estimate, latency)
 	}
 
-	if sh := &q.shards[a.shard]; !sh.settled() {
+	if sh := &q.shards[a.shard]; !sh.settled() && !q.done {
 		sh.included = true
 		q.included++
 		q.open--
 		q.cancel(now, a.shard, &s)
 	}
 
+	if q.pastObjective(now) {
+		return q.Advance(now)
+	}
+
 	return q.finish(now, s)
 }
 
@@ -213,18 +223,38 @@
 	sh := &q.shards[a.shard]
 	sh.failure = code
 
-	if !sh.settled() && sh.active == 0 {
+	if !sh.settled() && !q.done && sh.active == 0 {
 		q.retry(now, a.shard, a.estimate.Total(), &s)
 	}
 
 	return q.finish(now, s)
 }
 
+// FailedForGood takes the failure of an attempt after which the shard must not
+// be tried again.
+func (q *Query) FailedForGood(now time.Time, id uint32, outcome routing.Outcome, code domain.Code) Step {
+	var s Step
+
+	a := q.end(id)
+	if a == nil {
+		return q.finish(now, s)
+	}
+
+	q.router.Release(now, a.searcher, outcome, now.Sub(a.sent), nil)
+
+	if sh := &q.shards[a.shard]; !sh.settled() {
+		sh.failure = code
+		q.lose(sh, code)
+	}
+
+	return q.finish(now, s)
+}
+
 // Advance acts on the passing of time.
 func (q *Query) Advance(now time.Time) Step {
 	var s Step
 
-	if !now.Before(q.params.Deadline) || (!q.partial.IsZero() && !now.Before(q.partial)) {
+	if !now.Before(q.params.Deadline) || (!q.partial.IsZero() && !now.Before(q.partial)) || q.pastObjective(now) {
 		for i := range q.shards {
 			if sh := &q.shards[i]; !sh.settled() {
 				q.lose(sh, q.late(sh))
@@ -250,6 +280,12 @@
 	return q.finish(now, s)
 }
 
+// pastObjective reports whether waiting for more shards would cost more than
+// they add: the objective has passed and the coverage is acceptable.
+func (q *Query) pastObjective(now time.Time) bool {
+	return !q.params.Objective.IsZero() && !now.Before(q.params.Objective) && q.enough()
+}
+
 // Coverage states which shards are included so far.
 func (q *Query) Coverage() coverage.Coverage {
 	c := coverage.Coverage{Shards: uint32(len(q.shards)), Included: make([]uint32, 0, q.included)}
@@ -273,6 +309,16 @@
 // Attempts returns how many attempts were sent.
 func (q *Query) Attempts() int { return len(q.attempts) }
 
+// Outstanding returns how many attempts are at work.
+func (q *Query) Outstanding() int {
+	n := 0
+	for i := range q.shards {
+		n += q.shards[i].active
+	}
+
+	return n
+}
+
 // Included returns how many shards have answered.
 func (q *Query) Included() int { return q.included }
 
@@ -285,6 +331,7 @@
 	var s Step
 
 	q.done = true
+	q.params.KeepLosers = false
 
 	for i := range q.shards {
 		q.cancel(now, uint32(i), &s)
@@ -347,14 +394,14 @@
 		kind = budget.LateHedge
 	}
 
-	if within > 0 && q.budget.Take(kind) {
+	if within > 0 && q.budget.Take(shard, kind) {
 		if a, _ := q.send(now, shard, Hedge, within, s); a != nil {
 			q.replace(now, shard, a.Searcher.ID, s)
 
 			return
 		}
 
-		q.budget.Return()
+		q.budget.Return(shard)
 	}
 
 	sh.late = true
@@ -402,14 +449,14 @@
 		return
 	}
 
-	if !q.budget.Take(budget.Retry) {
+	if !q.budget.Take(shard, budget.Retry) {
 		sh.nextAt = now.Add(q.hedger.Delay(q.attempts[sh.ids[sh.sent-1]].estimate, false))
 
 		return
 	}
 
 	if a, refusal := q.send(now, shard, Retry, patience*q.left(now), s); a == nil {
-		q.budget.Return()
+		q.budget.Return(shard)
 		q.lose(sh, q.lost(sh, refusal))
 	}
 }
@@ -471,7 +518,7 @@
 
 func (q *Query) cancel(now time.Time, shard uint32, s *Step) {
 	sh := &q.shards[shard]
-	if sh.active == 0 {
+	if sh.active == 0 || q.params.KeepLosers {
 		return
 	}
 
@@ -507,7 +554,7 @@
 		return s
 	}
 
-	if q.open == 0 {
+	if q.open == 0 || q.hopeless() {
 		q.done = true
 		s.Done = true
 
@@ -534,6 +581,10 @@
 		w = q.partial
 	}
 
+	if o := q.params.Objective; !o.IsZero() && q.enough() && o.Before(w) {
+		w = o
+	}
+
 	for i := range q.shards {
 		if sh := &q.shards[i]; !sh.settled() && !sh.nextAt.IsZero() && sh.nextAt.Before(w) {
 			w = sh.nextAt
@@ -543,6 +594,12 @@
 	return w
 }
 
+// hopeless reports whether the rules can't accept any coverage that is still
+// possible, so that the caller learns so at once.
+func (q *Query) hopeless() bool {
+	return !coverage.AcceptsCount(q.params.Service.Rules, q.included+q.open, len(q.shards))
+}
+
 // enough reports whether the rules accept the shards included so far.
 func (q *Query) enough() bool {
 	return coverage.AcceptsCount(q.params.Service.Rules, q.included, len(q.shards))
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -67,7 +67,7 @@
 		r := &counting{open: make(map[string]int)}
 		q := New(Params{
 			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
-		}, r, &hedging.Delayer{}, &budget.Budget{})
+		}, r, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 
 		var open []uint32
 
@@ -162,7 +162,7 @@
 	})
 	q := New(Params{
 		Service: svc, Deadline: start.Add(time.Second), Eligible: func(uint32, string) bool { return true },
-	}, &routing.Table{}, &hedging.Delayer{}, &budget.Budget{})
+	}, &routing.Table{}, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 	s := q.Start(start)
 	require.Len(t, s.Send, 1)
 
@@ -209,7 +209,7 @@
 	svc.PartitionMap.Shards[1].Searchers[0].Draining = true
 	q := New(Params{
 		Service: svc, Deadline: start.Add(time.Second), Eligible: func(uint32, string) bool { return true },
-	}, &routing.Table{}, &hedging.Delayer{}, &budget.Budget{})
+	}, &routing.Table{}, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 	require.False(t, q.Start(start).Done)
 	require.True(t, q.Answered(start.Add(time.Millisecond), 0, nil).Done)
 	require.Equal(t, domain.CodeSearcherDraining, q.Coverage().Missing[0].Reason)
--- /dev/null
+++ b/internal/serving/execution.go
@@ -0,0 +1,349 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/routing"
+	"primrosespring.example/internal/scatter"
+)
+
+// execution is one request at work.
+type execution struct {
+	engine   *Engine
+	view     *directory.View
+	entry    *directory.Entry
+	target   *directory.Target
+	req      *Request
+	deadline time.Time
+	// ctx ends the attempts; it outlives the caller's context, so that a loser
+	// may run on after the answer.
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex // Guards what follows. It is taken before the routing table's lock.
+	query    *scatter.Query
+	timer    *time.Timer
+	ended    bool
+	cancels  []context.CancelFunc
+	attempts []scatter.Attempt
+	replies  []*Reply
+	// ran says that an attempt may have run; failed is the last answer of a
+	// searcher that ran the request and failed.
+	ran    bool
+	failed *Reply
+	// failure is the last error of an attempt.
+	failure *domain.Error
+}
+
+func newExecution(e *Engine, v *directory.View, entry *directory.Entry, t *directory.Target, r *Request) *execution {
+	patience := entry.Route.Timeout
+	if r.Patience > 0 {
+		patience = min(patience, r.Patience)
+	}
+
+	return &execution{
+		engine: e, view: v, entry: entry, target: t, req: r,
+		deadline: r.Received.Add(max(patience-answerMargin, patience/2)),
+		done:     make(chan struct{}),
+		replies:  make([]*Reply, len(t.Pools)),
+	}
+}
+
+// admit refuses a request that can't be served.
+func (x *execution) admit() error {
+	live, shards := 0, x.target.Service.PartitionMap.Shards
+
+	for i := range shards {
+		if len(shards[i].Searchers) > 0 {
+			live++
+		}
+	}
+
+	if !x.accepts(live) {
+		return x.refuse(domain.CodeNoLiveSearcher, retryFloor, "%d of %d shards have a searcher", live, len(shards))
+	}
+
+	return nil
+}
+
+func (x *execution) refuse(code domain.Code, retryAfter time.Duration, format string, args ...any) error {
+	err := domain.Errorf(domain.FateNotRun, code, "admit", format, args...)
+	err.RetryAfter = max(retryAfter, retryFloor)
+
+	return err
+}
+
+// accepts reports whether the rules accept an answer from that many shards.
+func (x *execution) accepts(included int) bool {
+	r, n := x.entry.Route, len(x.target.Pools)
+	if !r.Gathered() {
+		return included == n
+	}
+
+	return included > 0 && float64(included) >= r.MinCoverage*float64(n)
+}
+
+// run sends the attempts and waits for the outcome.
+func (x *execution) run(ctx context.Context) (*Response, error) {
+	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline.Add(loserTime))
+	x.start()
+
+	select {
+	case <-x.done:
+	case <-ctx.Done():
+		x.abandon()
+		x.cancel()
+
+		return nil, domain.Errorf(x.fate(), domain.CodeCancelled, "serve", "the caller left")
+	}
+
+	resp, err := x.outcome()
+	// Losers may still finish; they give their connections back.
+	time.AfterFunc(loserTime, x.cancel)
+
+	return resp, err
+}
+
+func (x *execution) start() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	route := x.entry.Route
+	p := scatter.Params{
+		Service: x.target.Service, Deadline: x.deadline, Nearby: x.engine.settings.Instance.FailureDomain,
+		Eligible:   func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
+		KeepLosers: true,
+	}
+
+	if route.Gathered() && route.LatencyObjective > 0 {
+		p.Objective = x.req.Received.Add(route.LatencyObjective - answerMargin)
+	}
+
+	x.query = scatter.New(p, x.engine.routing, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target))
+	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
+	x.perform(x.query.Start(time.Now()))
+}
+
+// perform carries out a step; the lock is held.
+func (x *execution) perform(s scatter.Step) {
+	for _, id := range s.Cancel {
+		x.cancels[id]()
+	}
+
+	for _, a := range s.Send {
+		ctx, cancel := context.WithCancel(x.ctx)
+		x.cancels = append(x.cancels, cancel)
+		x.attempts = append(x.attempts, a)
+		x.engine.metrics.attempt(a.Reason)
+
+		if a.Reason != scatter.First {
+			x.logRoute(a)
+		}
+
+		go x.attempt(ctx, a)
+	}
+
+	switch {
+	case x.ended:
+	case s.Done:
+		x.end()
+	default:
+		x.timer.Reset(time.Until(s.Wake))
+	}
+}
+
+func (x *execution) end() {
+	x.ended = true
+	x.timer.Stop()
+	close(x.done)
+}
+
+func (x *execution) advance() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if !x.ended {
+		x.perform(x.query.Advance(time.Now()))
+	}
+}
+
+func (x *execution) abandon() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if !x.ended {
+		x.perform(x.query.Abandon(time.Now()))
+		x.end()
+	}
+}
+
+func (x *execution) attempt(ctx context.Context, a scatter.Attempt) {
+	reply, load, err := x.engine.searchers.Do(ctx, Call{Searcher: a.Searcher, Request: x.req, Deadline: x.deadline})
+
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	x.cancels[a.ID]()
+	x.perform(x.handle(a, reply, load, err))
+}
+
+// handle takes the end of an attempt; the lock is held.
+func (x *execution) handle(a scatter.Attempt, reply *Reply, load *routing.Load, err error) scatter.Step {
+	now := time.Now()
+
+	if err == nil {
+		x.ran = true
+
+		if reply.Success() && (reply.Proof != "" || !x.entry.Route.Gathered()) {
+			if x.replies[a.Shard] == nil && !x.ended {
+				x.replies[a.Shard] = reply
+			}
+
+			return x.query.Answered(now, a.ID, reply.Load)
+		}
+
+		x.failed = reply
+
+		return x.fail(now, a, routing.Refused, domain.CodeSearcherFailed, domain.FateRan)
+	}
+
+	var e *domain.Error
+	if !errors.As(err, &e) {
+		e = domain.Errorf(domain.FateUnknown, domain.CodeInternal, "send attempt", "%v", err)
+	}
+
+	if e.Code == domain.CodeCancelled {
+		return x.query.Failed(now, a.ID, routing.Cancelled, e.Code)
+	}
+
+	x.failure = e
+	x.logAttemptFailed(a, e)
+	x.engine.metrics.failed(e.Code)
+
+	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
+		x.engine.log.Warn().Str("event", "searcher_denied").Str("searcher", a.Searcher.ID).
+			Str("address", a.Searcher.Address).Str("reason", "another searcher answers at its address").Send()
+	}
+
+	if load != nil {
+		x.engine.routing.SetStatus(now, a.Searcher.ID, true, load)
+	}
+
+	return x.fail(now, a, outcomeOf(e), e.Code, e.Fate)
+}
+
+func (x *execution) fail(now time.Time, a scatter.Attempt, o routing.Outcome, code domain.Code, fate domain.Fate) scatter.Step {
+	if fate != domain.FateNotRun {
+		x.ran = true
+	}
+
+	if fate != domain.FateNotRun && !x.entry.Route.Repeatable {
+		return x.query.FailedForGood(now, a.ID, o, code)
+	}
+
+	return x.query.Failed(now, a.ID, o, code)
+}
+
+// outcomeOf tells routing how an attempt failed.
+func outcomeOf(e *domain.Error) routing.Outcome {
+	switch e.Code {
+	case domain.CodeOverloaded:
+		return routing.Shed
+	case domain.CodeSearcherDraining:
+		return routing.Draining
+	case domain.CodeNotFound, domain.CodeSearcherFailed:
+		return routing.Refused
+	case domain.CodeDeadline:
+		return routing.Cancelled
+	default:
+		return routing.Unreachable
+	}
+}
+
+// outcome makes the answer after the query has ended.
+func (x *execution) outcome() (*Response, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	included := x.query.Included()
+
+	switch {
+	case !x.accepts(included):
+		return x.refusal(included)
+	case x.entry.Route.Gathered():
+		return x.gathered(), nil
+	default:
+		return &x.replies[0].Response, nil
+	}
+}
+
+// refusal makes the final answer of a request that wasn't answered. A searcher's
+// own failure is passed on as it is.
+func (x *execution) refusal(included int) (*Response, error) {
+	if !x.entry.Route.Gathered() && x.failed != nil {
+		return &x.failed.Response, nil
+	}
+
+	fate, code := x.fateLocked(), domain.CodeCoverage
+	if fate == domain.FateNotRun {
+		code = domain.CodeOverloaded
+	}
+
+	if !time.Now().Before(x.deadline) {
+		code = domain.CodeDeadline
+	}
+
+	err := domain.Errorf(fate, code, "serve", "%d of %d shards answered", included, len(x.target.Pools))
+	err.RetryAfter = retryFloor
+
+	if x.failure != nil {
+		return nil, err.WithCause(x.failure).WithPeer(x.failure.Peer)
+	}
+
+	return nil, err
+}
+
+func (x *execution) gathered() *Response {
+	out := &Response{Status: 200, Gathered: true, Proofs: make([]string, 0, len(x.replies))}
+	parts := make([][]byte, 0, len(x.replies))
+
+	for _, r := range x.replies {
+		if r == nil {
+			out.Missing++
+
+			continue
+		}
+
+		out.Proofs = append(out.Proofs, r.Proof)
+		parts = append(parts, r.Body)
+	}
+
+	out.Body = greatest(parts, x.entry.Route.TopRecords)
+
+	return out
+}
+
+// fate says whether the request may have run.
+func (x *execution) fate() domain.Fate {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	return x.fateLocked()
+}
+
+func (x *execution) fateLocked() domain.Fate {
+	if x.ran || len(x.attempts) > 0 && x.outstanding() {
+		return domain.FateUnknown
+	}
+
+	return domain.FateNotRun
+}
+
+// outstanding reports whether an attempt is still at work.
+func (x *execution) outstanding() bool { return x.query.Outstanding() > 0 }
--- /dev/null
+++ b/internal/serving/merge.go
@@ -0,0 +1,62 @@
+package serving
+
+import (
+	"bytes"
+	"container/heap"
+)
+
+// recordBytes is the size of one record of a shard's answer; a shorter rest is
+// no record.
+const recordBytes = 16
+
+// records is a heap with the least record first.
+type records [][]byte
+
+// Len implements heap.Interface.
+func (r records) Len() int { return len(r) }
+
+// Less implements heap.Interface.
+func (r records) Less(i, j int) bool { return bytes.Compare(r[i], r[j]) < 0 }
+
+// Swap implements heap.Interface.
+func (r records) Swap(i, j int) { r[i], r[j] = r[j], r[i] }
+
+// Push implements heap.Interface.
+func (r *records) Push(x any) { *r = append(*r, x.([]byte)) } //nolint:forcetypeassert // Only greatest pushes.
+
+// Pop implements heap.Interface.
+func (r *records) Pop() any {
+	n := len(*r) - 1
+	x := (*r)[n]
+	*r = (*r)[:n]
+
+	return x
+}
+
+// greatest returns the count greatest records of all parts, greatest first.
+// Equal records all count.
+func greatest(parts [][]byte, count int) []byte {
+	best := make(records, 0, count)
+
+	for _, p := range parts {
+		for ; len(p) >= recordBytes; p = p[recordBytes:] {
+			record := p[:recordBytes]
+
+			switch {
+			case len(best) < count:
+				heap.Push(&best, record)
+			case count > 0 && bytes.Compare(record, best[0]) > 0:
+				best[0] = record
+				heap.Fix(&best, 0)
+			}
+		}
+	}
+
+	out := make([]byte, len(best)*recordBytes)
+	for i := len(best) - 1; i >= 0; i-- {
+		copy(out[i*recordBytes:], best[0])
+		heap.Pop(&best)
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/serving/serving.go
@@ -0,0 +1,263 @@
+// Package serving answers callers' requests on the routes in force: it matches
+// the route, admits the request, drives the state machine of package scatter
+// with real searchers and timers, and makes the answer. A request that goes to
+// one pool is a query with a single shard.
+//
+// A request works on the View that it took at its start, so that its answer is
+// of one configuration version. Every refusal is a domain.Error whose fate says
+// truthfully whether a searcher may have run the request.
+package serving
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/routing"
+)
+
+// Request is one request of a caller. It must not be changed once served.
+type Request struct {
+	// ID is the caller's id of this attempt of its own.
+	ID   string
+	Host string
+	// Path selects the route; Target is the whole request target, unchanged.
+	Path   string
+	Target string
+	Method string
+	// Header is what is passed on to searchers.
+	Header http.Header
+	Body   []byte
+	// Received is when the request arrived.
+	Received time.Time
+	// Patience is how long the caller waits; zero if it doesn't say.
+	Patience time.Duration
+}
+
+// Response is the answer of one searcher, or the gathered answer of many.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Gathered says that Body was merged from the shards' answers, of which
+	// Proofs are the proofs and Missing is how many lack.
+	Gathered bool
+	Proofs   []string
+	Missing  int
+}
+
+// Call is one attempt.
+type Call struct {
+	Searcher *domain.Searcher
+	Request  *Request
+	// Deadline is when the searcher should stop work.
+	Deadline time.Time
+}
+
+// Reply is the complete answer of a searcher that ran the request.
+type Reply struct {
+	Response
+	// Proof is the searcher's proof of the answer; empty if it gave none.
+	Proof string
+	// Load is the searcher's word on its load, or nil.
+	Load *routing.Load
+}
+
+// Success reports whether the searcher answered with success.
+func (r *Reply) Success() bool { return r.Status >= 200 && r.Status < 300 }
+
+// Searchers sends attempts. A searcher's failure after it ran the request is a
+// Reply; every other failure is a domain.Error, whose fate is not run only if
+// the searcher said so or nothing was sent. The searcher's load goes along with
+// a refusal, if it is known.
+type Searchers interface {
+	Do(ctx context.Context, c Call) (*Reply, *routing.Load, error)
+}
+
+// Settings of an Engine.
+type Settings struct {
+	Instance domain.Instance
+	// ExtraAttempts bounds retries and hedges for each pool.
+	ExtraAttempts budget.Limit
+	// LogRoutes writes a line for each placement of a request.
+	LogRoutes bool
+}
+
+const (
+	// answerMargin is kept of a caller's time for the way back and for waiting
+	// for the processor, so that an answer given at the last moment isn't late.
+	answerMargin = 8 * time.Millisecond
+	// loserTime is how long attempts run on after their query has ended; what
+	// takes longer holds a connection without use.
+	loserTime = time.Second
+	// retryFloor is the shortest time after which a refused caller is told to
+	// return.
+	retryFloor = 50 * time.Millisecond
+	// assumedInstances divides the shared budgets until the number of live
+	// instances is known. A number that is too high only makes retries rarer.
+	assumedInstances = 12
+)
+
+// Engine serves requests. It is safe for concurrent use.
+type Engine struct {
+	log       zerolog.Logger
+	settings  Settings
+	directory *directory.Directory
+	searchers Searchers
+	routing   *routing.Table
+	metrics   *engineMetrics
+	turns     atomic.Uint64
+
+	mu       sync.Mutex // Guards delayers and budgets.
+	delayers map[string]*hedging.Delayer
+	budgets  map[string]*budget.Window
+}
+
+// New returns an engine.
+func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
+	return &Engine{
+		log: log, settings: s, directory: d, searchers: sr, routing: rt, metrics: newEngineMetrics(),
+		delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
+	}
+}
+
+// Serve answers one request until its caller leaves, which ends ctx, or its
+// time is over. Errors are *domain.Error.
+func (e *Engine) Serve(ctx context.Context, r *Request) (*Response, error) {
+	x, err := e.begin(r)
+	if err == nil {
+		var resp *Response
+
+		resp, err = x.run(ctx)
+		x.logEnd(resp, err)
+		e.metrics.ended(x.entry.Route.Name, time.Since(r.Received), resp, err)
+
+		return resp, err
+	}
+
+	e.logRefusal(r, err)
+	e.metrics.refused(err)
+
+	return nil, err
+}
+
+// begin matches and admits the request.
+func (e *Engine) begin(r *Request) (*execution, error) {
+	view := e.directory.View()
+	if view == nil {
+		err := domain.Errorf(domain.FateNotRun, domain.CodeNoConfiguration, "match route", "no configuration is known yet")
+		err.RetryAfter = retryFloor
+
+		return nil, err
+	}
+
+	entry, ok := view.Match(r.Host, r.Path)
+	if !ok {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "match route",
+			"version %d has no route for %s%s", view.Table.Version, r.Host, r.Path)
+	}
+
+	x := newExecution(e, view, entry, &entry.Targets[e.split(entry)], r)
+
+	return x, x.admit()
+}
+
+// split chooses a target in proportion to the weights. Steps of the golden
+// ratio spread any run of requests evenly.
+func (e *Engine) split(entry *directory.Entry) int {
+	if len(entry.Targets) == 1 {
+		return 0
+	}
+
+	const goldenRatio = 0.6180339887498949
+
+	var total float64
+	for i := range entry.Targets {
+		total += float64(entry.Targets[i].Weight)
+	}
+
+	turn := float64(e.turns.Add(1)) * goldenRatio
+	at := (turn - float64(uint64(turn))) * total
+
+	for i := range entry.Targets {
+		if at -= float64(entry.Targets[i].Weight); at < 0 {
+			return i
+		}
+	}
+
+	return len(entry.Targets) - 1
+}
+
+func (e *Engine) delayer(key string) *hedging.Delayer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	d, ok := e.delayers[key]
+	if !ok {
+		d = &hedging.Delayer{}
+		e.delayers[key] = d
+	}
+
+	return d
+}
+
+func (e *Engine) poolBudget(pool string) *budget.Window {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	b, ok := e.budgets[pool]
+	if !ok {
+		b = &budget.Window{}
+		b.SetLimit(e.settings.ExtraAttempts, assumedInstances)
+		e.budgets[pool] = b
+	}
+
+	return b
+}
+
+// SetExtraAttempts replaces the limit of retries and hedges.
+func (e *Engine) SetExtraAttempts(l budget.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.settings.ExtraAttempts = l
+
+	for _, b := range e.budgets {
+		b.SetLimit(l, assumedInstances)
+	}
+}
+
+// shardBudgets pays for the extra attempts of a target from its pools' budgets.
+// It implements scatter.Budget.
+type shardBudgets []*budget.Window
+
+func (e *Engine) shardBudgets(t *directory.Target) shardBudgets {
+	b := make(shardBudgets, len(t.Pools))
+	for i, p := range t.Pools {
+		b[i] = e.poolBudget(p)
+	}
+
+	return b
+}
+
+// Fill counts the request for each pool.
+func (b shardBudgets) Fill(int, uint32) {
+	now := time.Now()
+	for _, w := range b {
+		w.Request(now)
+	}
+}
+
+// Take pays for an extra attempt at the shard.
+func (b shardBudgets) Take(shard uint32, _ budget.Kind) bool { return b[shard].Take(time.Now()) }
+
+// Return gives back what Take paid.
+func (b shardBudgets) Return(shard uint32) { b[shard].Return(time.Now()) }
--- a/primrosed/internal/execute/run.go
+++ b/primrosed/internal/execute/run.go
@@ -9,6 +9,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/routing"
+	"primrosespring.example/primrosed/internal/searcher"
 )
 
 // run is one request at work.
@@ -125,7 +126,7 @@
 	})
 	now := time.Now()
 
-	o.Router.Release(now, sr.ID, outcomeOf(err), now.Sub(start), routing.LoadOf(resp.GetLoad()))
+	o.Router.Release(now, sr.ID, outcomeOf(err), now.Sub(start), searcher.LoadOf(resp.GetLoad()))
 
 	return resp, err
 }
--- /dev/null
+++ b/primrosed/internal/hosted/command.go
@@ -0,0 +1,68 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/dig"
+
+	"primrosespring.example/internal/hosting"
+	"primrosespring.example/platform"
+)
+
+// defaultMetricsPort is in the range that the platform leaves to its guests.
+const defaultMetricsPort = 7390
+
+// Command returns the command that runs a hosted instance.
+func Command(c *dig.Container, stdout io.Writer) *cobra.Command {
+	var port int
+
+	load := func() (hosting.Settings, error) {
+		return platform.LoadSettings(os.Getenv(platform.SettingsVariable), port)
+	}
+
+	cmd := &cobra.Command{
+		Use: "hosted", Short: "Run an entry instance on the users' platform until SIGTERM or SIGINT", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return run(c, load, stdout) },
+	}
+	cmd.Flags().IntVar(&port, "metrics-port", defaultMetricsPort, "port that serves /metrics")
+	cmd.AddCommand(&cobra.Command{
+		Use: "check", Short: "Check the platform's settings file without starting", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := load()
+			if err != nil {
+				return err
+			}
+
+			_, err = fmt.Fprintln(stdout, s.Instance.ID+": ok")
+
+			return err
+		},
+	})
+
+	return cmd
+}
+
+func run(c *dig.Container, load func() (hosting.Settings, error), stdout io.Writer) error {
+	s, err := load()
+	if err != nil {
+		return err
+	}
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+
+	if err := Provide(c, s, stdout); err != nil {
+		return err
+	}
+
+	return c.Invoke(func(i *Instance) error { return i.Run(ctx, hangup, load) })
+}
--- /dev/null
+++ b/primrosed/internal/hosted/hosted.go
@@ -0,0 +1,405 @@
+// Package hosted builds an entry instance that runs on the users' platform and
+// runs it until it is told to stop. The adapters come from module platform; the
+// decisions and the state are the product's.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
+	"primrosespring.example/internal/hosting"
+	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/routing"
+	"primrosespring.example/internal/serving"
+	"primrosespring.example/platform"
+	"primrosespring.example/primrosed/internal/balancer"
+)
+
+const (
+	// gcPercent trades processor time for memory: the live heap is a few MB, and
+	// hosts of entry instances are small.
+	gcPercent = 50
+	// memoryShare is the part of the memory limit that the runtime keeps to.
+	memoryShare = 0.7
+	// registrationPause and configurationPause are kept between watches, so that
+	// changes in quick succession cost one call. They stay well below the bounds
+	// for draining searchers and for changes (3 s).
+	registrationPause  = 400 * time.Millisecond
+	configurationPause = 150 * time.Millisecond
+	// balancerDelay is how long an instance goes on taking connections after it
+	// says that it isn't ready: the balancer asks each second and needs two
+	// misses.
+	balancerDelay = 2500 * time.Millisecond
+	// graceReserve is kept of the grace time for the final answers.
+	graceReserve = 700 * time.Millisecond
+	// maxHeaderBytes, headerTimeout and idleTimeout bound callers before the
+	// configuration is known; the configured limits are lower.
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	// minConnections to a searcher keep a second request from waiting for a
+	// paused one.
+	minConnections = 2
+	// assumedInstances divides a searcher's connections until the number of live
+	// instances is known.
+	assumedInstances = 12
+	settingsInterval = 2 * time.Second
+)
+
+// Instance is a hosted entry instance.
+type Instance struct {
+	log      zerolog.Logger
+	logs     *logline.Writer
+	settings hosting.Settings
+	parts    parts
+	health   balancer.Health
+	// stopping is closed when a planned stop begins.
+	stopping chan struct{}
+}
+
+// parts are what an instance runs, for the container to fill in.
+type parts struct {
+	dig.In
+
+	Directory *directory.Directory
+	Table     *routing.Table
+	Group     *http1.Group
+	Engine    *serving.Engine
+	Store     *platform.Store
+}
+
+// Provide registers the constructors of an instance's parts.
+func Provide(c *dig.Container, s hosting.Settings, logOut io.Writer) error {
+	for _, f := range []any{
+		func() hosting.Settings { return s },
+		func() *logline.Writer { return logline.New(logOut) },
+		func(w *logline.Writer) zerolog.Logger { return w.Logger() },
+		func() *directory.Directory { return &directory.Directory{} },
+		func() *routing.Table { return &routing.Table{Random: rand.Uint64} },
+		func() *http1.Group { return &http1.Group{} },
+		func(log zerolog.Logger, s hosting.Settings) *platform.Store { return platform.NewStore(log, s.StoreAddress) },
+		newSearchers,
+		newEngine,
+		newInstance,
+	} {
+		if err := c.Provide(f); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func newSearchers(g *http1.Group) *platform.Searchers {
+	return &platform.Searchers{Group: g, Limit: connectionLimit}
+}
+
+// connectionLimit divides a searcher's connections among the instances.
+func connectionLimit(sr *domain.Searcher) int {
+	return max(int(sr.Connections)/assumedInstances, minConnections)
+}
+
+func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sr *platform.Searchers, t *routing.Table,
+) *serving.Engine {
+	return serving.New(log, serving.Settings{
+		Instance: s.Instance, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true,
+	}, d, sr, t)
+}
+
+func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts) *Instance {
+	return &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{})}
+}
+
+// Run serves until ctx ends and then stops in order: not ready for the
+// balancer, new connections still served until it has noticed, open requests
+// finished, connections closed. reload reads the settings again.
+func (i *Instance) Run(ctx context.Context, hangup <-chan os.Signal, reload func() (hosting.Settings, error)) error {
+	defer func() { _ = i.logs.Close() }()
+
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(i.settings.MemoryBytes)))
+	i.health.Set("start", "no configuration or no list of searchers yet")
+
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	requests, endRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer endRequests()
+
+	callers, state, err := i.serve(requests)
+	if err != nil {
+		return err
+	}
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { i.followConfiguration(background) })
+	wg.Go(func() { i.followRegistrations(background) })
+	wg.Go(func() { i.watchSettings(background, hangup, reload) })
+
+	i.log.Info().Str("event", "started").Str("instance", i.settings.Instance.ID).
+		Str("caller_address", i.settings.CallerAddress).Str("failure_domain", i.settings.Instance.FailureDomain).Send()
+	<-ctx.Done()
+	i.stop(callers, endRequests)
+	stop()
+	wg.Wait()
+
+	for _, s := range state {
+		_ = s.Close()
+	}
+
+	i.parts.Store.Close()
+	i.log.Info().Str("event", "stopped").Send()
+
+	return nil
+}
+
+func (i *Instance) stop(callers *http.Server, endRequests context.CancelFunc) {
+	began := time.Now()
+
+	i.log.Info().Str("event", "stopping").Int64("grace_ms", i.settings.Bounds.Grace.Milliseconds()).Send()
+	i.health.Set("stop", "stopping")
+	close(i.stopping)
+
+	// Answers from now on ask callers to open their next connection elsewhere.
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(min(balancerDelay, i.settings.Bounds.Grace/2))
+
+	last := i.settings.Bounds.Grace - graceReserve
+
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(last))
+	defer cancel()
+
+	err := callers.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+
+	i.log.Warn().Str("event", "stop_incomplete").Str("reason", "requests are still open at the end of the grace time").Err(err).Send()
+	endRequests()
+
+	ctx, cancel = context.WithTimeout(context.Background(), graceReserve/2)
+	defer cancel()
+
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = callers.Close()
+	}
+}
+
+// serve opens the listeners; state serves the balancer and metrics.
+func (i *Instance) serve(requests context.Context) (callers *http.Server, state []*http.Server, err error) {
+	ingress := chi.NewRouter()
+	ingress.Handle("/*", &platform.Ingress{
+		Server: i.parts.Engine, Ended: requests,
+		BodyBytes: func() int64 {
+			if v := i.parts.Directory.View(); v != nil {
+				return v.Table.Limits.BodyBytes
+			}
+
+			return 0
+		},
+	})
+
+	metricsHandler := chi.NewRouter()
+	metricsHandler.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+
+	if callers, err = i.listen(i.settings.CallerAddress, ingress); err != nil {
+		return nil, nil, err
+	}
+
+	for address, h := range map[string]http.Handler{
+		i.settings.HealthAddress:  platform.ReadyHandler(i.health.NotReady),
+		i.settings.MetricsAddress: metricsHandler,
+	} {
+		s, err := i.listen(address, h)
+		if err != nil {
+			return nil, nil, err
+		}
+
+		state = append(state, s)
+	}
+
+	return callers, state, nil
+}
+
+func (i *Instance) listen(address string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+
+	s := &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			i.log.Error().Str("event", "serve_failed").Str("address", address).Err(err).Send()
+		}
+	}()
+
+	return s, nil
+}
+
+func (i *Instance) followConfiguration(ctx context.Context) {
+	f := follower.Follower[*domain.RouteTable]{
+		Log: i.log, Name: "configuration", Source: platform.Configurations{Store: i.parts.Store},
+		Sink: configurationSink{i}, Pause: configurationPause,
+	}
+	f.Run(ctx)
+}
+
+func (i *Instance) followRegistrations(ctx context.Context) {
+	f := follower.Follower[domain.Registration]{
+		Log: i.log, Name: "registrations", Source: platform.Registrations{Store: i.parts.Store},
+		Sink: registrationSink{i}, Pause: registrationPause,
+	}
+	f.Run(ctx)
+}
+
+// changed takes note of a new view.
+func (i *Instance) changed() {
+	if i.parts.Directory.Ready() && i.health.NotReady() != "" {
+		select {
+		case <-i.stopping:
+		default:
+			i.health.Set("start", "")
+			i.log.Info().Str("event", "ready").Send()
+		}
+	}
+
+	i.parts.Group.Retain(i.parts.Directory.Usable)
+	i.parts.Table.Retain(i.parts.Directory.Usable)
+}
+
+// configurationSink takes configurations from the store.
+type configurationSink struct{ *Instance }
+
+// Replace implements follower.Sink.
+func (s configurationSink) Replace(items []*domain.RouteTable) {
+	for _, t := range items {
+		s.take(t)
+	}
+}
+
+// Apply implements follower.Sink. A configuration is never removed.
+func (s configurationSink) Apply(c follower.Change[*domain.RouteTable]) {
+	if !c.Removed {
+		s.take(c.Item)
+	}
+}
+
+// Returned implements follower.Sink.
+func (s configurationSink) Returned() {}
+
+func (s configurationSink) take(t *domain.RouteTable) {
+	took := s.parts.Directory.Configure(t)
+	s.log.Info().Str("event", "configuration").Uint64("version", t.Version).Int("routes", len(t.Routes)).
+		Int("pools", len(t.Pools)).Bool("in_force", took).Send()
+
+	if took {
+		s.changed()
+	}
+}
+
+// registrationSink takes the searchers' registrations from the store.
+type registrationSink struct{ *Instance }
+
+// Replace implements follower.Sink.
+func (s registrationSink) Replace(items []domain.Registration) {
+	changed := s.parts.Directory.ReplaceSearchers(items)
+	s.log.Info().Str("event", "searchers_listed").Int("searchers", len(items)).Bool("changed", changed).Send()
+	s.changed()
+}
+
+// Apply implements follower.Sink.
+func (s registrationSink) Apply(c follower.Change[domain.Registration]) {
+	var took bool
+
+	ev := s.log.Info().Str("event", "searcher").Str("searcher", c.Name)
+
+	if c.Removed {
+		took = s.parts.Directory.RemoveSearcher(c.Name)
+
+		ev.Str("state", "removed")
+	} else {
+		took = s.parts.Directory.PutSearcher(c.Item)
+
+		ev.Str("pool", c.Item.Pool).Str("address", c.Item.Address).Bool("draining", c.Item.Draining).
+			Uint64("sequence", c.Item.Sequence).Int64("started", c.Item.Started)
+	}
+
+	if took {
+		ev.Send()
+		s.changed()
+	}
+}
+
+// Returned implements follower.Sink.
+func (s registrationSink) Returned() {
+	s.parts.Directory.StoreReturned()
+	time.AfterFunc(directory.RejoinTime, func() {
+		s.parts.Directory.Expire()
+		s.changed()
+	})
+}
+
+// watchSettings reloads the settings on a signal, and when they have changed
+// without one.
+func (i *Instance) watchSettings(ctx context.Context, hangup <-chan os.Signal, reload func() (hosting.Settings, error)) {
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+
+	current := i.settings
+
+	for {
+		cause := "file"
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			cause = "signal"
+		case <-t.C:
+		}
+
+		s, err := reload()
+
+		switch {
+		case err != nil:
+			i.log.Error().Str("event", "reload_refused").Str("cause", cause).Err(err).Send()
+		case s.Equal(current):
+			if cause == "signal" {
+				i.log.Info().Str("event", "reload").Str("cause", cause).Bool("changed", false).Send()
+			}
+		default:
+			i.apply(current, s, cause)
+			current = s
+		}
+	}
+}
+
+// apply takes changed settings. Addresses are bound once and need a restart.
+func (i *Instance) apply(from, to hosting.Settings, cause string) {
+	i.parts.Engine.SetExtraAttempts(to.Bounds.ExtraAttempts)
+	i.log.Info().Str("event", "reload").Str("cause", cause).Bool("changed", true).
+		Bool("restart_needed", from.CallerAddress != to.CallerAddress || from.HealthAddress != to.HealthAddress ||
+			from.StoreAddress != to.StoreAddress).Send()
+}
--- a/primrosed/internal/query/execution.go
+++ b/primrosed/internal/query/execution.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"primrosespring.example/internal/admission"
+	"primrosespring.example/internal/budget"
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/scatter"
+	"primrosespring.example/primrosed/internal/searcher"
 )
 
 // execution is one query at work on one snapshot.
@@ -71,7 +72,7 @@
 		Eligible: func(shard uint32, searcher string) bool {
 			return x.runner.snapshots.Holds(x.svc.Name, shard, searcher, x.snap)
 		},
-	}, x.runner.routing, &x.state.delayer, &x.state.budget)
+	}, x.runner.routing, &x.state.delayer, budget.Shared{Budget: &x.state.budget})
 
 	step := x.query.Start(time.Now())
 	x.state.gate.Started(x.ticket)
@@ -150,7 +151,7 @@
 
 		x.runner.Answers.note(e.searcher, now, e.resp.GetLoad().GetHeldVersion())
 
-		return x.query.Answered(now, e.attempt, routing.LoadOf(e.resp.GetLoad()))
+		return x.query.Answered(now, e.attempt, searcher.LoadOf(e.resp.GetLoad()))
 	}
 
 	outcome, code := classify(e.err)
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -14,6 +14,7 @@
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/snapshot"
+	"primrosespring.example/primrosed/internal/searcher"
 )
 
 const (
@@ -216,7 +217,7 @@
 		return
 	}
 
-	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), routing.LoadOf(st.GetLoad()))
+	p.routing.SetStatus(time.Now(), g.searcher.ID, st.GetHealthy(), searcher.LoadOf(st.GetLoad()))
 
 	g.heldVersion = st.GetLoad().GetHeldVersion()
 	held := make(map[servedShard][]domain.Snapshot)
--- a/primrosed/internal/searcher/pool.go
+++ b/primrosed/internal/searcher/pool.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"primrosespring.example/internal/coverage"
+	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/refusal"
@@ -78,7 +78,7 @@
 		return nil, c.failure(ctx, err, "run sub-query", sr.ID)
 	}
 
-	if err := coverage.Check(req, resp); err != nil {
+	if err := integrity.CheckAnswer(req, resp); err != nil {
 		p.discard(c, errCorrupt) //nolint:contextcheck // A replacement connection outlives the request.
 
 		return nil, err.WithPeer(sr.ID)
--- a/primrosed/internal/server/command.go
+++ b/primrosed/internal/server/command.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 
+	"primrosespring.example/primrosed/internal/hosted"
 	"primrosespring.example/primrosed/internal/settings"
 )
 
@@ -53,6 +54,7 @@
 		Use: "primrosed", Short: "Entry instance of primrosespring",
 		SilenceUsage: true, SilenceErrors: true,
 	}
+	root.AddCommand(hosted.Command(c, stdout))
 	root.AddCommand(&cobra.Command{
 		Use: "run SETTINGS", Short: "Run an entry instance until SIGTERM or SIGINT", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error { return run(c, args[0], stdout) },
--- a/primrosefake/internal/load/baseline.go
+++ b/primrosefake/internal/load/baseline.go
@@ -14,6 +14,7 @@
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/refusal"
 	"primrosespring.example/primrosefake/internal/workload"
@@ -297,7 +298,7 @@
 		return nil, err
 	}
 
-	if e := coverage.Check(r, resp); e != nil {
+	if e := integrity.CheckAnswer(r, resp); e != nil {
 		return nil, e
 	}
 
