serving: hedge earlier where a latency objective binds

The delay's quantile (0.9575) lies in the pauses of the searchers (4.2% of the time), so hedges came too late. Change: the first hedge is due at the 0.80 quantile.

--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -2,6 +2,7 @@
 package hedging
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -24,6 +25,10 @@
 // for its hedge. Old latencies lose weight. The zero value uses defaultRatio until it has seen answers. It
 // is safe for concurrent use.
 type Delayer struct {
+	// First is the share of first attempts that end before their hedge is due;
+	// zero stands for FirstQuantile. It must be set before first use.
+	First float64
+
 	mu       sync.Mutex // Guards what follows.
 	weights  [buckets]float64
 	total    float64
@@ -143,7 +148,7 @@
 	case d.observed < minObserved:
 		d.first, d.later = defaultRatio, defaultRatio
 	case d.first == 0:
-		d.first, d.later = d.quantile(FirstQuantile), d.quantile(LaterQuantile)
+		d.first, d.later = d.quantile(cmp.Or(d.First, FirstQuantile)), d.quantile(LaterQuantile)
 	}
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -98,6 +98,11 @@
 	// loserTime is how long attempts run on after their query has ended; what
 	// takes longer holds a connection without use.
 	loserTime = time.Second
+	// hedgeQuantile is the share of first attempts that end before their hedge.
+	// Searchers that pause for longer than an objective leave little time for a
+	// second attempt, and the pools' budgets allow extra attempts for one request
+	// in five.
+	hedgeQuantile = 0.80
 	// retryFloor is the shortest time after which a refused caller is told to
 	// return.
 	retryFloor = 50 * time.Millisecond
@@ -202,7 +207,7 @@
 
 	d, ok := e.delayers[key]
 	if !ok {
-		d = &hedging.Delayer{}
+		d = &hedging.Delayer{First: hedgeQuantile}
 		e.delayers[key] = d
 	}
 
