http1, platform: state the time left when a request is sent

Change: the request is made once there is a connection; nothing is sent after the deadline; the adapter says whether an answer belongs to its request.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -86,12 +86,13 @@
 	// idleLimit is how long the peer keeps the connection open while idle, as
 	// far as it said; zero if it didn't.
 	idleLimit time.Duration
-	// used says that an exchange was completed on the connection.
-	used bool
 }
 
-// Dial opens a connection.
-func Dial(ctx context.Context, address string) (*Conn, error) {
+// DialFunc opens a connection to an IP address and port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a TCP connection that notices a silent peer.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
@@ -105,12 +106,11 @@
 		},
 	}
 
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
+	return d.DialContext(ctx, "tcp", address)
+}
 
-	return &Conn{conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), idleSince: time.Now()}, nil
+func newConn(nc net.Conn) *Conn {
+	return &Conn{conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), idleSince: time.Now()}
 }
 
 // Close closes the connection.
@@ -164,7 +164,6 @@
 	}
 
 	c.idleSince = time.Now()
-	c.used = true
 
 	return resp, keep && err == nil, err
 }
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -22,6 +22,7 @@
 // NewPool. It is safe for concurrent use.
 type Pool struct {
 	address string
+	dial    DialFunc
 
 	mu   sync.Mutex // Guards what follows.
 	idle []*Conn
@@ -35,7 +36,9 @@
 }
 
 // NewPool returns a pool of at most limit connections to address.
-func NewPool(address string, limit int) *Pool { return &Pool{address: address, limit: max(limit, 1)} }
+func NewPool(address string, limit int, dial DialFunc) *Pool {
+	return &Pool{address: address, dial: dial, limit: max(limit, 1)}
+}
 
 // SetLimit changes how many connections may be open.
 func (p *Pool) SetLimit(limit int) {
@@ -45,23 +48,38 @@
 	p.limit = max(limit, 1)
 }
 
+// Exchange is one request with what its sender wants of the connection.
+type Exchange struct {
+	// Prepare makes the request once there is a connection, so that a time left
+	// that it states is what is left then. An error of it ends the exchange with
+	// nothing sent.
+	Prepare func() (*Request, error)
+	// Trust reports whether the answer belongs to the request; the connection
+	// is closed otherwise. Nil trusts every answer.
+	Trust func(*Response) bool
+}
+
 // Do sends a request on an idle connection or a new one and returns the whole
-// answer; while the limit is reached it waits for a connection. opened says
-// that a new connection was used. A request that an idle connection didn't
-// take, because the peer had closed it, goes to the next; nothing of it was
-// sent. Errors are *SendError.
-func (p *Pool) Do(ctx context.Context, r *Request) (resp *Response, opened bool, err error) {
+// answer; while the limit is reached it waits for a connection. A request that
+// an idle connection didn't take, because the peer had closed it, goes to the
+// next; nothing of it was sent. Errors are *SendError.
+func (p *Pool) Do(ctx context.Context, x Exchange) (*Response, error) {
 	c, err := p.acquire(ctx)
 	if err != nil {
-		return nil, false, &SendError{Err: err}
+		return nil, &SendError{Err: err}
 	}
 
-	opened = !c.used
+	r, err := x.Prepare()
+	if err != nil {
+		p.release(c, true)
+
+		return nil, &SendError{Err: err}
+	}
 
 	resp, keep, err := c.Exchange(ctx, r)
-	p.release(c, keep)
+	p.release(c, keep && (x.Trust == nil || x.Trust(resp)))
 
-	return resp, opened, err
+	return resp, err
 }
 
 // Close closes the idle connections now and the others after their exchange.
@@ -94,7 +112,7 @@
 		}
 
 		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		c, err = Dial(dctx, p.address)
+		nc, err := p.dial(dctx, p.address)
 
 		cancel()
 
@@ -104,7 +122,7 @@
 			return nil, err
 		}
 
-		return c, nil
+		return newConn(nc), nil
 	}
 }
 
@@ -213,6 +231,10 @@
 // Group holds a Pool for each peer, named by a key such as the peer's id. Its
 // zero value is ready to use, and it is safe for concurrent use.
 type Group struct {
+	// Dial opens connections; nil stands for DialTCP. It must be set before
+	// first use.
+	Dial DialFunc
+
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*Pool
 }
@@ -238,7 +260,12 @@
 		g.pools = make(map[string]*Pool)
 	}
 
-	p = NewPool(address, limit)
+	dial := g.Dial
+	if dial == nil {
+		dial = DialTCP
+	}
+
+	p = NewPool(address, limit, dial)
 	g.pools[key] = p
 
 	return p
