serving, routing, scatter: keep searchers' queues short

Attempts of queries that had been answered, or given up at the objective, went on holding places in the queues. Change: attempts are cancelled when their shard or query has ended, by closing the connection; a shard whose searchers all have a standing queue isn't sent to; a query that this leaves too few shards is refused before anything is sent. Service times are learned for each route, without the queue. A searcher's word on its queue counts for 100 ms.

--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -39,7 +40,7 @@
 
 		st, ok := t.searchers[sr.ID]
 		if !ok {
-			st = newState()
+			st = newState(cmp.Or(t.ReportAge, defaultReportAge))
 		}
 
 		c, code := consider(now, &r, sr, st)
--- a/internal/routing/hearsay.go
+++ b/internal/routing/hearsay.go
@@ -73,7 +73,7 @@
 }
 
 // SetStatus takes the answer of a searcher's status endpoint. Its load counts
-// only when no answer came for reportAge.
+// only when no answer came for the report age.
 func (t *Table) SetStatus(now time.Time, searcher string, healthy bool, load *Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,7 +115,7 @@
 		s.draining = false
 	}
 
-	if now.Sub(s.reportedAt) >= reportAge {
+	if now.Sub(s.reportedAt) >= s.reportAge {
 		s.reported, s.reportedAt, s.since = l.Running+l.Queued, now, 0
 	}
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,12 @@
 	Elsewhere bool
 	// Within is the longest useful expected time; zero sets no bound.
 	Within time.Duration
+	// Prompt excludes searchers at which the request would wait in a standing
+	// queue and be expected after this time; zero sets no bound. A searcher that
+	// is slow without a queue isn't excluded: nothing better can be had then.
+	Prompt time.Duration
+	// Class names the kind of request; service times are learned for each.
+	Class string
 }
 
 // Choice is the searcher chosen, with the expected time to its answer. When no
@@ -78,6 +85,9 @@
 	// Random breaks ties; nil takes turns. It is called under the table's lock
 	// and must be set before first use.
 	Random func() uint64
+	// ReportAge is the age at which a reported queue has lost all its weight;
+	// zero stands for defaultReportAge. It must be set before first use.
+	ReportAge time.Duration
 
 	mu        sync.Mutex // Guards what follows and the states.
 	turn      uint64
@@ -116,6 +126,7 @@
 	searcher *domain.Searcher
 	state    *state
 	cost     time.Duration
+	service  time.Duration
 	penalty  int
 	probe    bool
 }
@@ -129,7 +140,7 @@
 }
 
 func (c candidate) choice() Choice {
-	return Choice{Searcher: c.searcher, Expected: c.cost, Service: c.state.service, Probe: c.probe}
+	return Choice{Searcher: c.searcher, Expected: c.cost, Service: c.service, Probe: c.probe}
 }
 
 // Choose picks the searcher with the least expected time, and reserves a place
@@ -219,7 +230,8 @@
 		return candidate{}, domain.CodeSnapshotGone
 	}
 
-	c := candidate{searcher: sr, state: st, cost: st.expected(now, sr, r.Nearby)}
+	c := candidate{searcher: sr, state: st, service: st.serviceOf(r.Class)}
+	c.cost = st.expected(now, sr, r.Nearby) - st.service + c.service
 
 	if st.failures > 0 {
 		switch {
@@ -238,6 +250,10 @@
 		return candidate{}, domain.CodeDeadline
 	}
 
+	if r.Prompt > 0 && c.cost > r.Prompt && st.queue(now) > float64(sr.Slots) {
+		return candidate{}, domain.CodeOverloaded
+	}
+
 	if over := st.outstanding - st.limit.Allowed(sr.Slots); over >= 0 {
 		if r.Extra && over >= extraOverLimit {
 			return candidate{}, domain.CodeOverloaded
@@ -289,10 +305,23 @@
 // Release ends the reservation that Choose made. latency is the time from send
 // to end; load is nil unless the searcher answered.
 func (t *Table) Release(now time.Time, searcher string, outcome Outcome, latency time.Duration, load *Load) {
+	t.ReleaseClass(now, searcher, "", outcome, latency, load)
+}
+
+// ReleaseClass is Release for a request of the class.
+func (t *Table) ReleaseClass(now time.Time, searcher, class string, outcome Outcome, latency time.Duration, load *Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.state(searcher).release(now, class, outcome, latency, load)
+}
+
+// Report takes a searcher's word on its load that came with a refusal.
+func (t *Table) Report(now time.Time, searcher string, load *Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.state(searcher).release(now, outcome, latency, load)
+	t.state(searcher).report(now, load)
 }
 
 // Pressure is how loaded the searchers of a service are, as far as this
@@ -397,7 +426,7 @@
 			t.searchers = make(map[string]*state)
 		}
 
-		st = newState()
+		st = newState(cmp.Or(t.ReportAge, defaultReportAge))
 		t.searchers[searcher] = st
 	}
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -18,6 +18,10 @@
 	service  time.Duration
 	distance floor
 	answers  int
+	// classes holds the service times of the classes of requests.
+	classes map[string]*classTime
+	// reportAge is the age at which a reported queue has lost all its weight.
+	reportAge time.Duration
 	// busy is the mean of the reported numbers of requests.
 	busy float64
 
@@ -76,8 +80,9 @@
 	// includes a queue.
 	floorEpoch = 30 * time.Second
 
-	// reportAge is the age at which a reported queue has lost all its weight.
-	reportAge = 50 * time.Millisecond
+	// defaultReportAge suits instances that hear from each searcher many times a
+	// second.
+	defaultReportAge = 50 * time.Millisecond
 
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
@@ -102,7 +107,39 @@
 )
 
 // newState returns what is assumed of a searcher never met.
-func newState() *state { return &state{service: initialService} }
+func newState(reportAge time.Duration) *state {
+	return &state{service: initialService, reportAge: reportAge}
+}
+
+// classTime is the usual service time of a class of requests at one searcher.
+type classTime struct {
+	service time.Duration
+	answers int
+}
+
+// serviceOf returns the usual service time of a class of requests.
+func (s *state) serviceOf(class string) time.Duration {
+	if c := s.classes[class]; c != nil {
+		return c.service
+	}
+
+	return s.service
+}
+
+func (s *state) learn(class string, sample time.Duration) {
+	c := s.classes[class]
+	if c == nil {
+		if s.classes == nil {
+			s.classes = make(map[string]*classTime)
+		}
+
+		c = &classTime{service: sample}
+		s.classes[class] = c
+	}
+
+	c.answers++
+	c.service += (min(sample, serviceClip*c.service) - c.service) / time.Duration(min(c.answers, serviceWeight))
+}
 
 // expected returns the expected time to the answer of a request sent now.
 func (s *state) expected(now time.Time, sr *domain.Searcher, nearby string) time.Duration {
@@ -137,11 +174,11 @@
 	own := float64(s.outstanding)
 
 	age := now.Sub(s.reportedAt)
-	if age >= reportAge {
+	if age >= s.reportAge {
 		return own
 	}
 
-	weight := 1 - float64(age)/float64(reportAge)
+	weight := 1 - float64(age)/float64(s.reportAge)
 
 	return max(own, weight*float64(s.reported)+float64(s.since))
 }
@@ -161,14 +198,14 @@
 	}
 }
 
-func (s *state) release(now time.Time, o Outcome, latency time.Duration, load *Load) {
+func (s *state) release(now time.Time, class string, o Outcome, latency time.Duration, load *Load) {
 	s.outstanding--
 	s.since = max(s.since-1, 0)
 
 	switch o {
 	case Answered:
 		s.alive(now)
-		s.answered(now, latency, load)
+		s.answered(now, class, latency, load)
 	case Shed:
 		s.alive(now)
 		s.limit.Shed(now, s.slots)
@@ -196,7 +233,7 @@
 	s.heardAt = now
 }
 
-func (s *state) answered(now time.Time, latency time.Duration, load *Load) {
+func (s *state) answered(now time.Time, class string, latency time.Duration, load *Load) {
 	service := latency
 
 	if load != nil {
@@ -207,9 +244,11 @@
 			s.drainingAt = now
 		}
 
-		if load.Service > 0 {
-			service = min(load.Service, latency)
-		}
+		service = s.servicePart(latency, load)
+	}
+
+	if class != "" {
+		s.learn(class, service)
 	}
 
 	distance := max(latency-service, 0)
@@ -222,6 +261,17 @@
 	})
 }
 
+// servicePart returns the part of a latency that the searcher worked on the
+// request. If it doesn't say, the queue that it left behind is taken for the
+// queue that it found.
+func (s *state) servicePart(latency time.Duration, load *Load) time.Duration {
+	if load.Service > 0 {
+		return min(load.Service, latency)
+	}
+
+	return time.Duration(float64(latency) / (1 + float64(load.Queued)/float64(max(s.slots, 1))))
+}
+
 func (s *state) report(now time.Time, l *Load) {
 	s.reported, s.reportedAt = l.Running+l.Queued, now
 	s.draining = l.Draining
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -85,9 +85,10 @@
 	// Objective is when an answer loses most of its worth: the query then ends
 	// as soon as the rules accept its coverage. Zero means that there is none.
 	Objective time.Time
-	// KeepLosers lets attempts run on whose shard has been answered by another.
-	// It suits transports where cancelling an attempt costs its connection.
-	KeepLosers bool
+	// Prompt is the longest time in which a first attempt should be answered;
+	// shards whose searchers all have a longer queue aren't sent to. If that
+	// leaves too few shards, nothing is sent at all. Zero sets no bound.
+	Prompt time.Duration
 }
 
 const (
@@ -176,9 +177,24 @@
 		}
 	}
 
+	if q.hopeless() {
+		q.withdraw(now, &s)
+	}
+
 	return q.finish(now, s)
 }
 
+// withdraw takes back the attempts of a step that wasn't carried out.
+func (q *Query) withdraw(now time.Time, s *Step) {
+	for _, a := range s.Send {
+		q.end(a.ID)
+		q.router.Release(now, a.Searcher.ID, routing.Cancelled, 0, nil)
+	}
+
+	s.Send = nil
+	q.attempts = q.attempts[:0]
+}
+
 // Answered takes the checked answer of an attempt.
 func (q *Query) Answered(now time.Time, id uint32, load *routing.Load) Step {
 	var s Step
@@ -331,7 +347,6 @@
 	var s Step
 
 	q.done = true
-	q.params.KeepLosers = false
 
 	for i := range q.shards {
 		q.cancel(now, uint32(i), &s)
@@ -345,8 +360,14 @@
 	sh := &q.shards[shard]
 	q.sending = shard
 
+	prompt := q.params.Prompt
+	if reason != First {
+		prompt = 0
+	}
+
 	c, ok := q.router.Choose(now, routing.Request{
-		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
+		Prompt: prompt,
+		Shard:  &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
 		Eligible: q.eligible, Extra: reason == Hedge, Within: within, Elsewhere: reason == Hedge && !q.again(now, sh),
 	})
 	if !ok {
@@ -518,7 +539,7 @@
 
 func (q *Query) cancel(now time.Time, shard uint32, s *Step) {
 	sh := &q.shards[shard]
-	if sh.active == 0 || q.params.KeepLosers {
+	if sh.active == 0 {
 		return
 	}
 
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -20,8 +20,7 @@
 	target   *directory.Target
 	req      *Request
 	deadline time.Time
-	// ctx ends the attempts; it outlives the caller's context, so that a loser
-	// may run on after the answer.
+	// ctx ends the attempts.
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -91,23 +90,20 @@
 
 // run sends the attempts and waits for the outcome.
 func (x *execution) run(ctx context.Context) (*Response, error) {
-	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline.Add(loserTime))
+	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
+	defer x.cancel()
+
 	x.start()
 
 	select {
 	case <-x.done:
 	case <-ctx.Done():
 		x.abandon()
-		x.cancel()
 
 		return nil, domain.Errorf(x.fate(), domain.CodeCancelled, "serve", "the caller left")
 	}
 
-	resp, err := x.outcome()
-	// Losers may still finish; they give their connections back.
-	time.AfterFunc(loserTime, x.cancel)
-
-	return resp, err
+	return x.outcome()
 }
 
 func (x *execution) start() {
@@ -117,15 +113,15 @@
 	route := x.entry.Route
 	p := scatter.Params{
 		Service: x.target.Service, Deadline: x.deadline, Nearby: x.engine.settings.Instance.FailureDomain,
-		Eligible:   func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
-		KeepLosers: true,
+		Eligible: func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
 	}
 
 	if route.Gathered() && route.LatencyObjective > 0 {
 		p.Objective = x.req.Received.Add(route.LatencyObjective - answerMargin)
+		p.Prompt = time.Duration(promptShare * float64(route.LatencyObjective))
 	}
 
-	x.query = scatter.New(p, x.engine.routing, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target))
+	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target))
 	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
 	x.perform(x.query.Start(time.Now()))
 }
@@ -232,7 +228,7 @@
 	}
 
 	if load != nil {
-		x.engine.routing.SetStatus(now, a.Searcher.ID, true, load)
+		x.engine.routing.Report(now, a.Searcher.ID, load)
 	}
 
 	return x.fail(now, a, outcomeOf(e), e.Code, e.Fate)
@@ -345,5 +341,23 @@
 	return domain.FateNotRun
 }
 
+// classRouter chooses and learns for one class of requests.
+type classRouter struct {
+	table *routing.Table
+	class string
+}
+
+// Choose implements scatter.Router.
+func (r classRouter) Choose(now time.Time, req routing.Request) (routing.Choice, bool) {
+	req.Class = r.class
+
+	return r.table.Choose(now, req)
+}
+
+// Release implements scatter.Router.
+func (r classRouter) Release(now time.Time, searcher string, o routing.Outcome, latency time.Duration, load *routing.Load) {
+	r.table.ReleaseClass(now, searcher, r.class, o, latency, load)
+}
+
 // outstanding reports whether an attempt is still at work.
 func (x *execution) outstanding() bool { return x.query.Outstanding() > 0 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -95,14 +95,15 @@
 	// answerMargin is kept of a caller's time for the way back and for waiting
 	// for the processor, so that an answer given at the last moment isn't late.
 	answerMargin = 8 * time.Millisecond
-	// loserTime is how long attempts run on after their query has ended; what
-	// takes longer holds a connection without use.
-	loserTime = time.Second
 	// hedgeQuantile is the share of first attempts that end before their hedge.
 	// Searchers that pause for longer than an objective leave little time for a
 	// second attempt, and the pools' budgets allow extra attempts for one request
 	// in five.
 	hedgeQuantile = 0.80
+	// promptShare is the part of the latency objective within which a first
+	// attempt has to be expected; the rest is for hedges and for queues that were
+	// longer than they seemed.
+	promptShare = 0.8
 	// retryFloor is the shortest time after which a refused caller is told to
 	// return.
 	retryFloor = 50 * time.Millisecond
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -60,6 +60,9 @@
 	// assumedInstances divides a searcher's connections until the number of live
 	// instances is known.
 	assumedInstances = 12
+	// reportAge is how long a searcher's word on its queue counts. An instance
+	// hears from each a few times a second, since several instances share it.
+	reportAge        = 100 * time.Millisecond
 	settingsInterval = 2 * time.Second
 )
 
@@ -92,9 +95,11 @@
 		func() *logline.Writer { return logline.New(logOut) },
 		func(w *logline.Writer) zerolog.Logger { return w.Logger() },
 		func() *directory.Directory { return &directory.Directory{} },
-		func() *routing.Table { return &routing.Table{Random: rand.Uint64} },
+		func() *routing.Table { return &routing.Table{Random: rand.Uint64, ReportAge: reportAge} },
 		func() *http1.Group { return &http1.Group{} },
-		func(log zerolog.Logger, s hosting.Settings) *platform.Store { return platform.NewStore(log, s.StoreAddress) },
+		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
+			return platform.NewStore(log, s.StoreAddress)
+		},
 		newSearchers,
 		newEngine,
 		newInstance,
--- a/primrosed/internal/searcher/pool.go
+++ b/primrosed/internal/searcher/pool.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/refusal"
 )
 
