routing, roster: estimate searchers that an instance rarely hears from

Cause: on the grown sites an instance sends to each searcher every few seconds; unknown and stale searchers were taken for fast ones (6 ms expected against 28 ms of work), so slow, paused and remote ones were chosen as often as others. Budgets were divided by an assumed 12 instances where 59 run. Change: what is usual for a route stands for a searcher that isn't known; a remote one costs 6 ms more, for its bytes. Instances register in the store and divide budgets and connections by their number.

--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -43,7 +43,7 @@
 			st = newState(cmp.Or(t.ReportAge, defaultReportAge))
 		}
 
-		c, code := consider(now, &r, sr, st)
+		c, code := t.consider(now, &r, sr, st)
 		standings = append(standings, Standing{
 			Searcher: sr.ID, Expected: st.expected(now, sr, r.Nearby), Outstanding: st.outstanding,
 			Queued: int(math.Round(st.queue(now))), Limit: st.limit.Allowed(sr.Slots), Excluded: code,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -52,6 +52,9 @@
 	Eligible func(searcher string) bool
 	// Nearby is the failure domain of this instance.
 	Nearby string
+	// Detour is added to the expected time of searchers elsewhere, as the price
+	// of the bytes between failure domains.
+	Detour time.Duration
 	// Extra marks a hedge, which hardly exceeds a searcher's limit.
 	Extra bool
 	// Elsewhere excludes the last entry of Avoid.
@@ -92,7 +95,9 @@
 	mu        sync.Mutex // Guards what follows and the states.
 	turn      uint64
 	searchers map[string]*state
-	services  map[string][]string
+	// usual is the mean service time of each class over all searchers.
+	usual    map[string]*classTime
+	services map[string][]string
 }
 
 const (
@@ -170,7 +175,7 @@
 	for i, found := 0, 0; i < maxDraws && found < draws; i++ {
 		sr := &r.Shard.Searchers[t.random()%uint64(n)]
 
-		c, _ := consider(now, r, sr, t.state(sr.ID))
+		c, _ := t.consider(now, r, sr, t.state(sr.ID))
 		if c.searcher == nil || c.penalty >= penaltyLastResort {
 			continue
 		}
@@ -203,7 +208,7 @@
 
 	for i := range n {
 		sr := &r.Shard.Searchers[(start+i)%n]
-		c, code := consider(now, r, sr, t.state(sr.ID))
+		c, code := t.consider(now, r, sr, t.state(sr.ID))
 
 		switch {
 		case c.searcher == nil:
@@ -220,7 +225,7 @@
 
 // consider returns the searcher as a candidate, or why it can't be one. It
 // changes nothing.
-func consider(now time.Time, r *Request, sr *domain.Searcher, st *state) (candidate, domain.Code) {
+func (t *Table) consider(now time.Time, r *Request, sr *domain.Searcher, st *state) (candidate, domain.Code) {
 	switch {
 	case r.Elsewhere && r.Avoid[len(r.Avoid)-1] == sr.ID:
 		return candidate{}, domain.CodeOverloaded
@@ -230,8 +235,8 @@
 		return candidate{}, domain.CodeSnapshotGone
 	}
 
-	c := candidate{searcher: sr, state: st, service: st.serviceOf(r.Class)}
-	c.cost = st.expected(now, sr, r.Nearby) - st.service + c.service
+	c := candidate{searcher: sr, state: st}
+	c.cost, c.service = t.expected(now, r, sr, st)
 
 	if st.failures > 0 {
 		switch {
@@ -277,6 +282,29 @@
 	return c, ""
 }
 
+// expected returns the expected time to the answer of a request sent now, and
+// the part of it that the searcher works.
+func (t *Table) expected(now time.Time, r *Request, sr *domain.Searcher, st *state) (cost, service time.Duration) {
+	usual := t.usual[r.Class]
+	if r.Class == "" || usual == nil {
+		return st.expected(now, sr, r.Nearby), st.service
+	}
+
+	// An instance that shares its searchers with many others hears from each
+	// too rarely to try out those that it doesn't know; what is usual stands for
+	// them.
+	service = usual.service
+	if own := st.classes[r.Class]; own != nil {
+		service = own.service
+
+		if now.Sub(st.heardAt) > staleAfter && service > usual.service {
+			service = (service + usual.service) / 2
+		}
+	}
+
+	return st.farOf(sr, r) + service + st.wait(now, float64(max(sr.Slots, 1))), service
+}
+
 // moreTelling returns the code that says more about why a shard has no usable
 // searcher: one that may pass soon over one that lasts.
 func moreTelling(a, b domain.Code) domain.Code {
@@ -313,7 +341,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.state(searcher).release(now, class, outcome, latency, load)
+	st := t.state(searcher)
+	st.release(now, class, outcome, latency, load)
+
+	if class == "" || outcome != Answered {
+		return
+	}
+
+	if t.usual == nil {
+		t.usual = make(map[string]*classTime)
+	}
+
+	if t.usual[class] == nil {
+		t.usual[class] = &classTime{}
+	}
+
+	t.usual[class].add(st.classes[class].last, usualWeight)
 }
 
 // Report takes a searcher's word on its load that came with a refusal.
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -68,6 +68,10 @@
 	// the first answer shows its distance.
 	remoteDistance = 6 * time.Millisecond
 	serviceWeight  = 16
+	// classWeight follows a searcher that turns slow within a few answers;
+	// usualWeight is that of all searchers together.
+	classWeight = 4
+	usualWeight = 512
 	// serviceClip bounds what one straggler adds to the estimate, as a multiple
 	// of it.
 	serviceClip = 4
@@ -114,16 +118,20 @@
 // classTime is the usual service time of a class of requests at one searcher.
 type classTime struct {
 	service time.Duration
+	// last is the newest sample.
+	last    time.Duration
 	answers int
 }
 
-// serviceOf returns the usual service time of a class of requests.
-func (s *state) serviceOf(class string) time.Duration {
-	if c := s.classes[class]; c != nil {
-		return c.service
+// add takes a sample; weight bounds how many samples the mean goes over.
+func (c *classTime) add(sample time.Duration, weight int) {
+	if c.answers == 0 {
+		c.service = sample
 	}
 
-	return s.service
+	c.answers++
+	c.last = sample
+	c.service += (min(sample, serviceClip*c.service) - c.service) / time.Duration(min(c.answers, weight))
 }
 
 func (s *state) learn(class string, sample time.Duration) {
@@ -133,12 +141,20 @@
 			s.classes = make(map[string]*classTime)
 		}
 
-		c = &classTime{service: sample}
+		c = &classTime{}
 		s.classes[class] = c
 	}
 
-	c.answers++
-	c.service += (min(sample, serviceClip*c.service) - c.service) / time.Duration(min(c.answers, serviceWeight))
+	c.add(sample, classWeight)
+}
+
+// farOf returns the expected distance, with the detour for a searcher elsewhere.
+func (s *state) farOf(sr *domain.Searcher, r *Request) time.Duration {
+	if sr.FailureDomain == r.Nearby {
+		return 0
+	}
+
+	return remoteDistance + r.Detour
 }
 
 // expected returns the expected time to the answer of a request sent now.
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -349,7 +349,7 @@
 
 // Choose implements scatter.Router.
 func (r classRouter) Choose(now time.Time, req routing.Request) (routing.Choice, bool) {
-	req.Class = r.class
+	req.Class, req.Detour = r.class, detour
 
 	return r.table.Choose(now, req)
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -21,6 +21,7 @@
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
 )
 
@@ -104,12 +105,12 @@
 	// attempt has to be expected; the rest is for hedges and for queues that were
 	// longer than they seemed.
 	promptShare = 0.8
+	// detour is how much longer a request may be expected to take nearby than in
+	// another failure domain, since bytes between them are paid for.
+	detour = 6 * time.Millisecond
 	// retryFloor is the shortest time after which a refused caller is told to
 	// return.
 	retryFloor = 50 * time.Millisecond
-	// assumedInstances divides the shared budgets until the number of live
-	// instances is known. A number that is too high only makes retries rarer.
-	assumedInstances = 12
 )
 
 // Engine serves requests. It is safe for concurrent use.
@@ -122,16 +123,18 @@
 	metrics   *engineMetrics
 	turns     atomic.Uint64
 
-	mu       sync.Mutex // Guards delayers and budgets.
+	mu       sync.Mutex // Guards what follows and the settings.
 	delayers map[string]*hedging.Delayer
 	budgets  map[string]*budget.Window
+	// instances divide the shared budgets.
+	instances int
 }
 
 // New returns an engine.
 func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
 	return &Engine{
 		log: log, settings: s, directory: d, searchers: sr, routing: rt, metrics: newEngineMetrics(),
-		delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
+		instances: roster.Assumed, delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
 	}
 }
 
@@ -222,7 +225,7 @@
 	b, ok := e.budgets[pool]
 	if !ok {
 		b = &budget.Window{}
-		b.SetLimit(e.settings.ExtraAttempts, assumedInstances)
+		b.SetLimit(e.settings.ExtraAttempts, e.instances)
 		e.budgets[pool] = b
 	}
 
@@ -235,9 +238,21 @@
 	defer e.mu.Unlock()
 
 	e.settings.ExtraAttempts = l
+	e.limitBudgets()
+}
+
+// SetInstances says how many instances share the budgets.
+func (e *Engine) SetInstances(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.instances = n
+	e.limitBudgets()
+}
 
+func (e *Engine) limitBudgets() {
 	for _, b := range e.budgets {
-		b.SetLimit(l, assumedInstances)
+		b.SetLimit(e.settings.ExtraAttempts, e.instances)
 	}
 }
 
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/platform"
@@ -54,12 +55,9 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	// minConnections to a searcher keep a second request from waiting for a
-	// paused one.
-	minConnections = 2
-	// assumedInstances divides a searcher's connections until the number of live
-	// instances is known.
-	assumedInstances = 12
+	// connectionShare is the part of a searcher's connections that the instances
+	// divide; the rest is for connections that are being replaced.
+	connectionShare = 0.9
 	// reportAge is how long a searcher's word on its queue counts. An instance
 	// hears from each a few times a second, since several instances share it.
 	reportAge        = 100 * time.Millisecond
@@ -86,6 +84,7 @@
 	Group     *http1.Group
 	Engine    *serving.Engine
 	Store     *platform.Store
+	Roster    *roster.Roster
 }
 
 // Provide registers the constructors of an instance's parts.
@@ -100,6 +99,7 @@
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
 		},
+		newRoster,
 		newSearchers,
 		newEngine,
 		newInstance,
@@ -112,13 +112,17 @@
 	return nil
 }
 
-func newSearchers(g *http1.Group) *platform.Searchers {
-	return &platform.Searchers{Group: g, Limit: connectionLimit}
+// newSearchers divides each searcher's connections among the instances.
+func newSearchers(g *http1.Group, r *roster.Roster) *platform.Searchers {
+	return &platform.Searchers{Group: g, Limit: func(sr *domain.Searcher) int {
+		return max(int(connectionShare*float64(sr.Connections))/r.Instances(), 1)
+	}}
 }
 
-// connectionLimit divides a searcher's connections among the instances.
-func connectionLimit(sr *domain.Searcher) int {
-	return max(int(sr.Connections)/assumedInstances, minConnections)
+func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
+	return roster.New(log, st, roster.Entry{
+		ID: s.Instance.ID, FailureDomain: s.Instance.FailureDomain, Started: time.Now().UnixMilli(),
+	})
 }
 
 func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sr *platform.Searchers, t *routing.Table,
@@ -129,6 +133,8 @@
 }
 
 func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts) *Instance {
+	p.Roster.Changed = p.Engine.SetInstances
+
 	return &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{})}
 }
 
@@ -156,6 +162,7 @@
 	var wg sync.WaitGroup
 
 	wg.Go(func() { i.followConfiguration(background) })
+	wg.Go(func() { i.parts.Roster.Run(background) })
 	wg.Go(func() { i.followRegistrations(background) })
 	wg.Go(func() { i.watchSettings(background, hangup, reload) })
 
