routing, hosted: learn from overtaken requests; pause longer between watches

Change: an overtaken request sets a least service time for three usual gaps between answers; the pause between watches is a fifth of the bound it serves.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -302,6 +302,10 @@
 		}
 	}
 
+	if now.Before(st.slowUntil) {
+		service = max(service, st.slowAs)
+	}
+
 	return st.farOf(sr, r) + service + st.wait(now, float64(max(sr.Slots, 1))), service
 }
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -22,6 +22,12 @@
 	classes map[string]*classTime
 	// reportAge is the age at which a reported queue has lost all its weight.
 	reportAge time.Duration
+	// gap is the mean time between answers; answeredAt is the last one.
+	gap        time.Duration
+	answeredAt time.Time
+	// slowAs is the least service time to expect until slowUntil.
+	slowAs    time.Duration
+	slowUntil time.Time
 	// busy is the mean of the reported numbers of requests.
 	busy float64
 
@@ -68,6 +74,14 @@
 	// the first answer shows its distance.
 	remoteDistance = 6 * time.Millisecond
 	serviceWeight  = 16
+	gapWeight      = 8
+	// What an overtaken request tells holds for overtakenGaps times the usual time
+	// between answers, within bounds. It is taken for at most maxOvertaken, since a
+	// searcher that stands still tells nothing of its speed.
+	overtakenGaps    = 3
+	minOvertakenTime = 100 * time.Millisecond
+	maxOvertakenTime = 8 * time.Second
+	maxOvertaken     = time.Second
 	// classWeight follows a searcher that turns slow within a few answers;
 	// usualWeight is that of all searchers together.
 	classWeight = 4
@@ -236,9 +250,24 @@
 		s.failed(now)
 	case Cancelled:
 		s.cancelled(now, latency)
+		s.overtaken(now, class, latency)
 	}
 }
 
+// overtaken learns from a request that was given up: it would have taken longer
+// than elapsed. Without it a slow searcher whose requests are all overtaken by
+// their hedges would never be known as slow. The lesson holds for a few of the
+// usual times between answers, so that a short pause is forgotten soon by an
+// instance that hears from the searcher often.
+func (s *state) overtaken(now time.Time, class string, elapsed time.Duration) {
+	if class == "" {
+		return
+	}
+
+	s.slowAs = min(elapsed, maxOvertaken)
+	s.slowUntil = now.Add(min(max(overtakenGaps*s.gap, minOvertakenTime), maxOvertakenTime))
+}
+
 // alive takes any word from the searcher.
 func (s *state) alive(now time.Time) {
 	if s.failures >= knownDead {
@@ -249,6 +278,15 @@
 	s.heardAt = now
 }
 
+// heard takes the time of an answer.
+func (s *state) heard(now time.Time) {
+	if !s.answeredAt.IsZero() {
+		s.gap += (now.Sub(s.answeredAt) - s.gap) / gapWeight
+	}
+
+	s.answeredAt, s.slowUntil = now, time.Time{}
+}
+
 func (s *state) answered(now time.Time, class string, latency time.Duration, load *Load) {
 	service := latency
 
@@ -270,6 +308,7 @@
 	distance := max(latency-service, 0)
 	s.answers++
 	s.shedBackoff = 0
+	s.heard(now)
 	s.distance.add(now, distance)
 	s.service += (min(service, serviceClip*s.service) - s.service) / time.Duration(min(s.answers+1, serviceWeight))
 	s.limit.Answered(now, s.slots, limits.Sample{
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -39,11 +39,10 @@
 	gcPercent = 50
 	// memoryShare is the part of the memory limit that the runtime keeps to.
 	memoryShare = 0.7
-	// registrationPause and configurationPause are kept between watches, so that
-	// changes in quick succession cost one call. They stay well below the bounds
-	// for draining searchers and for changes (3 s).
-	registrationPause  = 400 * time.Millisecond
-	configurationPause = 150 * time.Millisecond
+	// pauseShare is the part of the bounds for draining searchers and for changes
+	// that is kept between two watches, so that changes in quick succession cost
+	// one call. Twice that and the store's answer stay well within the bounds.
+	pauseShare = 0.2
 	// balancerDelay is how long an instance goes on taking connections after it
 	// says that it isn't ready: the balancer asks each second and needs two
 	// misses.
@@ -273,7 +272,7 @@
 func (i *Instance) followConfiguration(ctx context.Context) {
 	f := follower.Follower[*domain.RouteTable]{
 		Log: i.log, Name: "configuration", Source: platform.Configurations{Store: i.parts.Store},
-		Sink: configurationSink{i}, Pause: configurationPause,
+		Sink: configurationSink{i}, Pause: pauseFor(i.settings.Bounds.ConfigurationDelay),
 	}
 	f.Run(ctx)
 }
@@ -281,11 +280,13 @@
 func (i *Instance) followRegistrations(ctx context.Context) {
 	f := follower.Follower[domain.Registration]{
 		Log: i.log, Name: "registrations", Source: platform.Registrations{Store: i.parts.Store},
-		Sink: registrationSink{i}, Pause: registrationPause,
+		Sink: registrationSink{i}, Pause: pauseFor(i.settings.Bounds.Drain),
 	}
 	f.Run(ctx)
 }
 
+func pauseFor(bound time.Duration) time.Duration { return time.Duration(pauseShare * float64(bound)) }
+
 // changed takes note of a new view.
 func (i *Instance) changed() {
 	if i.parts.Directory.Ready() && i.health.NotReady() != "" {
