--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -325,16 +325,6 @@
 // Attempts returns how many attempts were sent.
 func (q *Query) Attempts() int { return len(q.attempts) }
 
-// Outstanding returns how many attempts are at work.
-func (q *Query) Outstanding() int {
-	n := 0
-	for i := range q.shards {
-		n += q.shards[i].active
-	}
-
-	return n
-}
-
 // Included returns how many shards have answered.
 func (q *Query) Included() int { return q.included }
 
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -32,9 +32,9 @@
 	cancels  []context.CancelFunc
 	attempts []scatter.Attempt
 	replies  []*Reply
-	// ran says that an attempt may have run; failed is the last answer of a
-	// searcher that ran the request and failed.
-	ran    bool
+	// notRun counts the attempts that are known not to have run; failed is the
+	// last answer of a searcher that ran the request and failed.
+	notRun int
 	failed *Reply
 	// failure is the last error of an attempt.
 	failure *domain.Error
@@ -194,8 +194,6 @@
 	now := time.Now()
 
 	if err == nil {
-		x.ran = true
-
 		if reply.Success() && (reply.Proof != "" || !x.entry.Route.Gathered()) {
 			if x.replies[a.Shard] == nil && !x.ended {
 				x.replies[a.Shard] = reply
@@ -214,6 +212,10 @@
 		e = domain.Errorf(domain.FateUnknown, domain.CodeInternal, "send attempt", "%v", err)
 	}
 
+	if e.Fate == domain.FateNotRun {
+		x.notRun++
+	}
+
 	if e.Code == domain.CodeCancelled {
 		return x.query.Failed(now, a.ID, routing.Cancelled, e.Code)
 	}
@@ -235,10 +237,6 @@
 }
 
 func (x *execution) fail(now time.Time, a scatter.Attempt, o routing.Outcome, code domain.Code, fate domain.Fate) scatter.Step {
-	if fate != domain.FateNotRun {
-		x.ran = true
-	}
-
 	if fate != domain.FateNotRun && !x.entry.Route.Repeatable {
 		return x.query.FailedForGood(now, a.ID, o, code)
 	}
@@ -325,7 +323,8 @@
 	return out
 }
 
-// fate says whether the request may have run.
+// fate says whether the request may have run. An attempt that hasn't ended may
+// have.
 func (x *execution) fate() domain.Fate {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -334,7 +333,7 @@
 }
 
 func (x *execution) fateLocked() domain.Fate {
-	if x.ran || len(x.attempts) > 0 && x.outstanding() {
+	if x.notRun < len(x.attempts) {
 		return domain.FateUnknown
 	}
 
@@ -358,6 +357,3 @@
 func (r classRouter) Release(now time.Time, searcher string, o routing.Outcome, latency time.Duration, load *routing.Load) {
 	r.table.ReleaseClass(now, searcher, r.class, o, latency, load)
 }
-
-// outstanding reports whether an attempt is still at work.
-func (x *execution) outstanding() bool { return x.query.Outstanding() > 0 }
--- /dev/null
+++ b/internal/serving/fake_test.go
@@ -0,0 +1,337 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/routing"
+)
+
+// model is a set of searchers with slots, queues, pauses and service times, in
+// the virtual time of a synctest bubble.
+type model struct {
+	rng      *rand.Rand
+	mu       sync.Mutex // Guards what follows.
+	servers  map[string]*server
+	arrivals map[string]int
+}
+
+// server is one searcher of a model.
+type server struct {
+	slots, queueLimit int
+	// pauseFor and pauseEvery stop all work for a while; phase shifts them.
+	pauseFor, pauseEvery, phase time.Duration
+	// slow multiplies service times.
+	slow float64
+	// respond overrides the outcome of a request, if it is set.
+	respond func(c Call) (*Reply, *routing.Load, error)
+
+	running int
+	waiting []chan struct{}
+	ran     []string
+}
+
+func newModel(seed uint64) *model {
+	return &model{
+		rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*server), arrivals: make(map[string]int),
+	}
+}
+
+// work draws a log-normal service time with a tail: one in a hundred takes
+// five times as long.
+func (m *model) work(mean time.Duration) time.Duration {
+	const spread = 0.35
+
+	w := float64(mean) * math.Exp(spread*m.rng.NormFloat64()-spread*spread/2)
+	if m.rng.Float64() < 0.01 {
+		w *= 5
+	}
+
+	return time.Duration(w)
+}
+
+// Do implements Searchers.
+func (m *model) Do(ctx context.Context, c Call) (*Reply, *routing.Load, error) {
+	m.mu.Lock()
+	s := m.servers[c.Searcher.ID]
+	m.arrivals[c.Searcher.ID]++
+	mean, _ := time.ParseDuration(c.Request.Header.Get("Work"))
+	work := time.Duration(float64(m.work(mean)) * max(s.slow, 1))
+	m.mu.Unlock()
+
+	if s.respond != nil {
+		return s.respond(c)
+	}
+
+	if !m.enter(ctx, s) {
+		if ctx.Err() != nil {
+			return nil, nil, domain.Errorf(domain.FateUnknown, domain.CodeCancelled, "send attempt", "cancelled")
+		}
+
+		return nil, m.load(s), domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "send attempt", "shed")
+	}
+
+	m.mu.Lock()
+	s.ran = append(s.ran, c.Request.ID)
+	m.mu.Unlock()
+
+	defer m.leave(s)
+
+	t := time.NewTimer(s.until(time.Now(), work))
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return nil, nil, domain.Errorf(domain.FateUnknown, domain.CodeCancelled, "send attempt", "cancelled")
+	}
+
+	r := &Reply{Proof: c.Searcher.ID + "/" + c.Request.ID, Load: m.load(s)}
+	r.Status, r.Body = http.StatusOK, fmt.Appendf(nil, "%-16s", c.Searcher.ID)
+
+	return r, r.Load, nil
+}
+
+// until returns how long work takes from now on, with the pauses in it.
+func (s *server) until(now time.Time, work time.Duration) time.Duration {
+	if s.pauseEvery == 0 {
+		return work
+	}
+
+	end := now
+
+	for work > 0 {
+		in := time.Duration(end.UnixNano()+int64(s.phase)) % s.pauseEvery
+		if in < s.pauseFor {
+			end = end.Add(s.pauseFor - in)
+
+			continue
+		}
+
+		step := min(work, s.pauseEvery-in)
+		work -= step
+		end = end.Add(step)
+	}
+
+	return end.Sub(now)
+}
+
+// enter takes a slot, waits for one, or reports that the queue is full.
+func (m *model) enter(ctx context.Context, s *server) bool {
+	m.mu.Lock()
+
+	if s.running < s.slots {
+		s.running++
+		m.mu.Unlock()
+
+		return true
+	}
+
+	if len(s.waiting) >= s.queueLimit {
+		m.mu.Unlock()
+
+		return false
+	}
+
+	turn := make(chan struct{})
+	s.waiting = append(s.waiting, turn)
+	m.mu.Unlock()
+
+	select {
+	case <-turn:
+		return true
+	case <-ctx.Done():
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if i := slices.Index(s.waiting, turn); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	} else {
+		m.next(s)
+	}
+
+	return false
+}
+
+func (m *model) leave(s *server) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.next(s)
+}
+
+func (m *model) next(s *server) {
+	if len(s.waiting) == 0 {
+		s.running--
+
+		return
+	}
+
+	close(s.waiting[0])
+	s.waiting = slices.Delete(s.waiting, 0, 1)
+}
+
+func (m *model) load(s *server) *routing.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return &routing.Load{Running: uint32(s.running), Queued: uint32(len(s.waiting))}
+}
+
+// system is a directory with pools of searchers and some engines.
+type system struct {
+	model   *model
+	dir     *directory.Directory
+	engines []*Engine
+}
+
+// poolName and searcherID name the parts of a system.
+func poolName(i int) string          { return fmt.Sprintf("pool-%02d", i) }
+func searcherID(pool, i int) string  { return fmt.Sprintf("s-%02d-%d", pool, i) }
+func testAddress(pool, i int) string { return fmt.Sprintf("127.0.0.1:%d", 1000+10*pool+i) }
+
+func newSystem(seed uint64, engines, pools, copies int, routes ...domain.Route) *system {
+	s := &system{model: newModel(seed), dir: &directory.Directory{}}
+	table := &domain.RouteTable{Version: 1, Routes: routes}
+
+	var list []domain.Registration
+
+	for p := range pools {
+		table.Pools = append(table.Pools, domain.Pool{Name: poolName(p), Connections: 26})
+
+		for i := range copies {
+			id := searcherID(p, i)
+			s.model.servers[id] = &server{
+				slots: 2, queueLimit: 12, phase: time.Duration(s.model.rng.Int64N(int64(10 * time.Second))),
+			}
+			list = append(list, domain.Registration{
+				ID: id, Pool: poolName(p), Address: testAddress(p, i), FailureDomain: fmt.Sprintf("fd-%d", i), Slots: 2, Sequence: 1,
+			})
+		}
+	}
+
+	s.dir.Configure(table)
+	s.dir.ReplaceSearchers(list)
+
+	for i := range engines {
+		e := New(zerolog.New(io.Discard), Settings{
+			Instance:      domain.Instance{ID: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprintf("fd-%d", i%3)},
+			ExtraAttempts: budget.Limit{Ratio: 0.2, Slack: 58, Window: 10 * time.Second},
+		}, s.dir, s.model, &routing.Table{Random: s.random, ReportAge: 100 * time.Millisecond})
+		e.SetInstances(engines)
+		s.engines = append(s.engines, e)
+	}
+
+	return s
+}
+
+func (s *system) random() uint64 {
+	s.model.mu.Lock()
+	defer s.model.mu.Unlock()
+
+	return s.model.rng.Uint64()
+}
+
+func gatheredRoute(name string, pools int, objective, timeout time.Duration, coverage float64) domain.Route {
+	r := domain.Route{
+		Name: name, Host: "h", PathPrefix: "/" + name + "/", Repeatable: true, Timeout: timeout, LatencyObjective: objective,
+		MaxAttempts: 2, TopRecords: 50, MinCoverage: coverage,
+	}
+	for i := range pools {
+		r.Shards = append(r.Shards, poolName(i))
+	}
+
+	return r
+}
+
+func request(route, id string, work, patience time.Duration) *Request {
+	return &Request{
+		ID: id, Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x", Method: http.MethodGet,
+		Header: http.Header{"Work": {work.String()}}, Received: time.Now(), Patience: patience,
+	}
+}
+
+// tally sums up the answers of a run.
+type tally struct {
+	mu sync.Mutex // Guards what follows.
+	// asked counts requests, inAim answers within the objective, refused those
+	// that were told not run, and worth the squared coverage of answers in aim.
+	asked, inAim, refused, failed int
+	worth                         float64
+}
+
+// offer sends requests of one route at a rate, to each engine in turn.
+func (s *system) offer(t *testing.T, wg *sync.WaitGroup, route string, rate float64, work, patience, length time.Duration, out *tally) {
+	t.Helper()
+
+	r := s.dir.View().Table.Routes[slices.IndexFunc(s.dir.View().Table.Routes, func(r domain.Route) bool { return r.Name == route })]
+
+	wg.Go(func() {
+		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+			s.model.mu.Lock()
+			gap := time.Duration(s.model.rng.ExpFloat64() / rate * float64(time.Second))
+			s.model.mu.Unlock()
+			time.Sleep(gap)
+
+			req := request(route, fmt.Sprintf("%s-%d", route, i), work, patience)
+			e := s.engines[i%len(s.engines)]
+
+			wg.Go(func() {
+				resp, err := e.Serve(context.Background(), req)
+				out.add(&r, time.Since(req.Received), resp, err)
+			})
+		}
+	})
+}
+
+func (o *tally) add(r *domain.Route, elapsed time.Duration, resp *Response, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.asked++
+
+	switch {
+	case err != nil && err.(*domain.Error).Fate == domain.FateNotRun:
+		o.refused++
+	case err != nil:
+		o.failed++
+	case elapsed <= r.LatencyObjective:
+		o.inAim++
+		share := 1.0
+
+		if n := len(r.Shards); n > 0 {
+			share = float64(n-resp.Missing) / float64(n)
+		}
+
+		o.worth += share * share
+	}
+}
+
+func (o *tally) share() float64 { return o.worth / float64(max(o.asked, 1)) }
+
+func requireFate(t *testing.T, want domain.Fate, err error) *domain.Error {
+	t.Helper()
+
+	var e *domain.Error
+
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, want, e.Fate, "%v", err)
+
+	return e
+}
--- /dev/null
+++ b/internal/serving/serving_test.go
@@ -0,0 +1,283 @@
+package serving
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/routing"
+)
+
+func singleRoute(repeatable bool) domain.Route {
+	return domain.Route{
+		Name: "one", Host: "h", PathPrefix: "/one/", Repeatable: repeatable, Timeout: 2 * time.Second,
+		LatencyObjective: 500 * time.Millisecond, MaxAttempts: 2, Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+	}
+}
+
+// Guards against an answer that is held back or given up while the objective
+// allows it, and against one that waits for its last shard beyond the objective.
+func TestPartialAnswerAtTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 20, 1, gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89))
+		s.model.servers[searcherID(3, 0)].slow = 100
+
+		begin := time.Now()
+		resp, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.NoError(t, err)
+		require.Equal(t, 1, resp.Missing)
+		require.Len(t, resp.Proofs, 19)
+		require.LessOrEqual(t, time.Since(begin), 200*time.Millisecond)
+		require.GreaterOrEqual(t, time.Since(begin), 180*time.Millisecond, "the shard had its time")
+	})
+}
+
+// Guards against a whole answer that isn't delivered because it is late.
+func TestLateAnswerIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 4, 1, gatheredRoute("list", 4, 200*time.Millisecond, 3*time.Second, 1))
+		s.model.servers[searcherID(3, 0)].slow = 40
+
+		resp, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.NoError(t, err)
+		require.Zero(t, resp.Missing)
+	})
+}
+
+// Guards against a caller who waits for an answer that can't come any more: too
+// few shards have a searcher, or too few can still answer.
+func TestHopelessRequestsEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 4, 1, gatheredRoute("list", 4, 200*time.Millisecond, 3*time.Second, 0.9))
+		s.dir.RemoveSearcher(searcherID(0, 0))
+
+		begin := time.Now()
+		_, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		e := requireFate(t, domain.FateNotRun, err)
+		require.Positive(t, e.RetryAfter)
+		require.Zero(t, time.Since(begin))
+		require.Empty(t, s.model.arrivals, "nothing is sent for a request that is refused")
+	})
+}
+
+// Guards against a refusal that says not run although a searcher may have run
+// the request.
+func TestFateIsTrue(t *testing.T) {
+	shed := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "send attempt", "shed")
+	lost := domain.Errorf(domain.FateUnknown, domain.CodeSearcherUnavailable, "send attempt", "no complete answer")
+
+	for _, c := range []struct {
+		name       string
+		repeatable bool
+		failures   []error
+		want       domain.Fate
+		arrivals   int
+	}{
+		{"shed by both", true, []error{shed, shed}, domain.FateNotRun, 2},
+		{"lost after a shed", true, []error{shed, lost}, domain.FateUnknown, 2},
+		{"lost, then shed", true, []error{lost, shed}, domain.FateUnknown, 2},
+		{"lost once, not repeatable", false, []error{lost, nil}, domain.FateUnknown, 1},
+		{"shed, not repeatable", false, []error{shed, shed}, domain.FateNotRun, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(1, 1, 1, 2, singleRoute(c.repeatable))
+				calls := 0
+
+				for _, sv := range s.model.servers {
+					sv.respond = func(Call) (*Reply, *routing.Load, error) {
+						calls++
+
+						return nil, nil, c.failures[calls-1]
+					}
+				}
+
+				_, err := s.engines[0].Serve(t.Context(), request("one", "r", time.Millisecond, 2*time.Second))
+				requireFate(t, c.want, err)
+				require.Equal(t, c.arrivals, calls)
+			})
+		})
+	}
+}
+
+// Guards against a non-repeatable request that runs twice because its searcher
+// is slow or has failed.
+func TestNonRepeatableRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 1, 2, singleRoute(false))
+		for _, sv := range s.model.servers {
+			sv.slow = 300
+		}
+
+		_, err := s.engines[0].Serve(t.Context(), request("one", "r", 20*time.Millisecond, 2*time.Second))
+		e := requireFate(t, domain.FateUnknown, err)
+		require.Equal(t, domain.CodeDeadline, e.Code)
+		require.Equal(t, 1, len(s.model.servers[searcherID(0, 0)].ran)+len(s.model.servers[searcherID(0, 1)].ran))
+	})
+}
+
+// Guards against a searcher's own failure that is replaced or dressed up.
+func TestSearchersFailureIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 1, 2, singleRoute(false))
+		for _, sv := range s.model.servers {
+			sv.respond = func(Call) (*Reply, *routing.Load, error) {
+				r := &Reply{Proof: "p"}
+				r.Status, r.Body, r.Header = http.StatusInternalServerError, []byte("broken"), http.Header{"A": {"b"}}
+
+				return r, nil, nil
+			}
+		}
+
+		resp, err := s.engines[0].Serve(t.Context(), request("one", "r", time.Millisecond, 2*time.Second))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusInternalServerError, resp.Status)
+		require.Equal(t, "broken", string(resp.Body))
+	})
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestAttemptsEndWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 20, 2, gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89))
+		for _, sv := range s.model.servers {
+			sv.slow = 100
+		}
+
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, cancel)
+
+		_, err := s.engines[0].Serve(ctx, request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.Equal(t, domain.CodeCancelled, requireFate(t, domain.FateUnknown, err).Code)
+		synctest.Wait()
+
+		for id, sv := range s.model.servers {
+			require.Zero(t, sv.running, id)
+		}
+	})
+}
+
+// Guards against an answer with shards of two configuration versions, and
+// against a request on a new route that is refused, while the index is cut into
+// another set of shards.
+func TestOneAnswerOneVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 6, 1, gatheredRoute("list", 3, 200*time.Millisecond, 3*time.Second, 0.5))
+		next := gatheredRoute("list", 3, 200*time.Millisecond, 3*time.Second, 0.5)
+		next.Shards = []string{poolName(3), poolName(4), poolName(5)}
+
+		time.AfterFunc(10*time.Millisecond, func() {
+			old := s.dir.View().Table
+			s.dir.Configure(&domain.RouteTable{Version: 2, Routes: []domain.Route{next}, Pools: old.Pools})
+		})
+
+		for i := range 4 {
+			resp, err := s.engines[0].Serve(t.Context(), request("list", fmt.Sprint("r", i), 20*time.Millisecond, 3*time.Second))
+			require.NoError(t, err)
+			require.Zero(t, resp.Missing)
+
+			old := 0
+
+			for _, p := range resp.Proofs {
+				if p < searcherID(3, 0) {
+					old++
+				}
+			}
+
+			require.Contains(t, []int{0, 3}, old)
+			require.Equal(t, i == 0, old == 3, "the request that began before the change keeps its set")
+		}
+	})
+}
+
+// Guards against weights that aren't kept by the requests of one instance.
+func TestSplitFollowsTheWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := singleRoute(true)
+		r.Split = []domain.WeightedPool{{Pool: poolName(0), Weight: 7}, {Pool: poolName(1), Weight: 2}, {Pool: poolName(2), Weight: 1}}
+		s := newSystem(1, 1, 3, 1, r)
+
+		for i := range 100 {
+			_, err := s.engines[0].Serve(t.Context(), request("one", fmt.Sprint("r", i), time.Millisecond, 2*time.Second))
+			require.NoError(t, err)
+		}
+
+		for p, want := range []int{70, 20, 10} {
+			require.InDelta(t, want, s.model.arrivals[searcherID(p, 0)], 2)
+		}
+	})
+}
+
+// Guards against a 404 or a false refusal where no configuration is known, and
+// against a route that is found by a shorter prefix than the longest.
+func TestRoutesAreMatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outer, inner := singleRoute(true), singleRoute(true)
+		inner.Name, inner.PathPrefix = "inner", "/one/two/"
+		inner.Split = []domain.WeightedPool{{Pool: poolName(1), Weight: 1}}
+		s := newSystem(1, 1, 2, 1, outer, inner)
+
+		r := request("one", "r", time.Millisecond, time.Second)
+		r.Path = "/one/two/x"
+		_, err := s.engines[0].Serve(t.Context(), r)
+		require.NoError(t, err)
+		require.Equal(t, 1, s.model.arrivals[searcherID(1, 0)])
+
+		r.Path = "/none/"
+		_, err = s.engines[0].Serve(t.Context(), r)
+		require.Equal(t, domain.CodeNotFound, requireFate(t, domain.FateNotRun, err).Code)
+
+		empty := newSystem(1, 1, 0, 0)
+		empty.engines[0].directory = &directory.Directory{}
+		_, err = empty.engines[0].Serve(t.Context(), r)
+		require.Equal(t, domain.CodeNoConfiguration, requireFate(t, domain.FateNotRun, err).Code)
+	})
+}
+
+// Guards against a merged answer that isn't the greatest records of its parts,
+// each counted as often as it comes.
+func TestGreatestProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 3), 0, 100), 0, 6).Draw(t, "parts")
+		count := rapid.IntRange(0, 12).Draw(t, "count")
+
+		var all [][]byte
+
+		for _, p := range parts {
+			for ; len(p) >= recordBytes; p = p[recordBytes:] {
+				all = append(all, p[:recordBytes])
+			}
+		}
+
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(count, len(all))], nil)
+
+		if got := greatest(parts, count); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+// Guards against an error that isn't typed reaching the caller's adapter.
+func TestUntypedFailureHasUnknownFate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 1, 1, singleRoute(false))
+		s.model.servers[searcherID(0, 0)].respond = func(Call) (*Reply, *routing.Load, error) {
+			return nil, nil, errors.New("broken adapter")
+		}
+
+		_, err := s.engines[0].Serve(t.Context(), request("one", "r", time.Millisecond, time.Second))
+		requireFate(t, domain.FateUnknown, err)
+	})
+}
