--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -87,6 +87,7 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle, p.closed = nil, true
+	p.open -= len(idle)
 	p.mu.Unlock()
 
 	for _, c := range idle {
--- /dev/null
+++ b/internal/http1/pool_test.go
@@ -0,0 +1,380 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// peer serves raw answers on TCP over loopback.
+type peer struct {
+	listener net.Listener
+
+	mu    sync.Mutex // Guards conns.
+	conns int
+}
+
+// newPeer starts a peer whose n-th connection is served by serve; it ends with
+// the test.
+func newPeer(t *testing.T, serve func(n int, r *bufio.Reader, c net.Conn)) *peer {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+
+	p := &peer{listener: l}
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			p.mu.Lock()
+			p.conns++
+			n := p.conns
+			p.mu.Unlock()
+
+			go func() {
+				defer func() { _ = c.Close() }()
+
+				serve(n, bufio.NewReader(c), c)
+			}()
+		}
+	}()
+
+	return p
+}
+
+func (p *peer) opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.conns
+}
+
+func (p *peer) pool(limit int) *Pool { return NewPool(p.listener.Addr().String(), limit, DialTCP) }
+
+func get() Exchange {
+	return Exchange{Prepare: func() (*Request, error) {
+		return &Request{Method: http.MethodGet, Target: "/a?b=c", Host: "h", Header: http.Header{"X-A": {"1", "2"}}}, nil
+	}}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+// echo answers each request on a connection in the same way.
+func echo(answer string) func(int, *bufio.Reader, net.Conn) {
+	return func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			if _, err := c.Write([]byte(answer)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against a connection for each request.
+func TestConnectionsAreKept(t *testing.T) {
+	p := newPeer(t, echo(okAnswer))
+	pool := p.pool(2)
+
+	defer pool.Close()
+
+	for range 3 {
+		resp, err := pool.Do(t.Context(), get())
+		require.NoError(t, err)
+		require.Equal(t, "hi", string(resp.Body))
+	}
+
+	require.Equal(t, 1, p.opened())
+}
+
+// Guards against an answer that ends early and looks complete, and against one
+// that isn't an answer.
+func TestTruncatedAnswersAreFailures(t *testing.T) {
+	for name, answer := range map[string]string{
+		"short body":       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+		"short chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi",
+		"no last chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+		"short header":     "HTTP/1.1 200 OK\r\nContent-",
+		"no answer at all": "\x00\x01garbage\r\n\r\n",
+		"nothing":          "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t, func(_ int, r *bufio.Reader, c net.Conn) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = c.Write([]byte(answer))
+				}
+			})
+			pool := p.pool(2)
+
+			_, err := pool.Do(t.Context(), get())
+
+			var e *SendError
+
+			require.ErrorAs(t, err, &e)
+			require.True(t, e.Sent, "the peer may have run it")
+		})
+	}
+}
+
+// Guards against an unframed answer that is lost, and against its connection
+// being used again.
+func TestAnswerMayEndWithItsConnection(t *testing.T) {
+	p := newPeer(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\nto the end"))
+		}
+	})
+	pool := p.pool(2)
+
+	for range 2 {
+		resp, err := pool.Do(t.Context(), get())
+		require.NoError(t, err)
+		require.Equal(t, "to the end", string(resp.Body))
+	}
+
+	require.Equal(t, 2, p.opened())
+}
+
+// Guards against stray bytes that are taken for the next answer, whether they
+// come with an answer or while the connection is idle, and against a request on
+// a connection that the peer has closed.
+func TestDirtyConnectionsAreNotUsedAgain(t *testing.T) {
+	stray := make(chan struct{})
+	p := newPeer(t, func(n int, r *bufio.Reader, c net.Conn) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			switch n {
+			case 1:
+				_, _ = c.Write([]byte(okAnswer + "HTTP/1.1 200 OK\r\n"))
+			case 2:
+				_, _ = c.Write([]byte(okAnswer))
+				_, _ = c.Write([]byte("late"))
+
+				stray <- struct{}{}
+			case 3:
+				_, _ = c.Write([]byte(okAnswer))
+				_ = c.Close()
+
+				stray <- struct{}{}
+			default:
+				_, _ = c.Write([]byte(okAnswer))
+			}
+		}
+	})
+	pool := p.pool(1)
+
+	for n := 1; n <= 4; n++ {
+		resp, err := pool.Do(t.Context(), get())
+		require.NoError(t, err)
+		require.Equal(t, "hi", string(resp.Body))
+
+		if n == 2 || n == 3 {
+			<-stray
+			// The kernel delivers within loopback at once, but not synchronously.
+			require.Eventually(t, func() bool { return !pool.idle[0].clean() }, time.Second, time.Millisecond)
+		}
+	}
+
+	require.Equal(t, 4, p.opened())
+}
+
+// Guards against "Connection: close" and a stated idle time that are ignored.
+func TestPeersWordOnItsConnectionIsKept(t *testing.T) {
+	p := newPeer(t, echo("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"))
+	pool := p.pool(1)
+
+	for range 2 {
+		_, err := pool.Do(t.Context(), get())
+		require.NoError(t, err)
+	}
+
+	require.Equal(t, 2, p.opened())
+
+	c := &Conn{idleLimit: keepAliveTimeout(http.Header{"Keep-Alive": {"max=5, timeout=10"}})}
+	require.Equal(t, 6*time.Second, c.usableFor())
+	require.Equal(t, idleDefault, (&Conn{}).usableFor())
+}
+
+// Guards against a wrong word on whether anything was sent: nothing was if no
+// connection could be opened.
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	refused := errors.New("refused")
+	pool := NewPool("127.0.0.1:1", 1, func(context.Context, string) (net.Conn, error) { return nil, refused })
+
+	for range 2 {
+		_, err := pool.Do(t.Context(), get())
+
+		var e *SendError
+
+		require.ErrorAs(t, err, &e)
+		require.False(t, e.Sent)
+		require.ErrorIs(t, err, refused)
+	}
+}
+
+// Guards against more connections than the limit, against waiters that are
+// forgotten when connections fail, and against a lost place when one gives up.
+func TestLimitAndWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var (
+			mu         sync.Mutex
+			open, most int
+		)
+
+		pool := NewPool("peer", 2, func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+
+			mu.Lock()
+			open++
+			most = max(most, open)
+			mu.Unlock()
+
+			go func() {
+				defer func() {
+					mu.Lock()
+					open--
+					mu.Unlock()
+				}()
+
+				r := bufio.NewReader(far)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+
+					time.Sleep(100 * time.Millisecond)
+
+					if n == 1 {
+						_ = far.Close()
+
+						return
+					}
+
+					if _, err := far.Write([]byte(okAnswer)); err != nil {
+						return
+					}
+				}
+			}()
+
+			return near, nil
+		})
+
+		var (
+			wg                     sync.WaitGroup
+			answered, broken, gone int
+		)
+
+		for i := range 20 {
+			wg.Go(func() {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+
+				if i%5 == 4 {
+					time.AfterFunc(150*time.Millisecond, cancel)
+				}
+
+				_, err := pool.Do(ctx, get())
+
+				mu.Lock()
+				defer mu.Unlock()
+
+				switch {
+				case err == nil:
+					answered++
+				case ctx.Err() != nil:
+					gone++
+				default:
+					broken++
+				}
+			})
+		}
+
+		wg.Wait()
+		require.LessOrEqual(t, most, 2)
+		require.Equal(t, 20, answered+broken+gone)
+		require.Positive(t, answered)
+		require.Positive(t, broken)
+		pool.Close()
+		synctest.Wait()
+		require.Zero(t, pool.open)
+		require.Empty(t, pool.waiting)
+	})
+}
+
+// Guards against a cancelled exchange that keeps its connection, on which the
+// answer would come later.
+func TestCancelledExchangeClosesItsConnection(t *testing.T) {
+	reached := make(chan struct{}, 2)
+	p := newPeer(t, func(n int, r *bufio.Reader, c net.Conn) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+
+		reached <- struct{}{}
+
+		if n == 1 {
+			_, _ = http.ReadRequest(r) // Ends when the connection is closed.
+
+			return
+		}
+
+		_, _ = c.Write([]byte(okAnswer))
+	})
+	pool := p.pool(1)
+	ctx, cancel := context.WithCancel(t.Context())
+
+	go func() {
+		<-reached
+		cancel()
+	}()
+
+	_, err := pool.Do(ctx, get())
+	require.ErrorIs(t, err, context.Canceled)
+
+	_, err = pool.Do(t.Context(), get())
+	require.NoError(t, err)
+	require.Equal(t, 2, p.opened())
+}
+
+// Guards against a pool for a searcher that has moved, and against connections
+// to searchers that are gone.
+func TestGroupFollowsItsPeers(t *testing.T) {
+	var g Group
+
+	p := g.Pool("s", "127.0.0.1:1", 2)
+	require.Same(t, p, g.Pool("s", "127.0.0.1:1", 3))
+	require.Equal(t, 3, p.limit)
+	require.NotSame(t, p, g.Pool("s", "127.0.0.1:2", 3))
+	require.True(t, p.closed)
+	g.Retain(func(string) bool { return false })
+	require.Empty(t, g.pools)
+}
+
+// FuzzKeepAlive guards against a header that is misread or that panics.
+func FuzzKeepAlive(f *testing.F) {
+	f.Add("timeout=5, max=100")
+	f.Add(" , timeout=, timeout=x,timeout=-1")
+	f.Fuzz(func(t *testing.T, v string) {
+		require.GreaterOrEqual(t, keepAliveTimeout(http.Header{"Keep-Alive": {v}}), time.Duration(0))
+	})
+}
