serving, scatter: refuse a query while too many of its shards are crowded

Change: a shard counts as crowded if its best searcher has a standing queue and is expected after 0.45 of the objective; a query whose other shards don't make an answer is refused before anything is sent. Cancelled attempts of a request that must not be repeated end it for good (found by a test that failed once: a retry at the deadline). The log is written in pieces of whole lines; the grace time keeps 1.2 s for the end.

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -14,7 +14,10 @@
 const (
 	// bufferBytes bounds the lines that wait to be written; what exceeds it is
 	// dropped and counted. It holds some seconds of lines under load.
-	bufferBytes   = 256 << 10
+	bufferBytes = 256 << 10
+	// chunkBytes bounds one write, so that a reader that takes pieces of a pipe
+	// sees whole lines.
+	chunkBytes    = 8 << 10
 	flushInterval = 200 * time.Millisecond
 )
 
@@ -93,9 +96,23 @@
 		return nil
 	}
 
-	_, err := w.out.Write(lines)
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > chunkBytes {
+			n = bytes.LastIndexByte(lines[:chunkBytes], '\n') + 1
+			if n == 0 {
+				n = bytes.IndexByte(lines, '\n') + 1
+			}
+		}
+
+		if _, err := w.out.Write(lines[:n]); err != nil {
+			return err
+		}
+
+		lines = lines[n:]
+	}
 
-	return err
+	return nil
 }
 
 func (w *Writer) flushLoop() {
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -57,3 +59,46 @@
 
 	require.NoError(b, w.Close())
 }
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+
+	return s.Buffer.Write(p)
+}
+
+// TestStuckReaderBlocksNothing guards against requests that wait for a reader of
+// the log, memory that grows meanwhile, and lines that are lost without a word.
+func TestStuckReaderBlocksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		w := New(out)
+		log := w.Logger()
+
+		for range 3 {
+			for range 4000 {
+				log.Info().Str("event", "request").Str("request_id", "0123456789abcdef").Send()
+			}
+
+			time.Sleep(time.Second)
+		}
+
+		require.LessOrEqual(t, len(w.pending), bufferBytes)
+		close(out.release)
+		require.NoError(t, w.Close())
+
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		require.Contains(t, lines[len(lines)-1], "event=log_lines_dropped lines=")
+		require.Less(t, len(lines), 12000)
+
+		for _, l := range lines {
+			require.True(t, strings.HasPrefix(l, "level="), "lines stay whole: %q", l)
+		}
+	})
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -61,10 +61,6 @@
 	Elsewhere bool
 	// Within is the longest useful expected time; zero sets no bound.
 	Within time.Duration
-	// Prompt excludes searchers at which the request would wait in a standing
-	// queue and be expected after this time; zero sets no bound. A searcher that
-	// is slow without a queue isn't excluded: nothing better can be had then.
-	Prompt time.Duration
 	// Class names the kind of request; service times are learned for each.
 	Class string
 }
@@ -77,6 +73,8 @@
 	// Service is the part of Expected that the searcher works on the request;
 	// the rest is distance and queue.
 	Service time.Duration
+	// Standing says that the request is expected to wait in a standing queue.
+	Standing bool
 	// Probe says that the searcher is believed dead, and that this request
 	// finds out whether it still is.
 	Probe   bool
@@ -133,6 +131,7 @@
 	cost     time.Duration
 	service  time.Duration
 	penalty  int
+	standing bool
 	probe    bool
 }
 
@@ -145,7 +144,7 @@
 }
 
 func (c candidate) choice() Choice {
-	return Choice{Searcher: c.searcher, Expected: c.cost, Service: c.service, Probe: c.probe}
+	return Choice{Searcher: c.searcher, Expected: c.cost, Service: c.service, Standing: c.standing, Probe: c.probe}
 }
 
 // Choose picks the searcher with the least expected time, and reserves a place
@@ -255,9 +254,7 @@
 		return candidate{}, domain.CodeDeadline
 	}
 
-	if r.Prompt > 0 && c.cost > r.Prompt && st.queue(now) > float64(sr.Slots) {
-		return candidate{}, domain.CodeOverloaded
-	}
+	c.standing = st.queue(now) > float64(sr.Slots)
 
 	if over := st.outstanding - st.limit.Allowed(sr.Slots); over >= 0 {
 		if r.Extra && over >= extraOverLimit {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -61,6 +61,8 @@
 	Tried int
 	// Probe says that the searcher was believed dead.
 	Probe bool
+	// Standing says that the searcher has a standing queue.
+	Standing bool
 }
 
 // Step is what the host has to do after an event.
@@ -85,10 +87,11 @@
 	// Objective is when an answer loses most of its worth: the query then ends
 	// as soon as the rules accept its coverage. Zero means that there is none.
 	Objective time.Time
-	// Prompt is the longest time in which a first attempt should be answered;
-	// shards whose searchers all have a longer queue aren't sent to. If that
-	// leaves too few shards, nothing is sent at all. Zero sets no bound.
-	Prompt time.Duration
+	// Crowded is the expected time from which a shard with a standing queue
+	// counts as crowded. If the shards that aren't don't suffice for an answer,
+	// nothing is sent at all: the query would lengthen every queue and be late.
+	// Zero sets no bound.
+	Crowded time.Duration
 }
 
 const (
@@ -166,25 +169,32 @@
 func (q *Query) Start(now time.Time) Step {
 	s := Step{Send: make([]Attempt, 0, len(q.shards))}
 
+	crowded := 0
 	q.open = len(q.shards)
 	q.budget.Fill(len(q.shards), q.params.Service.Rules.ExtraLoadPermille)
 
 	for i := range q.shards {
 		sh := &q.shards[i]
 
-		if a, refusal := q.send(now, uint32(i), First, patience*q.left(now), &s); a == nil {
+		a, refusal := q.send(now, uint32(i), First, patience*q.left(now), &s)
+
+		switch {
+		case a == nil:
 			q.lose(sh, refusal)
+		case q.params.Crowded > 0 && a.Standing && a.Expected > q.params.Crowded:
+			crowded++
 		}
 	}
 
-	if q.hopeless() {
+	if !q.acceptable(q.open - crowded) {
 		q.withdraw(now, &s)
 	}
 
 	return q.finish(now, s)
 }
 
-// withdraw takes back the attempts of a step that wasn't carried out.
+// withdraw gives every shard up and takes back the attempts of a step that
+// wasn't carried out.
 func (q *Query) withdraw(now time.Time, s *Step) {
 	for _, a := range s.Send {
 		q.end(a.ID)
@@ -193,6 +203,12 @@
 
 	s.Send = nil
 	q.attempts = q.attempts[:0]
+
+	for i := range q.shards {
+		if sh := &q.shards[i]; !sh.settled() {
+			q.lose(sh, domain.CodeOverloaded)
+		}
+	}
 }
 
 // Answered takes the checked answer of an attempt.
@@ -350,14 +366,8 @@
 	sh := &q.shards[shard]
 	q.sending = shard
 
-	prompt := q.params.Prompt
-	if reason != First {
-		prompt = 0
-	}
-
 	c, ok := q.router.Choose(now, routing.Request{
-		Prompt: prompt,
-		Shard:  &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
+		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
 		Eligible: q.eligible, Extra: reason == Hedge, Within: within, Elsewhere: reason == Hedge && !q.again(now, sh),
 	})
 	if !ok {
@@ -371,6 +381,7 @@
 	})
 	s.Send = append(s.Send, Attempt{
 		ID: id, Shard: shard, Searcher: c.Searcher, Expected: c.Expected, Reason: reason, Tried: sh.sent, Probe: c.Probe,
+		Standing: c.Standing,
 	})
 
 	sh.tried[sh.sent], sh.ids[sh.sent] = c.Searcher.ID, id
@@ -608,10 +619,15 @@
 // hopeless reports whether the rules can't accept any coverage that is still
 // possible, so that the caller learns so at once.
 func (q *Query) hopeless() bool {
-	return !coverage.AcceptsCount(q.params.Service.Rules, q.included+q.open, len(q.shards))
+	return !q.acceptable(q.included + q.open)
+}
+
+// acceptable reports whether the rules accept that many shards.
+func (q *Query) acceptable(shards int) bool {
+	return coverage.AcceptsCount(q.params.Service.Rules, shards, len(q.shards))
 }
 
 // enough reports whether the rules accept the shards included so far.
 func (q *Query) enough() bool {
-	return coverage.AcceptsCount(q.params.Service.Rules, q.included, len(q.shards))
+	return q.acceptable(q.included)
 }
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -118,7 +118,7 @@
 
 	if route.Gathered() && route.LatencyObjective > 0 {
 		p.Objective = x.req.Received.Add(route.LatencyObjective - answerMargin)
-		p.Prompt = time.Duration(promptShare * float64(route.LatencyObjective))
+		p.Crowded = time.Duration(crowdedShare * float64(route.LatencyObjective))
 	}
 
 	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target))
@@ -216,14 +216,12 @@
 		x.notRun++
 	}
 
-	if e.Code == domain.CodeCancelled {
-		return x.query.Failed(now, a.ID, routing.Cancelled, e.Code)
+	if e.Code != domain.CodeCancelled {
+		x.failure = e
+		x.logAttemptFailed(a, e)
+		x.engine.metrics.failed(e.Code)
 	}
 
-	x.failure = e
-	x.logAttemptFailed(a, e)
-	x.engine.metrics.failed(e.Code)
-
 	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
 		x.engine.log.Warn().Str("event", "searcher_denied").Str("searcher", a.Searcher.ID).
 			Str("address", a.Searcher.Address).Str("reason", "another searcher answers at its address").Send()
@@ -253,7 +251,7 @@
 		return routing.Draining
 	case domain.CodeNotFound, domain.CodeSearcherFailed:
 		return routing.Refused
-	case domain.CodeDeadline:
+	case domain.CodeDeadline, domain.CodeCancelled:
 		return routing.Cancelled
 	default:
 		return routing.Unreachable
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -100,11 +100,11 @@
 	// Searchers that pause for longer than an objective leave little time for a
 	// second attempt, and the pools' budgets allow extra attempts for one request
 	// in five.
-	hedgeQuantile = 0.80
-	// promptShare is the part of the latency objective within which a first
-	// attempt has to be expected; the rest is for hedges and for queues that were
-	// longer than they seemed.
-	promptShare = 0.8
+	hedgeQuantile = 0.85
+	// crowdedShare is the part of the objective from which a shard with a standing
+	// queue counts as crowded; the rest is for queues that grow between two words
+	// of a searcher, and for hedges.
+	crowdedShare = 0.45
 	// detour is how much longer a request may be expected to take nearby than in
 	// another failure domain, since bytes between them are paid for.
 	detour = 6 * time.Millisecond
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -168,6 +168,37 @@
 	})
 }
 
+// Guards against an attempt that holds a place in a searcher's queue although
+// its hedge has answered: at the worst load such places made others late.
+func TestOvertakenAttemptsEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 20, 2, gatheredRoute("list", 20, 2*time.Second, 3*time.Second, 1))
+		for i := range 10 { // Service times are learned first.
+			_, err := s.engines[0].Serve(t.Context(), request("list", fmt.Sprint("w", i), 20*time.Millisecond, 3*time.Second))
+			require.NoError(t, err)
+		}
+
+		for _, sv := range s.model.servers {
+			sv.ran = nil
+		}
+
+		for i := range 2 {
+			s.model.servers[searcherID(1, i)].slow = 25
+		}
+
+		stuck := s.model.servers[searcherID(0, 0)]
+		stuck.slow = 1000
+
+		time.AfterFunc(400*time.Millisecond, func() {
+			require.Zero(t, stuck.running, "its shard has been answered by the other copy")
+			require.Positive(t, s.model.servers[searcherID(1, 0)].running+s.model.servers[searcherID(1, 1)].running)
+		})
+
+		_, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.NoError(t, err)
+	})
+}
+
 // Guards against an answer with shards of two configuration versions, and
 // against a request on a new route that is refused, while the index is cut into
 // another set of shards.
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -47,8 +47,11 @@
 	// says that it isn't ready: the balancer asks each second and needs two
 	// misses.
 	balancerDelay = 2500 * time.Millisecond
-	// graceReserve is kept of the grace time for the final answers.
-	graceReserve = 700 * time.Millisecond
+	// graceReserve is kept of the grace time for the final answers and the end of
+	// the process, on a machine with a fifth of a core.
+	graceReserve = 1200 * time.Millisecond
+	// lastAnswers is how long callers are given to take the final answers.
+	lastAnswers = 400 * time.Millisecond
 	// maxHeaderBytes, headerTimeout and idleTimeout bound callers before the
 	// configuration is known; the configured limits are lower.
 	maxHeaderBytes = 64 << 10
@@ -206,7 +209,7 @@
 	i.log.Warn().Str("event", "stop_incomplete").Str("reason", "requests are still open at the end of the grace time").Err(err).Send()
 	endRequests()
 
-	ctx, cancel = context.WithTimeout(context.Background(), graceReserve/2)
+	ctx, cancel = context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 
 	if err := callers.Shutdown(ctx); err != nil {
