--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Tools are installed into an ignored folder; versions are pinned here only.
 TOOLS ?= $(CURDIR)/.tools/bin
-MODULES := internal primrosed primrosectl primrosefake
+MODULES := internal platform primrosed primrosectl primrosefake
 OUT ?= out
 
 GOLANGCI_LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -26,7 +25,7 @@
 	ratioShare = 0.9
 	// slackShare is the part of the slack that instances divide; the rest covers
 	// instances that started a moment ago and are counted late.
-	slackShare = 0.5
+	slackShare = 0.85
 )
 
 // Window counts the requests and extra attempts of one pool over a sliding
@@ -43,8 +42,15 @@
 	// current is the number of the part that is counted into.
 	current int64
 	started time.Time
+	// since is when the process began to count; the slack builds up over one
+	// window from then on, so that an instance that is started again doesn't use
+	// its part twice.
+	since time.Time
 }
 
+// NewWindow returns a window of a process that began to count at since.
+func NewWindow(since time.Time) *Window { return &Window{since: since} }
+
 // SetLimit sets the limit and how many instances divide the slack.
 func (w *Window) SetLimit(l Limit, instances int) {
 	w.mu.Lock()
@@ -69,7 +75,7 @@
 
 	w.roll(now)
 
-	if w.sum(&w.extras)+1 > w.allowed() {
+	if float64(w.sum(&w.extras)+1) > w.allowed(now) {
 		return false
 	}
 
@@ -91,10 +97,15 @@
 }
 
 // allowed returns how many extra attempts the window may hold.
-func (w *Window) allowed() int {
-	slack := math.Floor(slackShare * float64(w.limit.Slack) / float64(max(w.instances, 1)))
+func (w *Window) allowed(now time.Time) float64 {
+	if w.limit.Window <= 0 {
+		return 0
+	}
+
+	slack := slackShare * float64(w.limit.Slack) / float64(max(w.instances, 1))
+	age := min(float64(now.Sub(w.since))/float64(w.limit.Window), 1)
 
-	return int(w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)) + slack)
+	return w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)) + age*slack
 }
 
 func (w *Window) sum(counts *[steps + 1]int) int {
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -67,11 +67,34 @@
 	now := time.Unix(1000, 0)
 	require.False(t, w.Take(now), "nothing is allowed before a limit is set")
 	w.SetLimit(Limit{Ratio: 0.2, Slack: 4, Window: 10 * time.Second}, 1)
-	require.True(t, w.Take(now))
-	require.True(t, w.Take(now))
+
+	for range 3 { // 0.85 of the slack is shared.
+		require.True(t, w.Take(now))
+	}
+
 	require.False(t, w.Take(now))
 	w.Return(now)
 	require.True(t, w.Take(now))
 	require.False(t, w.Take(now.Add(9*time.Second)))
 	require.True(t, w.Take(now.Add(11*time.Second)))
 }
+
+// Guards against a process that is started again and uses its part of the slack
+// a second time in the same window.
+func TestSlackBuildsUpAfterAStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(now)
+	w.SetLimit(Limit{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, 1)
+	require.False(t, w.Take(now))
+
+	taken := 0
+
+	for i := range 100 {
+		if w.Take(now.Add(time.Duration(i) * 50 * time.Millisecond)) {
+			taken++
+		}
+	}
+
+	require.LessOrEqual(t, taken, 9, "half of the window has passed")
+	require.Positive(t, taken)
+}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -9,6 +9,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"primrosespring.example/internal/budget"
@@ -87,6 +88,9 @@
 	// Objective is when an answer loses most of its worth: the query then ends
 	// as soon as the rules accept its coverage. Zero means that there is none.
 	Objective time.Time
+	// RetryShed allows one attempt more for each that was shed, at searchers that
+	// the shard has been sent to already: a shed attempt didn't run.
+	RetryShed bool
 	// Crowded is the expected time from which a shard with a standing queue
 	// counts as crowded. If the shards that aren't don't suffice for an answer,
 	// nothing is sent at all: the query would lengthen every queue and be late.
@@ -136,6 +140,8 @@
 	ids    [domain.MaxAttempts]uint32
 	sent   int
 	active int
+	// shed counts the attempts that a searcher refused without running them.
+	shed int
 	// nextAt is when the next extra attempt is due; zero means never.
 	nextAt time.Time
 	// late says that a hedge was due and couldn't be sent.
@@ -160,7 +166,9 @@
 		params: p, router: r, hedger: h, budget: b,
 		shards: make([]shardState, n), attempts: make([]attemptState, 0, n+n/8+1),
 	}
-	q.eligible = func(searcher string) bool { return q.params.Eligible(q.sending, searcher) }
+	q.eligible = func(searcher string) bool {
+		return q.params.Eligible(q.sending, searcher) && q.mayReach(&q.shards[q.sending], searcher)
+	}
 
 	return q
 }
@@ -255,6 +263,10 @@
 	sh := &q.shards[a.shard]
 	sh.failure = code
 
+	if outcome == routing.Shed && q.params.RetryShed {
+		sh.shed++
+	}
+
 	if !sh.settled() && !q.done && sh.active == 0 {
 		q.retry(now, a.shard, a.estimate.Total(), &s)
 	}
@@ -520,8 +532,28 @@
 	return domain.CodeDeadline
 }
 
+// mayTry reports whether the rules allow another attempt. One that was shed
+// didn't run and doesn't count.
 func (q *Query) mayTry(sh *shardState) bool {
-	return sh.sent < min(int(q.params.Service.Rules.MaxAttempts), len(sh.ids))
+	return sh.sent < min(int(q.params.Service.Rules.MaxAttempts)+sh.shed, len(sh.ids))
+}
+
+// mayReach reports whether an attempt at the searcher keeps to the number of
+// searchers that the rules allow for a shard; shed attempts count here.
+func (q *Query) mayReach(sh *shardState, searcher string) bool {
+	distinct := 0
+
+	for i, id := range sh.tried[:sh.sent] {
+		if id == searcher {
+			return true
+		}
+
+		if !slices.Contains(sh.tried[:i], id) {
+			distinct++
+		}
+	}
+
+	return distinct < int(q.params.Service.Rules.MaxAttempts)
 }
 
 func (q *Query) left(now time.Time) time.Duration { return q.params.Deadline.Sub(now) }
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -113,7 +113,8 @@
 	route := x.entry.Route
 	p := scatter.Params{
 		Service: x.target.Service, Deadline: x.deadline, Nearby: x.engine.settings.Instance.FailureDomain,
-		Eligible: func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
+		RetryShed: true,
+		Eligible:  func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
 	}
 
 	if route.Gathered() && route.LatencyObjective > 0 {
--- a/internal/serving/fake_test.go
+++ b/internal/serving/fake_test.go
@@ -235,6 +235,7 @@
 			ExtraAttempts: budget.Limit{Ratio: 0.2, Slack: 58, Window: 10 * time.Second},
 		}, s.dir, s.model, &routing.Table{Random: s.random, ReportAge: 100 * time.Millisecond})
 		e.SetInstances(engines)
+		e.started = e.started.Add(-time.Minute)
 		s.engines = append(s.engines, e)
 	}
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -126,6 +126,8 @@
 	mu       sync.Mutex // Guards what follows and the settings.
 	delayers map[string]*hedging.Delayer
 	budgets  map[string]*budget.Window
+	// started is when the engine began to count requests.
+	started time.Time
 	// instances divide the shared budgets.
 	instances int
 }
@@ -134,7 +136,7 @@
 func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
 	return &Engine{
 		log: log, settings: s, directory: d, searchers: sr, routing: rt, metrics: newEngineMetrics(),
-		instances: roster.Assumed, delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
+		instances: roster.Assumed, started: time.Now(), delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
 	}
 }
 
@@ -224,7 +226,7 @@
 
 	b, ok := e.budgets[pool]
 	if !ok {
-		b = &budget.Window{}
+		b = budget.NewWindow(e.started)
 		b.SetLimit(e.settings.ExtraAttempts, e.instances)
 		e.budgets[pool] = b
 	}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -42,7 +42,7 @@
 	// pauseShare is the part of the bounds for draining searchers and for changes
 	// that is kept between two watches, so that changes in quick succession cost
 	// one call. Twice that and the store's answer stay well within the bounds.
-	pauseShare = 0.2
+	pauseShare = 0.3
 	// balancerDelay is how long an instance goes on taking connections after it
 	// says that it isn't ready: the balancer asks each second and needs two
 	// misses.
