--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -144,8 +144,10 @@
 	before := d.View().RegistryChange
 
 	took := d.ApplySearchers([]SearcherChange{
-		{ID: "s", Registration: registration("s", nil)}, {ID: "u", Registration: registration("u", nil)},
-		{ID: "s", Removed: true}, {ID: "none", Removed: true},
+		{ID: "s", Registration: registration("s", nil)},
+		{ID: "u", Registration: registration("u", nil)},
+		{ID: "s", Removed: true},
+		{ID: "none", Removed: true},
 	})
 	require.Equal(t, []bool{true, true, true, false}, took)
 	require.Equal(t, before+1, d.View().RegistryChange)
--- a/primrosed/internal/hosted/command.go
+++ b/primrosed/internal/hosted/command.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 
@@ -51,7 +52,7 @@
 func run(c *dig.Container, load func() (hosting.Settings, error), stdout io.Writer) error {
 	s, err := load()
 	if err != nil {
-		return err
+		return errors.Annotate(err, "load settings")
 	}
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -17,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
@@ -107,7 +107,7 @@
 		newInstance,
 	} {
 		if err := c.Provide(f); err != nil {
-			return err
+			return errors.Annotate(err, "build the instance")
 		}
 	}
 
@@ -256,7 +256,7 @@
 func (i *Instance) listen(address string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
 
 	s := &http.Server{
