scatter: end a query whose shards take no more; lint

A shard that was shed and has no budget of extra attempts left is given up once the objective has passed, so that the caller learns at once.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -173,13 +173,15 @@
 		return nil, false, &SendError{Sent: n > 0, Err: err}
 	}
 
-	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // readBody closes it.
 	if err != nil {
 		return nil, false, &SendError{Sent: true, Err: err}
 	}
 
 	for hr.StatusCode >= 100 && hr.StatusCode < 200 {
-		if hr, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}); err != nil {
+		// An interim response has no body.
+		hr, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // readBody closes it.
+		if err != nil {
 			return nil, false, &SendError{Sent: true, Err: err}
 		}
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -484,6 +484,14 @@
 	}
 
 	if !q.budget.Take(shard, budget.Retry) {
+		if o := q.params.Objective; !o.IsZero() && !now.Before(o) {
+			// The caller learns at once, rather than at the deadline, that the
+			// searchers take no more.
+			q.lose(sh, domain.CodeOverloaded)
+
+			return
+		}
+
 		sh.nextAt = now.Add(q.hedger.Delay(q.attempts[sh.ids[sh.sent-1]].estimate, false))
 
 		return
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -93,12 +93,12 @@
 	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	defer x.cancel()
 
-	x.start()
+	x.start() //nolint:contextcheck // Attempts end with x.ctx.
 
 	select {
 	case <-x.done:
 	case <-ctx.Done():
-		x.abandon()
+		x.abandon() //nolint:contextcheck // Attempts end with x.ctx.
 
 		return nil, domain.Errorf(x.fate(), domain.CodeCancelled, "serve", "the caller left")
 	}
@@ -187,7 +187,7 @@
 	defer x.mu.Unlock()
 
 	x.cancels[a.ID]()
-	x.perform(x.handle(a, reply, load, err))
+	x.perform(x.handle(a, reply, load, err)) //nolint:contextcheck // Further attempts end with x.ctx.
 }
 
 // handle takes the end of an attempt; the lock is held.
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -171,7 +171,7 @@
 	i.log.Info().Str("event", "started").Str("instance", i.settings.Instance.ID).
 		Str("caller_address", i.settings.CallerAddress).Str("failure_domain", i.settings.Instance.FailureDomain).Send()
 	<-ctx.Done()
-	i.stop(callers, endRequests)
+	i.stop(callers, endRequests) //nolint:contextcheck // ctx has ended; the stop has the grace time.
 	stop()
 	wg.Wait()
 
