--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -233,3 +233,72 @@
 		})
 	}
 }
+
+// Guards against a searcher that an instance doesn't know being taken for a fast
+// one: with hundreds of searchers, each heard from every few seconds, slow,
+// paused and remote ones were chosen as often as others.
+func TestUnknownSearchersAreTakenForUsualOnes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sh := &domain.Shard{Searchers: []domain.Searcher{
+		{ID: "known", FailureDomain: "a", Slots: 2}, {ID: "unknown", FailureDomain: "b", Slots: 2},
+	}}
+	table := &Table{}
+	ask := func(avoid ...string) Choice {
+		c, ok := table.Choose(now, Request{Shard: sh, Nearby: "a", Class: "list", Avoid: avoid, Elsewhere: len(avoid) > 0})
+		require.True(t, ok)
+
+		return c
+	}
+
+	for range 20 {
+		c := ask("unknown")
+		require.Equal(t, "known", c.Searcher.ID)
+
+		now = now.Add(28 * time.Millisecond)
+		table.ReleaseClass(now, "known", "list", Answered, 28*time.Millisecond, &Load{})
+	}
+
+	c := ask()
+	require.Equal(t, "known", c.Searcher.ID)
+	table.ReleaseClass(now, "known", "list", Answered, 28*time.Millisecond, &Load{})
+
+	c = ask("known")
+	require.Equal(t, "unknown", c.Searcher.ID)
+	require.GreaterOrEqual(t, c.Expected, 28*time.Millisecond)
+}
+
+// Guards against a slow searcher that is never known as slow, because its
+// requests are all overtaken by their hedges, and against one that stays
+// condemned for a short pause.
+func TestOvertakenRequestsTellOfSlowSearchers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sh := &domain.Shard{Searchers: []domain.Searcher{{ID: "s", Slots: 2}}}
+	table := &Table{}
+	expected := func() time.Duration {
+		c, ok := table.Choose(now, Request{Shard: sh, Class: "list"})
+		require.True(t, ok)
+		table.ReleaseClass(now, "s", "list", Refused, 0, nil)
+
+		return c.Expected
+	}
+
+	for range 20 {
+		_, ok := table.Choose(now, Request{Shard: sh, Class: "list"})
+		require.True(t, ok)
+
+		now = now.Add(100 * time.Millisecond)
+		table.ReleaseClass(now, "s", "list", Answered, 20*time.Millisecond, &Load{})
+	}
+
+	require.Less(t, expected(), 40*time.Millisecond)
+
+	_, ok := table.Choose(now, Request{Shard: sh, Class: "list"})
+	require.True(t, ok)
+
+	now = now.Add(150 * time.Millisecond)
+	table.ReleaseClass(now, "s", "list", Cancelled, 150*time.Millisecond, nil)
+	require.GreaterOrEqual(t, expected(), 150*time.Millisecond)
+
+	now = now.Add(time.Second)
+	require.Less(t, expected(), 40*time.Millisecond, "three usual gaps have passed")
+}
