--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -51,7 +51,10 @@
 	listTimeout = 3 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 3 * time.Second
-	minBackoff = 100 * time.Millisecond
+	// doubtInterval is the least time between two watches that are begun again
+	// because of a doubt; each costs a call.
+	doubtInterval = 2 * time.Second
+	minBackoff    = 100 * time.Millisecond
 	// maxBackoff bounds how long after its return the store is found again.
 	// Searchers' registrations are back within 2 s then.
 	maxBackoff = 800 * time.Millisecond
@@ -66,6 +69,10 @@
 	// Pause is kept between two watches, so that changes in quick succession
 	// cost one call.
 	Pause time.Duration
+	// Doubt receives when something suggests that changes were missed; the watch
+	// is then begun again on another connection. Probes of the connection don't
+	// show a middle that acknowledges and forwards nothing. Nil is never in doubt.
+	Doubt <-chan struct{}
 }
 
 // Run follows the collection until ctx ends.
@@ -135,7 +142,15 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 
+	doubted := f.endOnDoubt(cancel)
+
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
+	if doubted() {
+		f.Log.Info().Str("event", "store_watch_doubted").Str("collection", f.Name).Uint64("revision", revision).Send()
+
+		return revision, nil
+	}
+
 	if err != nil {
 		return revision, err
 	}
@@ -149,6 +164,45 @@
 	return max(next, revision), nil
 }
 
+// endOnDoubt ends a watch when there is a doubt, though not before it has run for
+// doubtInterval. The function that it returns reports whether it did; it must be
+// called after the watch.
+func (f *Follower[T]) endOnDoubt(cancel context.CancelFunc) func() bool {
+	if f.Doubt == nil {
+		return func() bool { return false }
+	}
+
+	ended, done := make(chan struct{}), make(chan bool, 1)
+
+	go func() {
+		t := time.NewTimer(doubtInterval)
+		defer t.Stop()
+
+		select {
+		case <-t.C:
+		case <-ended:
+			done <- false
+
+			return
+		}
+
+		select {
+		case <-f.Doubt:
+			cancel()
+
+			done <- true
+		case <-ended:
+			done <- false
+		}
+	}()
+
+	return func() bool {
+		close(ended)
+
+		return <-done
+	}
+}
+
 func (f *Follower[T]) returned(lost *time.Time) {
 	if lost.IsZero() {
 		return
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -150,6 +150,37 @@
 	})
 }
 
+// Guards against a watch that hangs although changes were made, on a connection
+// whose middle acknowledges and forwards nothing (soak, seed 1004), and against
+// a call for each of many doubts.
+func TestFollowerWatchesAgainOnDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{events: make(chan Change[int])}, &record{}
+		doubts := make(chan struct{}, 1)
+		f := follow(s, r)
+		f.Doubt = doubts
+
+		go f.Run(ctx)
+
+		time.Sleep(time.Second)
+
+		for range 100 {
+			select {
+			case doubts <- struct{}{}:
+			default:
+			}
+
+			time.Sleep(50 * time.Millisecond)
+		}
+
+		require.Equal(t, []string{"list stale=true", "watch 7", "watch 7", "watch 7"}, s.calls)
+		require.Equal(t, []string{"replace [1 2]"}, r.got, "a doubt is no outage")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a watch on a connection that has gone silent without a reset.
 func TestFollowerGivesUpASilentCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,6 +65,10 @@
 		}
 	}
 
+	if live < len(shards) {
+		x.engine.doubt()
+	}
+
 	if !x.accepts(live) {
 		return x.refuse(domain.CodeNoLiveSearcher, retryFloor, "%d of %d shards have a searcher", live, len(shards))
 	}
@@ -224,6 +229,7 @@
 	}
 
 	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
+		x.engine.doubt()
 		x.engine.log.Warn().Str("event", "searcher_denied").Str("searcher", a.Searcher.ID).
 			Str("address", a.Searcher.Address).Str("reason", "another searcher answers at its address").Send()
 	}
@@ -293,7 +299,7 @@
 	}
 
 	err := domain.Errorf(fate, code, "serve", "%d of %d shards answered", included, len(x.target.Pools))
-	err.RetryAfter = retryFloor
+	err.RetryAfter = x.retryAfter()
 
 	if x.failure != nil {
 		return nil, err.WithCause(x.failure).WithPeer(x.failure.Peer)
@@ -302,6 +308,18 @@
 	return nil, err
 }
 
+// retryAfter returns when a refused caller should come back: when the queues that
+// made shards crowded are gone, spread over as long again so that callers don't
+// all return at once.
+func (x *execution) retryAfter() time.Duration {
+	queue := time.Duration(crowdedShare * float64(x.entry.Route.LatencyObjective))
+	if len(x.attempts) > 0 || queue <= 0 {
+		return retryFloor
+	}
+
+	return max(queue+rand.N(queue), retryFloor)
+}
+
 func (x *execution) gathered() *Response {
 	out := &Response{Status: 200, Gathered: true, Proofs: make([]string, 0, len(x.replies))}
 	parts := make([][]byte, 0, len(x.replies))
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -90,6 +90,10 @@
 	ExtraAttempts budget.Limit
 	// LogRoutes writes a line for each placement of a request.
 	LogRoutes bool
+	// Doubt is called when a request suggests that the list of searchers is out
+	// of date: a pool has none, or another searcher answers at an address. It must
+	// not block. Nil is allowed.
+	Doubt func()
 }
 
 const (
@@ -181,6 +185,13 @@
 	return x, x.admit()
 }
 
+// doubt tells that the list of searchers seems out of date.
+func (e *Engine) doubt() {
+	if e.settings.Doubt != nil {
+		e.settings.Doubt()
+	}
+}
+
 // split chooses a target in proportion to the weights. Steps of the golden
 // ratio spread any run of requests evenly.
 func (e *Engine) split(entry *directory.Entry) int {
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -75,6 +75,19 @@
 	health   balancer.Health
 	// stopping is closed when a planned stop begins.
 	stopping chan struct{}
+	// doubts holds one doubt about the list of searchers.
+	doubts doubts
+}
+
+// doubts holds at most one doubt.
+type doubts chan struct{}
+
+// raise adds a doubt unless there is one.
+func (d doubts) raise() {
+	select {
+	case d <- struct{}{}:
+	default:
+	}
 }
 
 // parts are what an instance runs, for the container to fill in.
@@ -101,6 +114,7 @@
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
 		},
+		func() doubts { return make(doubts, 1) },
 		newRoster,
 		newSearchers,
 		newEngine,
@@ -128,16 +142,17 @@
 }
 
 func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sr *platform.Searchers, t *routing.Table,
+	ds doubts,
 ) *serving.Engine {
 	return serving.New(log, serving.Settings{
-		Instance: s.Instance, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true,
+		Instance: s.Instance, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true, Doubt: ds.raise,
 	}, d, sr, t)
 }
 
-func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts) *Instance {
+func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds doubts) *Instance {
 	p.Roster.Changed = p.Engine.SetInstances
 
-	return &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{})}
+	return &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), doubts: ds}
 }
 
 // Run serves until ctx ends and then stops in order: not ready for the
@@ -283,7 +298,7 @@
 func (i *Instance) followRegistrations(ctx context.Context) {
 	f := follower.Follower[domain.Registration]{
 		Log: i.log, Name: "registrations", Source: platform.Registrations{Store: i.parts.Store},
-		Sink: registrationSink{i}, Pause: pauseFor(i.settings.Bounds.Drain),
+		Sink: registrationSink{i}, Pause: pauseFor(i.settings.Bounds.Drain), Doubt: i.doubts,
 	}
 	f.Run(ctx)
 }
