serving: hedge at the 0.75 quantile

Cause: on the grown sites a sixth of the searchers is slow, and the 0.85 quantile lies in their times.

--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -104,7 +104,7 @@
 	// Searchers that pause for longer than an objective leave little time for a
 	// second attempt, and the pools' budgets allow extra attempts for one request
 	// in five.
-	hedgeQuantile = 0.85
+	hedgeQuantile = 0.75
 	// crowdedShare is the part of the objective from which a shard with a standing
 	// queue counts as crowded; the rest is for queues that grow between two words
 	// of a searcher, and for hedges.
