scatter: never cancel an attempt in the step that sends it

A step in which one shard gets a hedge and another is lost, and with it every acceptable coverage, named the new attempt under Cancel, and the host cancelled what it hadn't begun. TestStepThatEndsSendsNothing fails without the change; the property test now takes cancels before sends, as a host does.

--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -88,6 +88,9 @@
 	// Objective is when an answer loses most of its worth: the query then ends
 	// as soon as the rules accept its coverage. Zero means that there is none.
 	Objective time.Time
+	// EndEarly ends the query as soon as no acceptable coverage is possible any
+	// more, so that the caller learns so at once.
+	EndEarly bool
 	// RetryShed allows one attempt more for each that was shed, at searchers that
 	// the shard has been sent to already: a shed attempt didn't run.
 	RetryShed bool
@@ -194,22 +197,35 @@
 		}
 	}
 
-	if !q.acceptable(q.open - crowded) {
+	if q.params.EndEarly && !q.acceptable(q.open-crowded) {
 		q.withdraw(now, &s)
 	}
 
 	return q.finish(now, s)
 }
 
-// withdraw gives every shard up and takes back the attempts of a step that
-// wasn't carried out.
-func (q *Query) withdraw(now time.Time, s *Step) {
+// unsend takes back the attempts of a step that ends the query: the host hasn't
+// begun them, so they are neither sent nor cancelled.
+func (q *Query) unsend(now time.Time, s *Step) {
 	for _, a := range s.Send {
-		q.end(a.ID)
+		if q.end(a.ID) == nil {
+			continue
+		}
+
 		q.router.Release(now, a.Searcher.ID, routing.Cancelled, 0, nil)
+
+		if a.Reason != First {
+			q.budget.Return(a.Shard)
+		}
 	}
 
 	s.Send = nil
+}
+
+// withdraw gives every shard up and takes back the attempts of a step that
+// wasn't carried out.
+func (q *Query) withdraw(now time.Time, s *Step) {
+	q.unsend(now, s)
 	q.attempts = q.attempts[:0]
 
 	for i := range q.shards {
@@ -620,6 +636,8 @@
 		q.done = true
 		s.Done = true
 
+		q.unsend(now, &s)
+
 		for i := range q.shards {
 			q.cancel(now, uint32(i), &s)
 		}
@@ -656,10 +674,10 @@
 	return w
 }
 
-// hopeless reports whether the rules can't accept any coverage that is still
-// possible, so that the caller learns so at once.
+// hopeless reports whether the query has to end because the rules can't accept
+// any coverage that is still possible.
 func (q *Query) hopeless() bool {
-	return !q.acceptable(q.included + q.open)
+	return q.params.EndEarly && !q.acceptable(q.included+q.open)
 }
 
 // acceptable reports whether the rules accept that many shards.
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -67,6 +67,7 @@
 		r := &counting{open: make(map[string]int)}
 		q := New(Params{
 			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
+			EndEarly: rapid.Bool().Draw(t, "end early"), RetryShed: false,
 		}, r, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 
 		var open []uint32
@@ -74,17 +75,19 @@
 		now, wake, done, ended := start, time.Time{}, 0, map[uint32]bool{}
 		sent := make([]int, len(svc.PartitionMap.Shards))
 		apply := func(s Step) {
-			for _, a := range s.Send {
-				open = append(open, a.ID)
-				sent[a.Shard]++
-			}
-
 			for _, id := range s.Cancel {
+				require.Contains(t, open, id, "a cancelled attempt has been sent and hasn't ended")
 				require.False(t, ended[id], "attempt %d ended twice", id)
 				ended[id] = true
 				open = slices.DeleteFunc(open, func(o uint32) bool { return o == id })
 			}
 
+			// A host cancels before it sends.
+			for _, a := range s.Send {
+				open = append(open, a.ID)
+				sent[a.Shard]++
+			}
+
 			if s.Done {
 				done++
 			} else if done == 0 {
@@ -214,3 +217,40 @@
 	require.True(t, q.Answered(start.Add(time.Millisecond), 0, nil).Done)
 	require.Equal(t, domain.CodeSearcherDraining, q.Coverage().Missing[0].Reason)
 }
+
+// Guards against a step that cancels an attempt which it sends itself: the host
+// hasn't begun it yet (exit of an instance at adunni-search, mix, seed
+// 650167276745). One shard gets a hedge in the same step in which another is
+// lost, and with it every acceptable coverage.
+func TestStepThatEndsSendsNothing(t *testing.T) {
+	rules := domain.Rules{TimeoutMS: 1000, MaxAttempts: 2, ExtraLoadPermille: 500, MinCoveragePermille: 1000, Hedging: true}
+	svc := testService(2, 2, rules)
+	q := New(Params{
+		Service: svc, Deadline: start.Add(time.Second), Objective: start.Add(10 * time.Millisecond), EndEarly: true,
+		Eligible: func(uint32, string) bool { return true },
+	}, &routing.Table{}, &hedging.Delayer{}, &onlyFirst{})
+
+	s := q.Start(start)
+	require.Len(t, s.Send, 2)
+
+	s = q.Failed(start.Add(5*time.Millisecond), s.Send[1].ID, routing.Shed, domain.CodeOverloaded)
+	require.False(t, s.Done)
+
+	// Both the hedge of the first shard and the retry of the second are due.
+	s = q.Advance(start.Add(200 * time.Millisecond))
+	require.True(t, s.Done)
+	require.Empty(t, s.Send)
+	require.Equal(t, []uint32{0}, s.Cancel)
+}
+
+// onlyFirst pays for the extra attempts of the first shard only.
+type onlyFirst struct{}
+
+// Fill implements Budget.
+func (*onlyFirst) Fill(int, uint32) {}
+
+// Take implements Budget.
+func (*onlyFirst) Take(shard uint32, _ budget.Kind) bool { return shard == 0 }
+
+// Return implements Budget.
+func (*onlyFirst) Return(uint32) {}
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -118,8 +118,8 @@
 	route := x.entry.Route
 	p := scatter.Params{
 		Service: x.target.Service, Deadline: x.deadline, Nearby: x.engine.settings.Instance.FailureDomain,
-		RetryShed: true,
-		Eligible:  func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
+		RetryShed: true, EndEarly: true,
+		Eligible: func(_ uint32, searcher string) bool { return x.engine.directory.Usable(searcher) },
 	}
 
 	if route.Gathered() && route.LatencyObjective > 0 {
