--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -51,10 +51,12 @@
 	listTimeout = 3 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 3 * time.Second
-	// doubtInterval is the least time between two watches that are begun again
-	// because of a doubt; each costs a call.
-	doubtInterval = 2 * time.Second
-	minBackoff    = 100 * time.Millisecond
+	// A watch is begun again because of a doubt after minDoubt at the soonest, and
+	// after twice as long each time that nothing was missed, up to maxDoubt: each
+	// costs a call, and a pool may lack searchers for good.
+	minDoubt   = 2 * time.Second
+	maxDoubt   = 32 * time.Second
+	minBackoff = 100 * time.Millisecond
 	// maxBackoff bounds how long after its return the store is found again.
 	// Searchers' registrations are back within 2 s then.
 	maxBackoff = 800 * time.Millisecond
@@ -73,6 +75,9 @@
 	// is then begun again on another connection. Probes of the connection don't
 	// show a middle that acknowledges and forwards nothing. Nil is never in doubt.
 	Doubt <-chan struct{}
+
+	// doubtAfter is how long a watch runs before a doubt ends it.
+	doubtAfter time.Duration
 }
 
 // Run follows the collection until ctx ends.
@@ -146,6 +151,7 @@
 
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
 	if doubted() {
+		f.doubtAfter = min(2*max(f.doubtAfter, minDoubt), maxDoubt)
 		f.Log.Info().Str("event", "store_watch_doubted").Str("collection", f.Name).Uint64("revision", revision).Send()
 
 		return revision, nil
@@ -158,6 +164,7 @@
 	f.returned(lost)
 
 	if len(changes) > 0 {
+		f.doubtAfter = 0
 		f.Sink.Apply(changes)
 	}
 
@@ -165,7 +172,7 @@
 }
 
 // endOnDoubt ends a watch when there is a doubt, though not before it has run for
-// doubtInterval. The function that it returns reports whether it did; it must be
+// doubtAfter. The function that it returns reports whether it did; it must be
 // called after the watch.
 func (f *Follower[T]) endOnDoubt(cancel context.CancelFunc) func() bool {
 	if f.Doubt == nil {
@@ -175,7 +182,7 @@
 	ended, done := make(chan struct{}), make(chan bool, 1)
 
 	go func() {
-		t := time.NewTimer(doubtInterval)
+		t := time.NewTimer(max(f.doubtAfter, minDoubt))
 		defer t.Stop()
 
 		select {
--- a/primrosefake/internal/load/baseline.go
+++ b/primrosefake/internal/load/baseline.go
@@ -14,8 +14,8 @@
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/refusal"
 	"primrosespring.example/primrosefake/internal/workload"
 )
