follower: read a backlog without pauses

The logs of frontend-gt-centro-c-18 show the store regained at 12.04 s and the drain of 13.77 s taken at 20.04 s, after answers of 405, 254 and 55 changes with a pause after each: the store answers with some hundreds of changes at most, and thousands had piled up. Ruled out: a lost watch (none logged), processor time (requests of that time took milliseconds). Change: no pause after 100 changes or more. The test fails without it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,8 +54,11 @@
 	// A watch is begun again because of a doubt after minDoubt at the soonest, and
 	// after twice as long each time that nothing was missed, up to maxDoubt: each
 	// costs a call, and a pool may lack searchers for good.
-	minDoubt   = 2 * time.Second
-	maxDoubt   = 32 * time.Second
+	minDoubt = 2 * time.Second
+	maxDoubt = 32 * time.Second
+	// backlog is the number of changes from which a watch is taken for a piece of
+	// more: the store answers with some hundreds at most. No pause follows it.
+	backlog    = 100
 	minBackoff = 100 * time.Millisecond
 	// maxBackoff bounds how long after its return the store is found again.
 	// Searchers' registrations are back within 2 s then.
@@ -76,6 +79,8 @@
 	// show a middle that acknowledges and forwards nothing. Nil is never in doubt.
 	Doubt <-chan struct{}
 
+	// changes is how many changes the last call brought.
+	changes int
 	// doubtAfter is how long a watch runs before a doubt ends it.
 	doubtAfter time.Duration
 }
@@ -103,7 +108,9 @@
 		case err == nil:
 			listed, backoff = true, minBackoff
 
-			pause(ctx, f.Pause)
+			if f.changes < backlog {
+				pause(ctx, f.Pause)
+			}
 		case historyGone(err):
 			// A stale list may be older than the history that is left.
 			listed, stale = false, false
@@ -152,6 +159,8 @@
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
 	if doubted() {
 		f.doubtAfter = min(2*max(f.doubtAfter, minDoubt), maxDoubt)
+		f.changes = 0
+
 		f.Log.Info().Str("event", "store_watch_doubted").Str("collection", f.Name).Uint64("revision", revision).Send()
 
 		return revision, nil
@@ -163,7 +172,8 @@
 
 	f.returned(lost)
 
-	if len(changes) > 0 {
+	f.changes = len(changes)
+	if f.changes > 0 {
 		f.doubtAfter = 0
 		f.Sink.Apply(changes)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -22,6 +22,8 @@
 	// silent lets a call hang until its context ends.
 	silent bool
 	events chan Change[int]
+	// pieces are the sizes of the answers to watches, before events.
+	pieces []int
 }
 
 func (s *script) next(ctx context.Context, call string) error {
@@ -58,6 +60,13 @@
 		return nil, 0, err
 	}
 
+	if len(s.pieces) > 0 {
+		changes := make([]Change[int], s.pieces[0])
+		s.pieces = s.pieces[1:]
+
+		return changes, revision + uint64(len(changes)), nil
+	}
+
 	select {
 	case c := <-s.events:
 		return []Change[int]{c}, revision + 1, nil
@@ -150,6 +159,25 @@
 	})
 }
 
+// Guards against a pause between the pieces of a long backlog: instances that the
+// store had turned away learned of a drain 6 s late, since they read thousands of
+// changes some hundreds at a time (DRAIN on agreca-busqueda-grown, trouble-1, seed
+// 383469677873).
+func TestFollowerReadsABacklogWithoutPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{events: make(chan Change[int]), pieces: []int{500, 500, 480, 3}}, &record{}
+
+		go follow(s, r).Run(ctx)
+
+		time.Sleep(600 * time.Millisecond)
+		require.Equal(t, []string{"list stale=true", "watch 7", "watch 507", "watch 1007", "watch 1487"}, s.calls)
+		require.Len(t, r.got, 1+500+500+480+3)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a watch that hangs although changes were made, on a connection
 // whose middle acknowledges and forwards nothing (soak, seed 1004), and against
 // a call for each of many doubts.
