--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -69,16 +69,12 @@
 		x.engine.doubt()
 	}
 
-	if !x.accepts(live) {
-		return x.refuse(domain.CodeNoLiveSearcher, retryFloor, "%d of %d shards have a searcher", live, len(shards))
+	if x.accepts(live) {
+		return nil
 	}
 
-	return nil
-}
-
-func (x *execution) refuse(code domain.Code, retryAfter time.Duration, format string, args ...any) error {
-	err := domain.Errorf(domain.FateNotRun, code, "admit", format, args...)
-	err.RetryAfter = max(retryAfter, retryFloor)
+	err := domain.Errorf(domain.FateNotRun, domain.CodeNoLiveSearcher, "admit", "%d of %d shards have a searcher", live, len(shards))
+	err.RetryAfter = retryFloor
 
 	return err
 }
@@ -111,6 +107,7 @@
 	return x.outcome()
 }
 
+// start begins the query; its parameters follow from the route's rules.
 func (x *execution) start() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -160,12 +157,14 @@
 	}
 }
 
+// end lets run go on; the lock is held.
 func (x *execution) end() {
 	x.ended = true
 	x.timer.Stop()
 	close(x.done)
 }
 
+// advance acts on the passing of time.
 func (x *execution) advance() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -175,6 +174,7 @@
 	}
 }
 
+// abandon ends the query and its attempts without an answer.
 func (x *execution) abandon() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -185,6 +185,7 @@
 	}
 }
 
+// attempt sends one attempt and takes its end.
 func (x *execution) attempt(ctx context.Context, a scatter.Attempt) {
 	reply, load, err := x.engine.searchers.Do(ctx, Call{Searcher: a.Searcher, Request: x.req, Deadline: x.deadline})
 
@@ -241,6 +242,8 @@
 	return x.fail(now, a, outcomeOf(e), e.Code, e.Fate)
 }
 
+// fail takes the failure of an attempt. A request that must not be repeated has
+// no further attempt unless this one is known not to have run.
 func (x *execution) fail(now time.Time, a scatter.Attempt, o routing.Outcome, code domain.Code, fate domain.Fate) scatter.Step {
 	if fate != domain.FateNotRun && !x.entry.Route.Repeatable {
 		return x.query.FailedForGood(now, a.ID, o, code)
@@ -320,6 +323,7 @@
 	return max(queue+rand.N(queue), retryFloor)
 }
 
+// gathered merges the answers of the shards.
 func (x *execution) gathered() *Response {
 	out := &Response{Status: 200, Gathered: true, Proofs: make([]string, 0, len(x.replies))}
 	parts := make([][]byte, 0, len(x.replies))
