--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -26,6 +26,9 @@
 //	get URL, put URL FILE     HTTP requests; the body goes to standard output
 //	post URL FILE             posts JSON
 //	await-post URL FILE       repeats a post until it answers 200
+//	post-until-logged NAME PATTERN URL FILE
+//	                          repeats a post, which must answer 200 each time, until
+//	                          the part of a process's log written since matches
 //	await-get URL PATTERN     repeats a get until its body matches, or doesn't
 //	await-status PATTERN      repeats "primrosectl status" until it matches
 //	await-partial URL FILE    repeats a search until a shard has no live searcher
@@ -45,6 +48,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -117,7 +121,7 @@
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
 			"system": system, "instance": instance, "restarts": restarts,
 			"switch-index": switchIndex, "await-index": awaitIndex, "load": load, "join": join, "race": race, "poll": poll, "rising": rising,
-			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost,
+			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost, "post-until-logged": postUntilLogged,
 			"await-get": awaitGet, "await-log": awaitLog,
 			"await-status": awaitFleetStatus, "await-partial": awaitPartial,
 		},
@@ -229,6 +233,26 @@
 	})
 }
 
+// postUntilLogged repeats a post, so that what a log has to show must happen
+// sooner or later; every answer goes to standard output.
+func postUntilLogged(ts *testscript.TestScript, _ bool, args []string) {
+	log, pattern, body := ts.MkAbs(args[0]+".log"), regexp.MustCompile(args[1]), []byte(ts.ReadFile(args[3]))
+
+	before, err := os.ReadFile(log)
+	ts.Check(err)
+
+	wait(ts, "waiting for "+args[1]+" in the log of "+args[0], func() error {
+		answer(ts, false, http.MethodPost, args[2], body)
+
+		data, err := os.ReadFile(log)
+		if err == nil && !pattern.Match(data[len(before):]) {
+			err = fmt.Errorf("no match in %d new bytes", len(data)-len(before))
+		}
+
+		return err
+	})
+}
+
 // answer makes one request. Its body is the script's standard output; a status
 // of 400 or more is a failure.
 func answer(ts *testscript.TestScript, neg bool, method, url string, body []byte) {
