--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -34,11 +34,12 @@
 // together without a meeting. The zero value allows no extra attempts until
 // SetLimit. It is safe for concurrent use.
 type Window struct {
-	mu        sync.Mutex // Guards what follows.
-	limit     Limit
-	instances int
-	requests  [steps + 1]int
-	extras    [steps + 1]int
+	mu    sync.Mutex // Guards what follows.
+	limit Limit
+	// share is the part of the slack that this instance may use.
+	share    float64
+	requests [steps + 1]int
+	extras   [steps + 1]int
 	// current is the number of the part that is counted into.
 	current int64
 	started time.Time
@@ -51,12 +52,13 @@
 // NewWindow returns a window of a process that began to count at since.
 func NewWindow(since time.Time) *Window { return &Window{since: since} }
 
-// SetLimit sets the limit and how many instances divide the slack.
-func (w *Window) SetLimit(l Limit, instances int) {
+// SetLimit sets the limit and the part of the slack, 0 to 1, that this instance
+// may use. The parts of all instances must not add up to more than 1.
+func (w *Window) SetLimit(l Limit, share float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.limit, w.instances = l, max(instances, 1)
+	w.limit, w.share = l, min(max(share, 0), 1)
 }
 
 // Request counts one request for the pool.
@@ -102,7 +104,7 @@
 		return 0
 	}
 
-	slack := slackShare * float64(w.limit.Slack) / float64(max(w.instances, 1))
+	slack := slackShare * float64(w.limit.Slack) * w.share
 	age := min(float64(now.Sub(w.since))/float64(w.limit.Window), 1)
 
 	return w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)) + age*slack
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -17,7 +17,7 @@
 		windows := make([]Window, n)
 
 		for i := range windows {
-			windows[i].SetLimit(limit, n)
+			windows[i].SetLimit(limit, 1/float64(n))
 		}
 
 		var requests, extras []time.Duration
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -42,6 +42,22 @@
 	Searchers map[string]*domain.Searcher
 }
 
+// GatheredConnections returns the least number of connections that a searcher of
+// a gathered route accepts, or 0 if there is no such route.
+func (v *View) GatheredConnections() int {
+	least := 0
+
+	for i := range v.Table.Routes {
+		for _, name := range v.Table.Routes[i].Shards {
+			if p, ok := v.Table.Pool(name); ok && (least == 0 || int(p.Connections) < least) {
+				least = int(p.Connections)
+			}
+		}
+	}
+
+	return least
+}
+
 // Match returns the route for a request.
 func (v *View) Match(host, path string) (*Entry, bool) {
 	i, ok := v.Table.Match(host, path)
@@ -246,6 +262,10 @@
 			shards[name] = sh
 		}
 
+		for j := range sh.Searchers {
+			sh.Searchers[j].Gathered = sh.Searchers[j].Gathered || r.Gathered()
+		}
+
 		sh.Number = uint32(i)
 		s.PartitionMap.Shards[i] = sh
 	}
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -1,9 +1,14 @@
 package domain
 
 import (
+	"encoding/binary"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Pool is a named group of searchers that answer alike. A pool is one shard of
@@ -76,6 +81,42 @@
 	return nil
 }
 
+// Fingerprint is a hash of everything that the route says, so that two instances
+// can tell whether they would handle a request alike.
+func (r *Route) Fingerprint() uint64 {
+	var (
+		d xxhash.Digest
+		b []byte
+	)
+
+	d.Reset()
+
+	for _, s := range []string{r.Name, r.Host, r.PathPrefix} {
+		b = append(append(b, s...), 0)
+	}
+
+	for _, n := range []uint64{
+		uint64(r.Timeout), uint64(r.LatencyObjective), uint64(r.MaxAttempts), uint64(r.Priority), uint64(r.TopRecords),
+		math.Float64bits(r.MinCoverage),
+	} {
+		b = binary.LittleEndian.AppendUint64(b, n)
+	}
+
+	b = strconv.AppendBool(b, r.Repeatable)
+
+	for _, w := range r.Split {
+		b = binary.LittleEndian.AppendUint32(append(append(b, w.Pool...), 0), w.Weight)
+	}
+
+	for _, name := range r.Shards {
+		b = append(append(b, name...), 0)
+	}
+
+	_, _ = d.Write(b) // Write of a digest never fails.
+
+	return d.Sum64()
+}
+
 // Gathered reports whether a request goes to every shard of the route.
 func (r *Route) Gathered() bool { return len(r.Shards) > 0 }
 
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -66,6 +66,8 @@
 	Connections uint32 `json:"connections"`
 	// Draining is the operator's word that it gets no new work.
 	Draining bool `json:"draining,omitempty"`
+	// Gathered says that queries over many shards reach it.
+	Gathered bool `json:"-"`
 }
 
 // Validate reports the first field that can't be accepted.
--- /dev/null
+++ b/internal/gathering/gathering_test.go
@@ -0,0 +1,105 @@
+package gathering
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func fleetOf(strong, weak int) []Instance {
+	var out []Instance
+
+	for i := range strong + weak {
+		in := Instance{
+			ID: fmt.Sprintf("i-%d", i), FailureDomain: strconv.Itoa(i % 3), Address: fmt.Sprintf("10.0.0.%d:1", i),
+			Cores: 0.192, LinkMbps: 20,
+		}
+
+		if i < strong {
+			in.Cores, in.LinkMbps = 0.8, 200
+		}
+
+		out = append(out, in)
+	}
+
+	return out
+}
+
+// Guards against small instances that gather a hundred parts themselves while
+// strong ones stand beside them.
+func TestWeakInstancesHandOverToStrongOnes(t *testing.T) {
+	fleet := fleetOf(6, 53)
+
+	p := Decide(fleet, "i-30", 52)
+	require.True(t, p.HandsOver)
+	require.Equal(t, 6, p.Gatherers)
+	require.Len(t, p.Near, 2)
+	require.Len(t, p.Far, 4)
+
+	for _, in := range p.Near {
+		require.Equal(t, "0", in.FailureDomain)
+	}
+
+	require.False(t, Decide(fleet, "i-2", 52).HandsOver)
+}
+
+// Guards against handing over in a fleet of equals that has connections enough,
+// where it would only add a way.
+func TestEqualInstancesGatherThemselves(t *testing.T) {
+	p := Decide(fleetOf(0, 9), "i-3", 26)
+	require.False(t, p.HandsOver)
+	require.InDelta(t, 1.0/9, p.Share(), 1e-9)
+}
+
+// Guards against more instances at a searcher than it takes connections from,
+// and against a failure domain without a gatherer.
+func TestEqualInstancesAreBoundedByConnections(t *testing.T) {
+	fleet := fleetOf(0, 300)
+	domains := make(map[string]bool)
+	gatherers := 0
+
+	for _, in := range fleet {
+		if p := Decide(fleet, in.ID, 52); !p.HandsOver {
+			gatherers++
+			domains[in.FailureDomain] = true
+		}
+	}
+
+	require.Equal(t, 26, gatherers)
+	require.Len(t, domains, 3)
+}
+
+// Guards against a single strong instance that gathers for a whole fleet.
+func TestOneStrongInstanceIsNoBottleneck(t *testing.T) {
+	require.False(t, Decide(fleetOf(1, 20), "i-5", 0).HandsOver)
+}
+
+// Guards against shares of a common limit that exceed it together, and against
+// instances that disagree on who gathers.
+func TestSharesKeepToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := fleetOf(rapid.IntRange(0, 20).Draw(t, "strong"), rapid.IntRange(1, 80).Draw(t, "weak"))
+		connections := rapid.IntRange(0, 60).Draw(t, "connections")
+		total, gather := 0.0, 0
+
+		for _, in := range fleet {
+			p := Decide(fleet, in.ID, connections)
+			total += p.Share()
+
+			if !p.HandsOver {
+				gather++
+			}
+
+			require.False(t, slices.ContainsFunc(slices.Concat(p.Near, p.Far), func(g Instance) bool {
+				return Decide(fleet, g.ID, connections).HandsOver
+			}))
+		}
+
+		require.LessOrEqual(t, total, 1+1e-9)
+		require.Equal(t, Decide(fleet, "i-0", connections).Gatherers, gather)
+	})
+}
--- a/internal/hosting/settings.go
+++ b/internal/hosting/settings.go
@@ -3,8 +3,6 @@
 package hosting
 
 import (
-	"reflect"
-	"slices"
 	"time"
 
 	"primrosespring.example/internal/budget"
@@ -21,19 +19,15 @@
 	HealthAddress string
 	// MetricsAddress serves counters and histograms.
 	MetricsAddress string
-	// Seeds are the peer addresses of a few instances; they may be out of date.
-	Seeds []string
 	// StoreAddress is the platform's store.
 	StoreAddress string
-	// StoreWrites and StoreReads are the calls per second that all instances
-	// together may make.
-	StoreWrites float64
-	StoreReads  float64
-	// RegistrationInterval is how often a searcher renews its registration.
-	RegistrationInterval time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
-	Bounds      Bounds
+	// Cores is the processor share in cores.
+	Cores float64
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s.
+	LinkMbps float64
+	Bounds   Bounds
 }
 
 // Bounds are the times within which the platform's users expect effects.
@@ -48,14 +42,6 @@
 	ExtraAttempts budget.Limit
 }
 
-// Equal reports whether nothing differs.
-func (s Settings) Equal(o Settings) bool {
-	seeds := slices.Equal(s.Seeds, o.Seeds)
-	s.Seeds, o.Seeds = nil, nil
-
-	return seeds && reflect.DeepEqual(s, o)
-}
-
 // Validate reports the first field that can't be accepted.
 func (s Settings) Validate() error {
 	for _, a := range []struct{ field, address string }{
@@ -63,6 +49,7 @@
 		{"health_address", s.HealthAddress},
 		{"metrics_address", s.MetricsAddress},
 		{"store_address", s.StoreAddress},
+		{"instance.peer_address", s.Instance.PeerAddress},
 	} {
 		if err := domain.CheckAddress(a.field, a.address); err != nil {
 			return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,11 +1,14 @@
-// Package roster keeps the number of entry instances, which divides what all
-// instances share without a meeting: the budgets of extra attempts and the
-// connections that a searcher accepts. Each instance writes an entry at its
-// start and reads the list now and then; a stale list is enough.
+// Package roster keeps the list of entry instances, which divide what all of them
+// share without a meeting: the budgets of extra attempts and the connections
+// that a searcher accepts. Each instance writes an entry at its start and reads
+// the list now and then; a stale list is enough. Nothing is concluded from it on
+// whether an instance lives.
 package roster
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +21,9 @@
 	Assumed = 64
 	// refreshEvery is how often the list is read.
 	refreshEvery = 10 * time.Second
+	// settleEvery is how soon it is read again after a change, since instances of
+	// a fleet start together and a stale list may lack the last of them.
+	settleEvery = 2 * time.Second
 	// retryEvery is how often a failed call is tried again.
 	retryEvery = time.Second
 	// callTimeout bounds one call.
@@ -30,22 +36,39 @@
 	FailureDomain string `json:"failure_domain"`
 	// Started is the start of the process in Unix milliseconds.
 	Started int64 `json:"started_unix_ms"`
+	// PeerAddress takes what other instances hand over.
+	PeerAddress string `json:"peer_address"`
+	// Cores is the processor share in cores, LinkMbps the bandwidth of the link.
+	Cores    float64 `json:"cores"`
+	LinkMbps float64 `json:"link_mbps"`
+}
+
+// same reports whether both entries say the same, apart from the start.
+func (e Entry) same(o Entry) bool {
+	e.Started, o.Started = 0, 0
+
+	return e == o
 }
 
 // Store holds the entries.
 type Store interface {
-	PutInstance(ctx context.Context, e Entry) error
+	// CreateInstance creates the entry; an entry of that id stands as it is.
+	CreateInstance(ctx context.Context, e Entry) error
+	// ReplaceInstance replaces the entry of that id.
+	ReplaceInstance(ctx context.Context, e Entry) error
 	ListInstances(ctx context.Context) ([]Entry, error)
 }
 
-// Roster counts the instances. It is safe for concurrent use.
+// Roster knows the instances. It is safe for concurrent use.
 type Roster struct {
 	log   zerolog.Logger
 	store Store
 	self  Entry
 	count atomic.Int64
-	// Changed is called with a new count; it must be set before Run.
-	Changed func(instances int)
+	known []Entry
+	// Changed is called with a new list, which it must not change; it must be set
+	// before Run.
+	Changed func(instances []Entry)
 }
 
 // New returns a roster that assumes Assumed instances.
@@ -56,7 +79,7 @@
 	return r
 }
 
-// Instances returns how many instances share budgets and connections.
+// Instances returns how many instances there are.
 func (r *Roster) Instances() int { return int(r.count.Load()) }
 
 // Run registers the instance and keeps the count until ctx ends.
@@ -64,9 +87,13 @@
 	registered, failing := false, false
 
 	for ctx.Err() == nil {
-		err := r.round(ctx, &registered)
+		changed, err := r.round(ctx, &registered)
 		wait := refreshEvery
 
+		if changed {
+			wait = settleEvery
+		}
+
 		switch {
 		case err != nil:
 			wait = retryEvery
@@ -91,13 +118,15 @@
 	}
 }
 
-func (r *Roster) round(ctx context.Context, registered *bool) error {
+// round registers the instance if that is due, reads the list, and reports
+// whether it has changed.
+func (r *Roster) round(ctx context.Context, registered *bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
 	if !*registered {
-		if err := r.store.PutInstance(ctx, r.self); err != nil {
-			return err
+		if err := r.store.CreateInstance(ctx, r.self); err != nil {
+			return false, err
 		}
 
 		*registered = true
@@ -105,15 +134,34 @@
 
 	entries, err := r.store.ListInstances(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 
-	// A stale list may lack entries of a moment ago, this instance's included.
-	n := max(len(entries), 1)
-	if before := r.count.Swap(int64(n)); before != int64(n) {
-		r.log.Info().Str("event", "roster").Int("instances", n).Int64("before", before).Send()
-		r.Changed(n)
+	if i := slices.IndexFunc(entries, func(e Entry) bool { return e.ID == r.self.ID }); i >= 0 && !entries[i].same(r.self) {
+		// The entry is that of an earlier machine of this name.
+		if err := r.store.ReplaceInstance(ctx, r.self); err != nil {
+			return false, err
+		}
+
+		entries[i] = r.self
 	}
 
-	return nil
+	return r.take(entries), nil
+}
+
+// take reports whether a list differs from the one before. A stale list may lack entries of a
+// moment ago, this instance's included.
+func (r *Roster) take(entries []Entry) bool {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+
+	if slices.EqualFunc(entries, r.known, Entry.same) {
+		return false
+	}
+
+	r.log.Info().Str("event", "roster").Int("instances", len(entries)).Int("before", len(r.known)).Send()
+	r.count.Store(int64(max(len(entries), 1)))
+	r.known = entries
+	r.Changed(entries)
+
+	return true
 }
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -89,8 +89,21 @@
 	return included > 0 && float64(included) >= r.MinCoverage*float64(n)
 }
 
+// serve carries the request out here.
+func (x *execution) serve(ctx context.Context) (*Response, error) {
+	resp, err := x.run(ctx)
+	x.logEnd(resp, err)
+	ended(x.entry.Route.Name, time.Since(x.req.Received), resp, err)
+
+	return resp, err
+}
+
 // run sends the attempts and waits for the outcome.
 func (x *execution) run(ctx context.Context) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeCancelled, "serve", "the caller left")
+	}
+
 	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	defer x.cancel()
 
@@ -124,7 +137,7 @@
 		p.Crowded = time.Duration(crowdedShare * float64(route.LatencyObjective))
 	}
 
-	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target))
+	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target, route.Gathered()))
 	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
 	x.perform(x.query.Start(time.Now()))
 }
@@ -139,7 +152,7 @@
 		ctx, cancel := context.WithCancel(x.ctx)
 		x.cancels = append(x.cancels, cancel)
 		x.attempts = append(x.attempts, a)
-		x.engine.metrics.attempt(a.Reason)
+		countAttempt(a.Reason)
 
 		if a.Reason != scatter.First {
 			x.logRoute(a)
@@ -226,7 +239,7 @@
 	if e.Code != domain.CodeCancelled {
 		x.failure = e
 		x.logAttemptFailed(a, e)
-		x.engine.metrics.failed(e.Code)
+		countFailed(e.Code)
 	}
 
 	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
--- a/internal/serving/fake_test.go
+++ b/internal/serving/fake_test.go
@@ -235,7 +235,7 @@
 			Instance:      domain.Instance{ID: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprintf("fd-%d", i%3)},
 			ExtraAttempts: budget.Limit{Ratio: 0.2, Slack: 58, Window: 10 * time.Second},
 		}, s.dir, s.model, &routing.Table{Random: s.random, ReportAge: 100 * time.Millisecond})
-		e.SetInstances(engines)
+		e.SetShares(Shares{Gathered: 1 / float64(engines), Direct: 1 / float64(engines)})
 		e.started = e.started.Add(-time.Minute)
 		s.engines = append(s.engines, e)
 	}
--- a/internal/serving/log.go
+++ b/internal/serving/log.go
@@ -24,6 +24,10 @@
 		Uint64("version", x.view.Table.Version).Uint64("registry_change", x.view.RegistryChange).
 		Int64("elapsed_ms", time.Since(x.req.Received).Milliseconds()).Int("attempts", len(x.attempts))
 
+	if x.req.HandedOverBy != "" {
+		ev.Str("handed_over_by", x.req.HandedOverBy)
+	}
+
 	x.addPlacement(ev)
 
 	switch {
@@ -38,6 +42,22 @@
 	ev.Send()
 }
 
+// logHandedOver writes the outcome of a request that another instance worked on;
+// that one writes a line with the same id and the placement.
+func (x *execution) logHandedOver(by string, resp *Response, err error) {
+	ev := x.engine.log.Info().Str("event", "request").Str("request_id", x.req.ID).Str("route", x.entry.Route.Name).
+		Uint64("version", x.view.Table.Version).Int64("elapsed_ms", time.Since(x.req.Received).Milliseconds()).
+		Str("gathered_by", by)
+
+	if err != nil {
+		addError(ev, err)
+	} else {
+		ev.Str("outcome", "answered").Int("missing", resp.Missing)
+	}
+
+	ev.Send()
+}
+
 // addPlacement lists the searchers that the attempts went to.
 func (x *execution) addPlacement(ev *zerolog.Event) {
 	if !x.engine.settings.LogRoutes {
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -11,22 +11,17 @@
 	"primrosespring.example/internal/scatter"
 )
 
-// engineMetrics are the counters and histograms of an Engine.
-type engineMetrics struct{}
-
-func newEngineMetrics() *engineMetrics { return &engineMetrics{} }
-
-func (*engineMetrics) attempt(r scatter.Reason) {
+func countAttempt(r scatter.Reason) {
 	metrics.GetOrCreateCounter(`primrose_attempts_total{reason="` + string(r) + `"}`).Inc()
 }
 
-func (*engineMetrics) failed(c domain.Code) {
+func countFailed(c domain.Code) {
 	metrics.GetOrCreateCounter(`primrose_attempts_failed_total{code="` + string(c) + `"}`).Inc()
 }
 
-func (m *engineMetrics) ended(route string, elapsed time.Duration, resp *Response, err error) {
+func ended(route string, elapsed time.Duration, resp *Response, err error) {
 	if err != nil {
-		m.refused(err)
+		refused(err)
 
 		return
 	}
@@ -38,7 +33,7 @@
 	}
 }
 
-func (*engineMetrics) refused(err error) {
+func refused(err error) {
 	code, fate := domain.CodeInternal, domain.FateUnknown
 
 	var e *domain.Error
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -41,6 +41,9 @@
 	Received time.Time
 	// Patience is how long the caller waits; zero if it doesn't say.
 	Patience time.Duration
+	// HandedOverBy is the instance that took the request from its caller, if it
+	// isn't this one.
+	HandedOverBy string
 }
 
 // Response is the answer of one searcher, or the gathered answer of many.
@@ -83,9 +86,20 @@
 	Do(ctx context.Context, c Call) (*Reply, *routing.Load, error)
 }
 
+// Gatherers hands queries over many shards to instances that gather for others.
+type Gatherers interface {
+	// Gather hands the request over and returns the outcome and the instance that
+	// worked on it. If begun is false, no instance has begun to, and the request
+	// may be gathered here. Errors are *domain.Error.
+	Gather(ctx context.Context, r *Request, route *domain.Route) (resp *Response, by string, begun bool, err error)
+}
+
 // Settings of an Engine.
 type Settings struct {
 	Instance domain.Instance
+	// Gatherers takes queries over many shards; nil if this instance gathers all of
+	// them itself.
+	Gatherers Gatherers
 	// ExtraAttempts bounds retries and hedges for each pool.
 	ExtraAttempts budget.Limit
 	// LogRoutes writes a line for each placement of a request.
@@ -124,23 +138,29 @@
 	directory *directory.Directory
 	searchers Searchers
 	routing   *routing.Table
-	metrics   *engineMetrics
 	turns     atomic.Uint64
 
 	mu       sync.Mutex // Guards what follows and the settings.
 	delayers map[string]*hedging.Delayer
-	budgets  map[string]*budget.Window
+	budgets  map[string]*poolBudget
 	// started is when the engine began to count requests.
 	started time.Time
-	// instances divide the shared budgets.
-	instances int
+	// shares are the parts of the shared budgets that this instance may use.
+	shares Shares
+}
+
+// Shares are the parts, 0 to 1, of what all instances share that one may use:
+// for queries over many shards, and for requests to one pool.
+type Shares struct {
+	Gathered float64
+	Direct   float64
 }
 
 // New returns an engine.
 func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
 	return &Engine{
-		log: log, settings: s, directory: d, searchers: sr, routing: rt, metrics: newEngineMetrics(),
-		instances: roster.Assumed, started: time.Now(), delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*budget.Window),
+		log: log, settings: s, directory: d, searchers: sr, routing: rt,
+		shares: Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed}, started: time.Now(), delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*poolBudget),
 	}
 }
 
@@ -148,20 +168,41 @@
 // time is over. Errors are *domain.Error.
 func (e *Engine) Serve(ctx context.Context, r *Request) (*Response, error) {
 	x, err := e.begin(r)
-	if err == nil {
-		var resp *Response
+	if err != nil {
+		e.logRefusal(r, err)
+		refused(err)
+
+		return nil, err
+	}
 
-		resp, err = x.run(ctx)
-		x.logEnd(resp, err)
-		e.metrics.ended(x.entry.Route.Name, time.Since(r.Received), resp, err)
+	if e.settings.Gatherers != nil && x.entry.Route.Gathered() {
+		resp, by, begun, err := e.settings.Gatherers.Gather(ctx, r, x.entry.Route)
+		if begun {
+			x.logHandedOver(by, resp, err)
+			ended(x.entry.Route.Name, time.Since(r.Received), resp, err)
 
-		return resp, err
+			return resp, err
+		}
 	}
 
-	e.logRefusal(r, err)
-	e.metrics.refused(err)
+	return x.serve(ctx)
+}
 
-	return nil, err
+// Prepare checks a request that another instance hands over. serve carries it out
+// on the view of now; if it isn't called, nothing is sent. fingerprint is that of
+// the route which the other instance matched.
+func (e *Engine) Prepare(r *Request, fingerprint uint64) (serve func(ctx context.Context) (*Response, error), err error) {
+	x, err := e.begin(r)
+	if err != nil {
+		return nil, err
+	}
+
+	if x.entry.Route.Fingerprint() != fingerprint || !x.entry.Route.Gathered() {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeConflict, "match route",
+			"version %d says something else of route %s", x.view.Table.Version, x.entry.Route.Name)
+	}
+
+	return x.serve, nil
 }
 
 // begin matches and admits the request.
@@ -231,18 +272,43 @@
 	return d
 }
 
-func (e *Engine) poolBudget(pool string) *budget.Window {
+// poolBudget is the budget of extra attempts at one pool, with the kinds of routes
+// that use it.
+type poolBudget struct {
+	*budget.Window
+	gathered, direct bool
+}
+
+// share returns the part of the slack for the pool: the lesser one if routes of
+// both kinds use it.
+func (p *poolBudget) share(s Shares) float64 {
+	switch {
+	case p.gathered && p.direct:
+		return min(s.Gathered, s.Direct)
+	case p.gathered:
+		return s.Gathered
+	default:
+		return s.Direct
+	}
+}
+
+// poolBudget returns the budget of a pool for a route of the kind.
+func (e *Engine) poolBudget(pool string, gathered bool) *budget.Window {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	b, ok := e.budgets[pool]
+	p, ok := e.budgets[pool]
 	if !ok {
-		b = budget.NewWindow(e.started)
-		b.SetLimit(e.settings.ExtraAttempts, e.instances)
-		e.budgets[pool] = b
+		p = &poolBudget{Window: budget.NewWindow(e.started)}
+		e.budgets[pool] = p
 	}
 
-	return b
+	if used := p.gathered && gathered || p.direct && !gathered; !used {
+		p.gathered, p.direct = p.gathered || gathered, p.direct || !gathered
+		p.SetLimit(e.settings.ExtraAttempts, p.share(e.shares))
+	}
+
+	return p.Window
 }
 
 // SetExtraAttempts replaces the limit of retries and hedges.
@@ -254,18 +320,18 @@
 	e.limitBudgets()
 }
 
-// SetInstances says how many instances share the budgets.
-func (e *Engine) SetInstances(n int) {
+// SetShares says which parts of the shared budgets this instance may use.
+func (e *Engine) SetShares(s Shares) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	e.instances = n
+	e.shares = s
 	e.limitBudgets()
 }
 
 func (e *Engine) limitBudgets() {
-	for _, b := range e.budgets {
-		b.SetLimit(e.settings.ExtraAttempts, e.instances)
+	for _, p := range e.budgets {
+		p.SetLimit(e.settings.ExtraAttempts, p.share(e.shares))
 	}
 }
 
@@ -273,10 +339,10 @@
 // It implements scatter.Budget.
 type shardBudgets []*budget.Window
 
-func (e *Engine) shardBudgets(t *directory.Target) shardBudgets {
+func (e *Engine) shardBudgets(t *directory.Target, gathered bool) shardBudgets {
 	b := make(shardBudgets, len(t.Pools))
 	for i, p := range t.Pools {
-		b[i] = e.poolBudget(p)
+		b[i] = e.poolBudget(p, gathered)
 	}
 
 	return b
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -321,13 +321,64 @@
 	})
 }
 
+// Guards against requests to searchers for a caller that left while the query was
+// offered to an instance that gathers.
+func TestRequestsOfCallersThatHaveLeftAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 4, 1, gatheredRoute("list", 4, 200*time.Millisecond, 3*time.Second, 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		s.engines[0].settings.Gatherers = gatherersFunc(func() (*Response, bool, error) {
+			cancel()
+
+			return nil, false, nil
+		})
+
+		_, err := s.engines[0].Serve(ctx, request("list", "r", 20*time.Millisecond, 3*time.Second))
+
+		var e *domain.Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.CodeCancelled, e.Code)
+		require.Equal(t, domain.FateNotRun, e.Fate)
+		require.Empty(t, s.model.arrivals)
+	})
+}
+
+// Guards against a query that is gathered here after another instance has begun
+// to work on it, and against one that is gathered by nobody.
+func TestQueriesAreGatheredOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(1, 1, 4, 1, gatheredRoute("list", 4, 200*time.Millisecond, 3*time.Second, 1))
+		lost := domain.Errorf(domain.FateUnknown, domain.CodePeerUnavailable, "await answer", "no answer")
+
+		s.engines[0].settings.Gatherers = gatherersFunc(func() (*Response, bool, error) { return nil, true, lost })
+		_, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.ErrorIs(t, err, lost)
+		require.Empty(t, s.model.arrivals)
+
+		s.engines[0].settings.Gatherers = gatherersFunc(func() (*Response, bool, error) { return nil, false, nil })
+		_, err = s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
+		require.NoError(t, err)
+		require.Len(t, s.model.arrivals, 4)
+	})
+}
+
+// gatherersFunc is a Gatherers with a fixed outcome.
+type gatherersFunc func() (*Response, bool, error)
+
+// Gather implements Gatherers.
+func (f gatherersFunc) Gather(context.Context, *Request, *domain.Route) (*Response, string, bool, error) {
+	resp, begun, err := f()
+
+	return resp, "g", begun, err
+}
+
 // Guards against a caller who is kept until the deadline although no attempt is
 // left: its shards were shed and their budget of extra attempts is used up (day
 // scale-1 of adunni-search-grown, most searchers shed for 9 s).
 func TestGivenUpRequestsEndAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(1, 1, 4, 1, gatheredRoute("list", 4, 200*time.Millisecond, 3*time.Second, 1))
-		s.engines[0].SetInstances(1000)
+		s.engines[0].SetShares(Shares{Gathered: 1.0 / 1000, Direct: 1.0 / 1000})
 
 		shed := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "send attempt", "shed")
 		s.model.servers[searcherID(0, 0)].respond = func(Call) (*Reply, *routing.Load, error) { return nil, nil, shed }
--- a/primrosed/internal/peer/frame.go
+++ b/primrosed/internal/frame/frame.go
@@ -1,4 +1,6 @@
-package peer
+// Package frame reads and writes the protobuf frames that instances exchange on
+// yamux streams, each with its length in front.
+package frame
 
 import (
 	"encoding/binary"
@@ -12,22 +14,22 @@
 
 const (
 	headerBytes = 4
-	// maxControlFrame holds a whole configuration and its frame.
-	maxControlFrame = 2 << 20
-	// maxRelayFrame holds the answer of a whole query.
-	maxRelayFrame = 32 << 20
+	// MaxControl holds a whole configuration and its frame, in bytes.
+	MaxControl = 2 << 20
+	// MaxRelay holds the answer of a whole query, in bytes.
+	MaxRelay = 32 << 20
 )
 
-// FrameError says that what a peer sent isn't a frame. The session can't be
+// Error says that what a peer sent isn't a frame. The session can't be
 // read any further and is closed.
-type FrameError struct {
+type Error struct {
 	Peer   string
 	Reason string
 	Cause  error
 }
 
 // Error implements error.
-func (e *FrameError) Error() string {
+func (e *Error) Error() string {
 	msg := "read frame: peer " + e.Peer + ": " + e.Reason
 	if e.Cause != nil {
 		msg += ": " + e.Cause.Error()
@@ -37,13 +39,13 @@
 }
 
 // Unwrap returns the cause.
-func (e *FrameError) Unwrap() error { return e.Cause }
+func (e *Error) Unwrap() error { return e.Cause }
 
-// writeFrame writes f with its length in front, in one call.
-func writeFrame(w io.Writer, f *pb.PeerFrame, limit int) error {
+// Write writes f with its length in front, in one call.
+func Write(w io.Writer, f *pb.PeerFrame, limit int) error {
 	size := proto.Size(f)
 	if size > limit {
-		return &FrameError{Reason: fmt.Sprintf("frame to send has %d bytes; at most %d are allowed", size, limit)}
+		return &Error{Reason: fmt.Sprintf("frame to send has %d bytes; at most %d are allowed", size, limit)}
 	}
 
 	b := make([]byte, headerBytes, headerBytes+size)
@@ -51,7 +53,7 @@
 
 	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, f)
 	if err != nil {
-		return &FrameError{Reason: "marshal", Cause: err}
+		return &Error{Reason: "marshal", Cause: err}
 	}
 
 	_, err = w.Write(b)
@@ -59,9 +61,9 @@
 	return err
 }
 
-// readFrame reads one frame of a peer. A FrameError means that the bytes are
+// Read reads one frame of a peer. A Error means that the bytes are
 // wrong; other errors come from the connection.
-func readFrame(r io.Reader, peer string, limit int) (*pb.PeerFrame, error) {
+func Read(r io.Reader, peer string, limit int) (*pb.PeerFrame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -69,7 +71,7 @@
 
 	size := binary.BigEndian.Uint32(header[:])
 	if int64(size) > int64(limit) {
-		return nil, &FrameError{Peer: peer, Reason: fmt.Sprintf("frame has %d bytes; at most %d are allowed", size, limit)}
+		return nil, &Error{Peer: peer, Reason: fmt.Sprintf("frame has %d bytes; at most %d are allowed", size, limit)}
 	}
 
 	b, err := readExactly(r, int(size))
@@ -79,11 +81,11 @@
 
 	f := &pb.PeerFrame{}
 	if err := proto.Unmarshal(b, f); err != nil {
-		return nil, &FrameError{Peer: peer, Reason: "unmarshal", Cause: err}
+		return nil, &Error{Peer: peer, Reason: "unmarshal", Cause: err}
 	}
 
 	if f.GetBody() == nil {
-		return nil, &FrameError{Peer: peer, Reason: "frame has no known body"}
+		return nil, &Error{Peer: peer, Reason: "frame has no known body"}
 	}
 
 	return f, nil
--- /dev/null
+++ b/primrosed/internal/gatherer/client.go
@@ -0,0 +1,408 @@
+package gatherer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/gathering"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/refusal"
+	"primrosespring.example/internal/serving"
+	"primrosespring.example/primrosed/internal/frame"
+)
+
+// Client hands queries over. It implements serving.Gatherers and is safe for
+// concurrent use.
+type Client struct {
+	log  zerolog.Logger
+	self string
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	work sync.WaitGroup // Dials and pings; waited for by Close.
+
+	mu     sync.Mutex // Guards what follows and the peers.
+	plan   gathering.Plan
+	peers  map[string]*peer
+	closed bool
+}
+
+// peer is one instance that gathers. The client's lock guards it.
+type peer struct {
+	instance gathering.Instance
+	session  *yamux.Session
+	dialling bool
+	// open counts the queries at work there.
+	open int
+	// avoidUntil and backoff keep offers away from one that failed.
+	avoidUntil time.Time
+	backoff    time.Duration
+}
+
+// NewClient returns a client of the instance self, which gathers everything
+// itself until SetPlan.
+func NewClient(log zerolog.Logger, self string, dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
+	return &Client{log: log, self: self, dial: dial, peers: make(map[string]*peer)}
+}
+
+// SetPlan says to whom queries are handed over, and connects to them.
+func (c *Client) SetPlan(p gathering.Plan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.plan = p
+	known := c.peers
+	c.peers = make(map[string]*peer)
+
+	for _, list := range [][]gathering.Instance{p.Near, p.Far} {
+		for _, in := range list {
+			c.peers[in.ID] = known[in.ID]
+
+			if old := known[in.ID]; old == nil || old.instance.Address != in.Address {
+				c.peers[in.ID] = &peer{instance: in}
+			}
+		}
+	}
+
+	for id, old := range known {
+		if c.peers[id] != old && old.session != nil {
+			_ = old.session.Close()
+		}
+	}
+
+	for _, in := range p.Near {
+		c.connect(c.peers[in.ID])
+	}
+}
+
+// Close ends all sessions.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+
+	for _, p := range c.peers {
+		if p.session != nil {
+			_ = p.session.Close()
+		}
+	}
+	c.mu.Unlock()
+
+	c.work.Wait()
+}
+
+// Gather implements serving.Gatherers.
+func (c *Client) Gather(ctx context.Context, r *serving.Request, route *domain.Route) (*serving.Response, string, bool, error) {
+	for _, p := range c.choose(time.Now()) { //nolint:contextcheck // A session outlives the query that it is opened for.
+		resp, begun, err := c.offer(ctx, p, r, route)
+		if begun {
+			handedOver.Inc()
+
+			return resp, p.instance.ID, true, err
+		}
+
+		c.logNotBegun(r, p, err)
+
+		if ctx.Err() != nil {
+			break
+		}
+	}
+
+	return nil, "", false, nil //nolint:nilerr // Why nothing was begun is logged; the caller gathers the query itself.
+}
+
+// logNotBegun writes why a peer hasn't begun to work on a request.
+func (c *Client) logNotBegun(r *serving.Request, p *peer, cause error) {
+	notBegun.Inc()
+	c.log.Info().Str("event", "handover_not_begun").Str("request_id", r.ID).Str("gatherer", p.instance.ID).
+		Int64("at_ms", time.Since(r.Received).Milliseconds()).Str("reason", cause.Error()).Send()
+}
+
+// choose returns the peers to offer a query to, in order: a near one with the
+// fewest queries of this instance at work, then another near one or a far one.
+func (c *Client) choose(now time.Time) []*peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.plan.HandsOver || c.closed {
+		return nil
+	}
+
+	out := make([]*peer, 0, maxOffers)
+
+	for _, list := range [][]gathering.Instance{c.plan.Near, c.plan.Far} {
+		first := len(out)
+
+		for _, i := range rand.Perm(len(list)) {
+			p := c.peers[list[i].ID]
+
+			switch {
+			case now.Before(p.avoidUntil):
+			case p.session == nil || p.session.IsClosed():
+				c.connect(p)
+			case len(out) < maxOffers:
+				out = append(out, p)
+
+				if n := len(out) - 1; n > first && out[n].open < out[first].open {
+					out[first], out[n] = out[n], out[first]
+				}
+			}
+		}
+	}
+
+	return out
+}
+
+// connect opens a session in the background; the lock is held.
+func (c *Client) connect(p *peer) {
+	if c.closed || p.dialling || (p.session != nil && !p.session.IsClosed()) {
+		return
+	}
+
+	p.dialling = true
+
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+
+		s, err := c.open(ctx, p.instance.Address)
+
+		c.mu.Lock()
+		defer c.mu.Unlock()
+
+		p.dialling = false
+
+		switch {
+		case err != nil:
+			c.avoid(p, "connect", err)
+		case c.closed || c.peers[p.instance.ID] != p:
+			_ = s.Close()
+		default:
+			p.session = s
+			c.log.Info().Str("event", "gatherer_connected").Str("gatherer", p.instance.ID).
+				Str("address", p.instance.Address).Send()
+		}
+	})
+}
+
+func (c *Client) open(ctx context.Context, address string) (*yamux.Session, error) {
+	nc, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+
+	s, err := yamux.Client(nc, muxConfig())
+	if err != nil {
+		return nil, errors.Join(err, nc.Close())
+	}
+
+	return s, nil
+}
+
+// avoid keeps offers away from a peer that failed; the lock is held.
+func (c *Client) avoid(p *peer, step string, cause error) {
+	p.backoff = min(max(2*p.backoff, minBackoff), maxBackoff)
+	p.avoidUntil = time.Now().Add(p.backoff)
+
+	c.log.Warn().Str("event", "gatherer_avoided").Str("gatherer", p.instance.ID).Str("step", step).
+		Int64("for_ms", p.backoff.Milliseconds()).Err(cause).Send()
+}
+
+// drop closes the session of a peer that failed.
+func (c *Client) drop(p *peer, s *yamux.Session, step string, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if p.session == s {
+		p.session = nil
+		c.avoid(p, step, cause)
+	}
+
+	_ = s.Close()
+}
+
+// enter counts a query in and returns the session for it, which is pinged while
+// queries are at work on it.
+func (c *Client) enter(p *peer) (*yamux.Session, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	s := p.session
+	if s == nil || c.closed {
+		return nil, false
+	}
+
+	p.open++
+
+	if p.open == 1 {
+		c.work.Go(func() { c.watch(p, s) })
+	}
+
+	return s, true
+}
+
+func (c *Client) leave(p *peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	p.open--
+}
+
+// watch pings a session until no query is at work on it.
+func (c *Client) watch(p *peer, s *yamux.Session) {
+	t := time.NewTicker(pingInterval)
+	defer t.Stop()
+
+	for range t.C {
+		c.mu.Lock()
+		done := p.open == 0 || p.session != s || c.closed
+		c.mu.Unlock()
+
+		if done {
+			return
+		}
+
+		if _, err := s.Ping(); err != nil {
+			silent.Inc()
+			c.drop(p, s, "ping", err)
+
+			return
+		}
+	}
+}
+
+// offer hands the request to one peer. If begun is false, err says why.
+func (c *Client) offer(ctx context.Context, p *peer, r *serving.Request, route *domain.Route,
+) (resp *serving.Response, begun bool, err error) {
+	s, ok := c.enter(p)
+	if !ok {
+		return nil, false, errors.New("no session")
+	}
+	defer c.leave(p)
+
+	stream, err := s.OpenStream()
+	if err != nil {
+		c.drop(p, s, "open stream", err)
+
+		return nil, false, err
+	}
+
+	// Closing the stream cancels the query at the peer.
+	defer func() { _ = stream.Close() }()
+
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	if err := c.propose(ctx, p, s, stream, encodeOffer(p.instance.ID, c.self, r, route.Fingerprint())); err != nil {
+		return nil, false, err
+	}
+
+	if err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_HandoverStart{HandoverStart: &pb.HandoverStart{}}}, frame.MaxRelay); err != nil {
+		// A part of the frame may have arrived.
+		return nil, true, c.lost(ctx, p, s, "start query", err)
+	}
+
+	f, err := frame.Read(stream, p.instance.ID, frame.MaxRelay)
+	if err != nil {
+		return nil, true, c.lost(ctx, p, s, "await answer", err)
+	}
+
+	resp, err = decodeAnswer(p.instance.ID, r.ID, f.GetHandoverAnswer())
+
+	return resp, true, err
+}
+
+// propose sends the offer and waits for its acceptance.
+func (c *Client) propose(ctx context.Context, p *peer, s *yamux.Session, stream *yamux.Stream, offer *pb.PeerFrame) error {
+	_ = stream.SetReadDeadline(time.Now().Add(acceptTimeout)) // A closed stream fails below.
+
+	err := frame.Write(stream, offer, frame.MaxRelay)
+	if err == nil {
+		var f *pb.PeerFrame
+
+		f, err = frame.Read(stream, p.instance.ID, frame.MaxRelay)
+		if err == nil && f.GetHandoverAccept() == nil {
+			return c.refused(p, f.GetHandoverAnswer())
+		}
+	}
+
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+
+	if err != nil {
+		c.drop(p, s, "offer", err)
+
+		return err
+	}
+
+	c.mu.Lock()
+	p.backoff = 0
+	c.mu.Unlock()
+
+	_ = stream.SetReadDeadline(time.Time{})
+
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+
+	return nil
+}
+
+// refused returns why a peer didn't accept; one that stops gets no offers for a
+// while.
+func (c *Client) refused(p *peer, a *pb.HandoverAnswer) error {
+	if a.GetRefusal() == nil {
+		return &frame.Error{Peer: p.instance.ID, Reason: "answer to an offer that wasn't started"}
+	}
+
+	e := refusal.FromProto(a.GetRefusal())
+
+	if e.Code == domain.CodeStopping || e.Code == domain.CodeNotFound {
+		c.mu.Lock()
+		c.avoid(p, "offer", e)
+		c.mu.Unlock()
+	}
+
+	return e
+}
+
+// lost returns the error of a query that was begun and has no answer.
+func (c *Client) lost(ctx context.Context, p *peer, s *yamux.Session, step string, cause error) error {
+	code := domain.CodePeerUnavailable
+
+	if ctx.Err() != nil {
+		code = domain.CodeCancelled
+	} else {
+		c.drop(p, s, step, cause)
+	}
+
+	return domain.Errorf(domain.FateUnknown, code, step, "no answer").WithPeer(p.instance.ID).WithCause(cause)
+}
+
+// decodeAnswer checks an answer to the request.
+func decodeAnswer(gatherer, requestID string, a *pb.HandoverAnswer) (*serving.Response, error) {
+	switch {
+	case a == nil || a.GetRequestId() != requestID:
+		return nil, domain.Errorf(domain.FateUnknown, domain.CodeCorrupt, "check answer", "%s",
+			fmt.Sprintf("it is for request %q", a.GetRequestId())).WithPeer(gatherer)
+	case a.GetRefusal() != nil:
+		e := refusal.FromProto(a.GetRefusal())
+		if e.Peer == "" {
+			e.Peer = gatherer
+		}
+
+		return nil, e
+	}
+
+	return &serving.Response{
+		Status: 200, Gathered: true, Proofs: a.GetProofs(), Missing: int(a.GetMissing()), Body: a.GetBody(),
+	}, nil
+}
--- /dev/null
+++ b/primrosed/internal/gatherer/gatherer.go
@@ -0,0 +1,111 @@
+// Package gatherer hands queries over many shards to the instances that gather
+// for others, and takes them there. It speaks protobuf frames on yamux streams,
+// one stream a query:
+//
+//	sender            gatherer
+//	offer     ->
+//	          <-      accept, or answer with a refusal
+//	start     ->
+//	          <-      answer
+//
+// Nothing is begun before the start, so that a sender whose offer isn't accepted
+// in time may gather the query itself without a searcher getting it twice. After
+// the start, a gatherer that falls silent leaves the query's fate unknown. A
+// sender that closes its stream cancels the query.
+package gatherer
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/serving"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// acceptTimeout bounds the wait for an acceptance. The longest way between
+	// failure domains takes 10 ms there and back; the rest is for a busy processor.
+	acceptTimeout = 30 * time.Millisecond
+	// startTimeout is how long a gatherer waits for the start of what it accepted.
+	startTimeout = 500 * time.Millisecond
+	// offerTimeout bounds the arrival of the offer on a new stream.
+	offerTimeout = 2 * time.Second
+	// A session with queries at work is pinged every pingInterval; one that doesn't
+	// answer within pingTimeout is closed.
+	pingInterval = 150 * time.Millisecond
+	pingTimeout  = 250 * time.Millisecond
+	// A gatherer that didn't accept or fell silent gets no offers for minBackoff,
+	// and for twice as long each further time.
+	minBackoff = 500 * time.Millisecond
+	maxBackoff = 4 * time.Second
+	// maxOffers bounds the gatherers that one query is offered to.
+	maxOffers = 2
+	// streamCloseTimeout is how long a half-closed stream keeps its state.
+	streamCloseTimeout = 5 * time.Second
+	// maxBacklog bounds the streams that wait to be accepted.
+	maxBacklog = 1024
+)
+
+var (
+	handedOver = metrics.NewCounter(`primrose_handovers_total{outcome="begun"}`)
+	notBegun   = metrics.NewCounter(`primrose_handovers_total{outcome="not_begun"}`)
+	taken      = metrics.NewCounter(`primrose_handovers_taken_total`)
+	declined   = metrics.NewCounter(`primrose_handovers_declined_total`)
+	silent     = metrics.NewCounter(`primrose_gatherers_silent_total`)
+)
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	// Sessions are pinged while queries are at work; an idle one that is silent is
+	// found by the next offer.
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = pingTimeout
+	c.StreamOpenTimeout = 0
+	c.StreamCloseTimeout = streamCloseTimeout
+	c.AcceptBacklog = maxBacklog
+	c.LogOutput = io.Discard
+
+	return c
+}
+
+// encodeOffer makes the offer of a request to the instance.
+func encodeOffer(instance, sender string, r *serving.Request, fingerprint uint64) *pb.PeerFrame {
+	o := &pb.HandoverOffer{
+		InstanceId: instance, Sender: sender, RequestId: r.ID, Host: r.Host, Path: r.Path, Target: r.Target, Method: r.Method,
+		Headers: make([]*pb.HandoverHeader, 0, len(r.Header)), Body: r.Body, RouteFingerprint: fingerprint,
+		ElapsedUs: uint64(max(time.Since(r.Received), 0).Microseconds()), PatienceUs: uint64(max(r.Patience, 0).Microseconds()),
+	}
+
+	for name, values := range r.Header {
+		o.Headers = append(o.Headers, &pb.HandoverHeader{Name: name, Values: values})
+	}
+
+	return &pb.PeerFrame{Body: &pb.PeerFrame_HandoverOffer{HandoverOffer: o}}
+}
+
+// decodeOffer makes the request of an offer that arrived now.
+func decodeOffer(o *pb.HandoverOffer) *serving.Request {
+	r := &serving.Request{
+		ID: o.GetRequestId(), Host: o.GetHost(), Path: o.GetPath(), Target: o.GetTarget(), Method: o.GetMethod(),
+		Header: make(http.Header, len(o.GetHeaders())), Body: o.GetBody(), HandedOverBy: o.GetSender(),
+		Received: time.Now().Add(-microseconds(o.GetElapsedUs())), Patience: microseconds(o.GetPatienceUs()),
+	}
+
+	for _, h := range o.GetHeaders() {
+		r.Header[h.GetName()] = h.GetValues()
+	}
+
+	return r
+}
+
+// microseconds bounds what a peer says to a day, so that sums can't overflow.
+func microseconds(n uint64) time.Duration {
+	const day = uint64(24 * time.Hour / time.Microsecond)
+
+	return time.Duration(min(n, day)) * time.Microsecond
+}
--- /dev/null
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -0,0 +1,302 @@
+package gatherer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/gathering"
+	"primrosespring.example/internal/serving"
+)
+
+// mutableConn is one end of a pipe whose writes can be made to vanish, as behind
+// a partition.
+type mutableConn struct {
+	net.Conn
+	muted *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c mutableConn) Write(b []byte) (int, error) {
+	if c.muted.Load() {
+		return len(b), nil
+	}
+
+	return c.Conn.Write(b)
+}
+
+// fakeEngine records what is begun.
+type fakeEngine struct {
+	refuse error
+	serve  func(ctx context.Context, r *serving.Request) (*serving.Response, error)
+
+	mu    sync.Mutex // Guards what follows.
+	begun []*serving.Request
+}
+
+// Prepare implements Engine.
+func (e *fakeEngine) Prepare(r *serving.Request, _ uint64) (func(context.Context) (*serving.Response, error), error) {
+	if e.refuse != nil {
+		return nil, e.refuse
+	}
+
+	return func(ctx context.Context) (*serving.Response, error) {
+		e.mu.Lock()
+		e.begun = append(e.begun, r)
+		e.mu.Unlock()
+
+		return e.serve(ctx, r)
+	}, nil
+}
+
+func (e *fakeEngine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return len(e.begun)
+}
+
+// pair is a client and a server joined by pipes.
+type pair struct {
+	client *Client
+	server *Server
+	engine *fakeEngine
+	// muted swallows what the server writes.
+	muted atomic.Bool
+}
+
+func answerOK(_ context.Context, r *serving.Request) (*serving.Response, error) {
+	return &serving.Response{Gathered: true, Body: []byte("records of " + r.ID), Proofs: []string{"p1", "p2"}, Missing: 1}, nil
+}
+
+// inBubble runs f in virtual time. yamux keeps timers in a pool, which must not
+// hand those of one bubble to another; two collections empty it.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+// newPair must be called in a bubble; its end waits for every goroutine.
+func newPair(t *testing.T, limit int) *pair {
+	t.Helper()
+
+	p := &pair{engine: &fakeEngine{serve: answerOK}}
+	p.server = NewServer(zerolog.New(io.Discard), "g", p.engine, limit)
+	p.client = NewClient(zerolog.New(io.Discard), "e", func(ctx context.Context, _ string) (net.Conn, error) {
+		near, far := net.Pipe()
+		p.server.sessions.Go(func() { p.server.serveConn(context.WithoutCancel(ctx), mutableConn{far, &p.muted}) })
+
+		return near, nil
+	})
+	p.client.SetPlan(gathering.Plan{
+		HandsOver: true, Near: []gathering.Instance{{ID: "g", Address: "x"}}, Gatherers: 1, Instances: 2,
+	})
+	t.Cleanup(func() {
+		p.client.Close()
+		p.server.Close()
+		time.Sleep(streamCloseTimeout) // Half-closed streams have timers.
+	})
+	synctest.Wait()
+
+	return p
+}
+
+var testRoute = &domain.Route{Name: "r", Host: "h", PathPrefix: "/a/", Shards: []string{"p", "q"}}
+
+func testRequest() *serving.Request {
+	return &serving.Request{
+		ID: "r-1", Host: "h", Path: "/a/b", Target: "/a/b?c=%2f", Method: http.MethodGet, Body: []byte("body"),
+		Header: http.Header{"X-Odd": {"1", "2"}}, Received: time.Now(), Patience: 3 * time.Second,
+	}
+}
+
+// Guards against a request that changes on its way to the gatherer, and an answer
+// that changes on its way back.
+func TestQueriesAreHandedOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 1)
+		r := testRequest()
+
+		resp, by, begun, err := p.client.Gather(t.Context(), r, testRoute)
+		require.NoError(t, err)
+		require.True(t, begun)
+		require.Equal(t, "g", by)
+		require.Equal(t, &serving.Response{
+			Status: 200, Gathered: true, Body: []byte("records of r-1"), Proofs: []string{"p1", "p2"}, Missing: 1,
+		}, resp)
+
+		got := *p.engine.begun[0]
+		require.Equal(t, "e", got.HandedOverBy)
+		require.Zero(t, got.Received.Sub(r.Received))
+
+		got.HandedOverBy, got.Received = "", r.Received
+		require.Equal(t, *r, got)
+	})
+}
+
+// Guards against a query that a gatherer begins although its offer was given up,
+// and that is then gathered twice: an instance that stood still, or whose answers
+// were lost, reads the offer late.
+func TestOffersThatAreGivenUpAreNotBegun(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		p.muted.Store(true)
+
+		begin := time.Now()
+		_, _, begun, _ := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun)
+		require.LessOrEqual(t, time.Since(begin), acceptTimeout)
+
+		time.Sleep(time.Second)
+		require.Zero(t, p.engine.count())
+
+		// It gets no offers until its back-off has passed, and then is tried again.
+		p.muted.Store(false)
+		time.Sleep(minBackoff)
+
+		_, _, begun, _ = p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun, "the session is opened in the background")
+		synctest.Wait()
+
+		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.NoError(t, err)
+		require.True(t, begun)
+	})
+}
+
+// Guards against a caller who waits until its deadline for a gatherer that was
+// lost, and against calling the fate of its query known.
+func TestSilentGatherersAreGivenUp(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		p.engine.serve = func(ctx context.Context, _ *serving.Request) (*serving.Response, error) {
+			p.muted.Store(true)
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}
+
+		begin := time.Now()
+		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.True(t, begun)
+		require.LessOrEqual(t, time.Since(begin), pingInterval+pingTimeout)
+
+		var e *domain.Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.FateUnknown, e.Fate)
+		require.Equal(t, domain.CodePeerUnavailable, e.Code)
+	})
+}
+
+// Guards against searchers at work on a query whose caller has left.
+func TestLeavingCallersEndTheirQuery(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		p.engine.serve = func(ctx context.Context, _ *serving.Request) (*serving.Response, error) {
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}
+
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+
+		_, _, begun, err := p.client.Gather(ctx, testRequest(), testRoute)
+		require.True(t, begun)
+
+		var e *domain.Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.CodeCancelled, e.Code)
+		synctest.Wait()
+		require.NoError(t, p.server.Stop(t.Context()), "the query is still at work")
+	})
+}
+
+// Guards against an instance that stops with queries of others unanswered, and
+// one that takes more than it can work on.
+func TestGatherersDeclineAndFinish(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 1)
+		release := make(chan struct{})
+		p.engine.serve = func(ctx context.Context, r *serving.Request) (*serving.Response, error) {
+			<-release
+
+			return answerOK(ctx, r)
+		}
+
+		var first error
+
+		done := make(chan struct{})
+
+		go func() {
+			defer close(done)
+
+			_, _, _, first = p.client.Gather(t.Context(), testRequest(), testRoute)
+		}()
+
+		synctest.Wait()
+
+		_, _, begun, _ := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun, "the limit is reached")
+
+		stopped := make(chan error, 1)
+
+		go func() { stopped <- p.server.Stop(t.Context()) }()
+
+		synctest.Wait()
+		require.Empty(t, stopped)
+		close(release)
+		<-done
+		require.NoError(t, first)
+		require.NoError(t, <-stopped)
+
+		_, _, begun, _ = p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun, "the instance is stopping")
+		require.Equal(t, 1, p.engine.count())
+	})
+}
+
+// Guards against a query that is handled by another configuration than that of
+// the instance which took it, and against a refusal that loses its fate.
+func TestRefusalsKeepTheirMeaning(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		p.engine.refuse = domain.Errorf(domain.FateNotRun, domain.CodeConflict, "match route", "another version")
+
+		_, _, begun, _ := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun)
+
+		p.engine.refuse = nil
+		refusal := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "serve", "crowded")
+		refusal.RetryAfter = 120 * time.Millisecond
+		p.engine.serve = func(context.Context, *serving.Request) (*serving.Response, error) { return nil, refusal }
+
+		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.True(t, begun)
+
+		var e *domain.Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.FateNotRun, e.Fate)
+		require.Equal(t, domain.CodeOverloaded, e.Code)
+		require.Equal(t, 120*time.Millisecond, e.RetryAfter)
+
+		p.engine.serve = func(context.Context, *serving.Request) (*serving.Response, error) { return nil, errors.New("odd") }
+		_, _, _, err = p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, domain.FateUnknown, e.Fate)
+	})
+}
--- /dev/null
+++ b/primrosed/internal/gatherer/server.go
@@ -0,0 +1,260 @@
+package gatherer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/refusal"
+	"primrosespring.example/internal/serving"
+	"primrosespring.example/primrosed/internal/frame"
+)
+
+// Engine carries out queries.
+type Engine interface {
+	Prepare(r *serving.Request, fingerprint uint64) (serve func(ctx context.Context) (*serving.Response, error), err error)
+}
+
+// Server takes queries that other instances hand over. It is safe for concurrent
+// use.
+type Server struct {
+	log    zerolog.Logger
+	self   string
+	engine Engine
+	// limit bounds the queries at work for others.
+	limit int
+
+	sessions sync.WaitGroup
+	queries  sync.WaitGroup
+
+	mu       sync.Mutex // Guards what follows.
+	open     map[*yamux.Session]bool
+	working  int
+	stopping bool
+}
+
+// NewServer returns a server of the instance self for at most limit queries at a
+// time.
+func NewServer(log zerolog.Logger, self string, e Engine, limit int) *Server {
+	return &Server{log: log, self: self, engine: e, limit: limit, open: make(map[*yamux.Session]bool)}
+}
+
+// Serve takes connections of a listener until it is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return err
+		}
+
+		s.sessions.Go(func() { s.serveConn(ctx, nc) })
+	}
+}
+
+// Stop declines new queries and waits for those at work until ctx ends.
+func (s *Server) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+
+	done := make(chan struct{})
+
+	go func() {
+		s.queries.Wait()
+		close(done)
+	}()
+
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return domain.Errorf(domain.FateUnknown, domain.CodeDeadline, "stop", "queries of other instances are still at work")
+	}
+}
+
+// Close ends all sessions; the listener must be closed before.
+func (s *Server) Close() {
+	s.mu.Lock()
+	for mux := range s.open {
+		_ = mux.Close()
+	}
+	s.mu.Unlock()
+
+	s.sessions.Wait()
+}
+
+func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
+	mux, err := yamux.Server(nc, muxConfig())
+	if err != nil {
+		_ = nc.Close()
+
+		return
+	}
+
+	s.mu.Lock()
+	s.open[mux] = true
+	s.mu.Unlock()
+
+	defer func() {
+		_ = mux.Close()
+
+		s.mu.Lock()
+		delete(s.open, mux)
+		s.mu.Unlock()
+	}()
+
+	var streams sync.WaitGroup
+	defer streams.Wait()
+
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+
+		streams.Go(func() { s.serveStream(ctx, nc.RemoteAddr().String(), stream) })
+	}
+}
+
+// serveStream takes one query through its steps.
+func (s *Server) serveStream(ctx context.Context, from string, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+
+	_ = stream.SetReadDeadline(time.Now().Add(offerTimeout)) // A closed stream fails below.
+
+	f, err := frame.Read(stream, from, frame.MaxRelay)
+	if err != nil {
+		s.log.Warn().Str("event", "handover_unreadable").Str("peer", from).Err(err).Send()
+
+		return
+	}
+
+	offer := f.GetHandoverOffer()
+	r := decodeOffer(offer)
+
+	serve, err := s.accept(offer, r)
+	if err != nil {
+		declined.Inc()
+		s.log.Info().Str("event", "handover_declined").Str("request_id", r.ID).Str("handed_over_by", r.HandedOverBy).
+			Str("reason", err.Error()).Send()
+		s.answer(stream, r.ID, nil, err)
+
+		return
+	}
+	defer s.leave()
+
+	if s.started(from, stream) {
+		taken.Inc()
+
+		resp, err := s.run(ctx, stream, serve)
+		s.answer(stream, r.ID, resp, err)
+	}
+}
+
+// accept checks an offer and counts its query in.
+func (s *Server) accept(o *pb.HandoverOffer, r *serving.Request) (func(context.Context) (*serving.Response, error), error) {
+	if o.GetInstanceId() != s.self {
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeNotFound, "accept query", "this is instance %s, not %s", s.self, o.GetInstanceId())
+	}
+
+	if err := s.enter(); err != nil {
+		return nil, err
+	}
+
+	serve, err := s.engine.Prepare(r, o.GetRouteFingerprint())
+	if err != nil {
+		s.leave()
+	}
+
+	return serve, err
+}
+
+func (s *Server) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch {
+	case s.stopping:
+		return domain.Errorf(domain.FateNotRun, domain.CodeStopping, "accept query", "the instance is stopping")
+	case s.working >= s.limit:
+		return domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "accept query", "%d queries of other instances are at work", s.working)
+	}
+
+	s.working++
+	s.queries.Add(1)
+
+	return nil
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.working--
+	s.mu.Unlock()
+
+	s.queries.Done()
+}
+
+// started accepts the query and waits for its start.
+func (s *Server) started(from string, stream *yamux.Stream) bool {
+	accept := &pb.PeerFrame{Body: &pb.PeerFrame_HandoverAccept{HandoverAccept: &pb.HandoverAccept{}}}
+	if err := frame.Write(stream, accept, frame.MaxRelay); err != nil {
+		return false
+	}
+
+	_ = stream.SetReadDeadline(time.Now().Add(startTimeout)) // A closed stream fails below.
+
+	f, err := frame.Read(stream, from, frame.MaxRelay)
+	if err != nil || f.GetHandoverStart() == nil {
+		return false
+	}
+
+	_ = stream.SetReadDeadline(time.Time{})
+
+	return true
+}
+
+// run carries out a query; it is cancelled when the sender closes the stream.
+func (s *Server) run(ctx context.Context, stream *yamux.Stream, serve func(context.Context) (*serving.Response, error),
+) (*serving.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	watched := make(chan struct{})
+
+	go func() {
+		defer close(watched)
+		defer cancel()
+
+		var b [1]byte
+
+		_, _ = stream.Read(b[:]) // Any end of the wait, or a stray byte, ends the query.
+	}()
+
+	resp, err := serve(ctx)
+
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	<-watched
+
+	return resp, err
+}
+
+// answer sends the outcome. A sender that has left doesn't need it.
+func (s *Server) answer(stream *yamux.Stream, requestID string, resp *serving.Response, err error) {
+	a := &pb.HandoverAnswer{RequestId: requestID}
+
+	if err != nil {
+		a.Refusal = refusal.ToProto(err)
+	} else {
+		a.Body, a.Proofs, a.Missing = resp.Body, resp.Proofs, uint32(resp.Missing)
+	}
+
+	if err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_HandoverAnswer{HandoverAnswer: a}}, frame.MaxRelay); err != nil {
+		s.log.Debug().Str("event", "handover_answer_failed").Str("request_id", requestID).Err(err).Send()
+	}
+}
--- a/primrosed/internal/hosted/command.go
+++ b/primrosed/internal/hosted/command.go
@@ -16,22 +16,26 @@
 	"primrosespring.example/platform"
 )
 
-// defaultMetricsPort is in the range that the platform leaves to its guests.
-const defaultMetricsPort = 7390
+// The default ports are in the range that the platform leaves to its guests.
+const (
+	defaultMetricsPort = 7390
+	defaultPeerPort    = 7380
+)
 
 // Command returns the command that runs a hosted instance.
 func Command(c *dig.Container, stdout io.Writer) *cobra.Command {
-	var port int
+	var metricsPort, peerPort int
 
 	load := func() (hosting.Settings, error) {
-		return platform.LoadSettings(os.Getenv(platform.SettingsVariable), port)
+		return platform.LoadSettings(os.Getenv(platform.SettingsVariable), metricsPort, peerPort)
 	}
 
 	cmd := &cobra.Command{
 		Use: "hosted", Short: "Run an entry instance on the users' platform until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return run(c, load, stdout) },
 	}
-	cmd.Flags().IntVar(&port, "metrics-port", defaultMetricsPort, "port that serves /metrics")
+	cmd.PersistentFlags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port that serves /metrics")
+	cmd.PersistentFlags().IntVar(&peerPort, "peer-port", defaultPeerPort, "port that takes queries from other instances")
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the platform's settings file without starting", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
--- /dev/null
+++ b/primrosed/internal/hosted/gather.go
@@ -0,0 +1,93 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"primrosespring.example/internal/gathering"
+	"primrosespring.example/internal/roster"
+	"primrosespring.example/internal/serving"
+)
+
+// shares are the instance's parts of what all instances share.
+type shares struct {
+	current atomic.Pointer[serving.Shares]
+}
+
+func newShares() *shares {
+	s := &shares{}
+	s.current.Store(&serving.Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed})
+
+	return s
+}
+
+func (s *shares) get() serving.Shares { return *s.current.Load() }
+
+// fleet is what the plan of who gathers follows from.
+type fleet struct {
+	mu          sync.Mutex // Guards what follows; taken before the locks of the parts.
+	instances   []gathering.Instance
+	connections int
+	plan        gathering.Plan
+}
+
+// setFleet takes a list of the roster.
+func (i *Instance) setFleet(entries []roster.Entry) {
+	list := make([]gathering.Instance, len(entries))
+	for j, e := range entries {
+		list[j] = gathering.Instance{
+			ID: e.ID, FailureDomain: e.FailureDomain, Address: e.PeerAddress, Cores: e.Cores, LinkMbps: e.LinkMbps,
+		}
+	}
+
+	i.fleet.mu.Lock()
+	i.fleet.instances = list
+	i.fleet.mu.Unlock()
+
+	i.replan()
+}
+
+// replan decides again who gathers, after a change of the fleet or of the
+// configuration.
+func (i *Instance) replan() {
+	f := &i.fleet
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if v := i.parts.Directory.View(); v != nil {
+		f.connections = v.GatheredConnections()
+	}
+
+	if len(f.instances) == 0 {
+		return
+	}
+
+	p := gathering.Decide(f.instances, i.settings.Instance.ID, f.connections)
+	if reflect.DeepEqual(p, f.plan) {
+		return
+	}
+
+	f.plan = p
+	s := serving.Shares{Gathered: p.Share(), Direct: 1 / float64(p.Instances)}
+
+	i.log.Info().Str("event", "gathering").Int("instances", p.Instances).Int("gatherers", p.Gatherers).
+		Bool("hands_over", p.HandsOver).Int("near", len(p.Near)).Int("far", len(p.Far)).
+		Int("connections", f.connections).Float64("share", p.Share()).Send()
+	i.parts.Shares.current.Store(&s)
+	i.parts.Engine.SetShares(s)
+	i.parts.Gatherers.SetPlan(p)
+}
+
+// serveOthers takes the queries that other instances hand over until the listener
+// is closed.
+func (i *Instance) serveOthers(ctx context.Context, l net.Listener) {
+	if err := i.parts.Gatherer.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
+		i.log.Error().Str("event", "serve_failed").Str("address", l.Addr().String()).Err(err).Send()
+	}
+}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -31,6 +31,7 @@
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/platform"
 	"primrosespring.example/primrosed/internal/balancer"
+	"primrosespring.example/primrosed/internal/gatherer"
 )
 
 const (
@@ -64,6 +65,11 @@
 	// hears from each a few times a second, since several instances share it.
 	reportAge        = 100 * time.Millisecond
 	settingsInterval = 2 * time.Second
+	// handoversPerCore bounds the queries that an instance gathers for others at a
+	// time, for each core of its processor share. A query over a hundred shards
+	// takes some 10 ms of a core, so that more would wait for the processor longer
+	// than a latency objective of 100 ms allows.
+	handoversPerCore = 40
 )
 
 // Instance is a hosted entry instance.
@@ -77,6 +83,7 @@
 	stopping chan struct{}
 	// doubts holds one doubt about the list of searchers.
 	doubts doubts
+	fleet  fleet
 }
 
 // doubts holds at most one doubt.
@@ -100,6 +107,9 @@
 	Engine    *serving.Engine
 	Store     *platform.Store
 	Roster    *roster.Roster
+	Gatherers *gatherer.Client
+	Gatherer  *gatherer.Server
+	Shares    *shares
 }
 
 // Provide registers the constructors of an instance's parts.
@@ -115,9 +125,12 @@
 			return platform.NewStore(log, s.StoreAddress)
 		},
 		func() doubts { return make(doubts, 1) },
+		newShares,
 		newRoster,
 		newSearchers,
+		newGatherers,
 		newEngine,
+		newGatherer,
 		newInstance,
 	} {
 		if err := c.Provide(f); err != nil {
@@ -129,30 +142,45 @@
 }
 
 // newSearchers divides each searcher's connections among the instances.
-func newSearchers(g *http1.Group, r *roster.Roster) *platform.Searchers {
+func newSearchers(g *http1.Group, sh *shares) *platform.Searchers {
 	return &platform.Searchers{Group: g, Limit: func(sr *domain.Searcher) int {
-		return max(int(connectionShare*float64(sr.Connections))/r.Instances(), 1)
+		share := sh.get().Direct
+		if sr.Gathered {
+			share = sh.get().Gathered
+		}
+
+		return max(int(connectionShare*float64(sr.Connections)*share), 1)
 	}}
 }
 
 func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
 	return roster.New(log, st, roster.Entry{
 		ID: s.Instance.ID, FailureDomain: s.Instance.FailureDomain, Started: time.Now().UnixMilli(),
+		PeerAddress: s.Instance.PeerAddress, Cores: s.Cores, LinkMbps: s.LinkMbps,
 	})
 }
 
+func newGatherers(log zerolog.Logger, s hosting.Settings) *gatherer.Client {
+	return gatherer.NewClient(log, s.Instance.ID, http1.DialTCP)
+}
+
+func newGatherer(log zerolog.Logger, s hosting.Settings, e *serving.Engine) *gatherer.Server {
+	return gatherer.NewServer(log, s.Instance.ID, e, max(int(handoversPerCore*s.Cores), 1))
+}
+
 func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sr *platform.Searchers, t *routing.Table,
-	ds doubts,
+	g *gatherer.Client, ds doubts,
 ) *serving.Engine {
 	return serving.New(log, serving.Settings{
-		Instance: s.Instance, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true, Doubt: ds.raise,
+		Instance: s.Instance, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true, Doubt: ds.raise, Gatherers: g,
 	}, d, sr, t)
 }
 
 func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds doubts) *Instance {
-	p.Roster.Changed = p.Engine.SetInstances
+	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), doubts: ds}
+	p.Roster.Changed = i.setFleet
 
-	return &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), doubts: ds}
+	return i
 }
 
 // Run serves until ctx ends and then stops in order: not ready for the
@@ -176,18 +204,27 @@
 		return err
 	}
 
+	handovers, err := net.Listen("tcp", i.settings.Instance.PeerAddress)
+	if err != nil {
+		return errors.Annotatef(err, "listen on %s", i.settings.Instance.PeerAddress)
+	}
+
 	var wg sync.WaitGroup
 
 	wg.Go(func() { i.followConfiguration(background) })
 	wg.Go(func() { i.parts.Roster.Run(background) })
 	wg.Go(func() { i.followRegistrations(background) })
 	wg.Go(func() { i.watchSettings(background, hangup, reload) })
+	wg.Go(func() { i.serveOthers(requests, handovers) })
 
 	i.log.Info().Str("event", "started").Str("instance", i.settings.Instance.ID).
 		Str("caller_address", i.settings.CallerAddress).Str("failure_domain", i.settings.Instance.FailureDomain).Send()
 	<-ctx.Done()
 	i.stop(callers, endRequests) //nolint:contextcheck // ctx has ended; the stop has the grace time.
 	stop()
+	_ = handovers.Close()
+	i.parts.Gatherer.Close()
+	i.parts.Gatherers.Close()
 	wg.Wait()
 
 	for _, s := range state {
@@ -207,16 +244,25 @@
 	i.health.Set("stop", "stopping")
 	close(i.stopping)
 
-	// Answers from now on ask callers to open their next connection elsewhere.
-	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(min(balancerDelay, i.settings.Bounds.Grace/2))
-
 	last := i.settings.Bounds.Grace - graceReserve
 
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(last))
 	defer cancel()
 
-	err := callers.Shutdown(ctx)
+	// Other instances gather their queries themselves from now on.
+	others := make(chan error, 1)
+
+	go func() { others <- i.parts.Gatherer.Stop(ctx) }()
+
+	// Answers from now on ask callers to open their next connection elsewhere.
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(min(balancerDelay, i.settings.Bounds.Grace/2))
+
+	err := errors.Trace(callers.Shutdown(ctx))
+	if failure := <-others; err == nil {
+		err = failure
+	}
+
 	if err == nil {
 		return
 	}
@@ -318,6 +364,7 @@
 
 	i.parts.Group.Retain(i.parts.Directory.Usable)
 	i.parts.Table.Retain(i.parts.Directory.Usable)
+	i.replan()
 }
 
 // configurationSink takes configurations from the store.
@@ -425,7 +472,7 @@
 		switch {
 		case err != nil:
 			i.log.Error().Str("event", "reload_refused").Str("cause", cause).Err(err).Send()
-		case s.Equal(current):
+		case s == current:
 			if cause == "signal" {
 				i.log.Info().Str("event", "reload").Str("cause", cause).Bool("changed", false).Send()
 			}
--- a/primrosed/internal/peer/control.go
+++ b/primrosed/internal/peer/control.go
@@ -9,6 +9,7 @@
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 // runSession serves a session until it is closed.
@@ -113,7 +114,7 @@
 	m.sendLeaving([]*session{s})
 
 	for {
-		f, err := readFrame(s.stream, s.id(), maxControlFrame)
+		f, err := frame.Read(s.stream, s.id(), frame.MaxControl)
 		if err == nil {
 			countFrame(f, "received")
 			err = m.receive(ctx, s, f)
@@ -139,7 +140,7 @@
 	case *pb.PeerFrame_Membership:
 		r, err := m.options.Table.Delta(now, s.id(), b.Membership)
 		if err != nil {
-			return &FrameError{Peer: s.id(), Reason: "membership delta", Cause: err}
+			return &frame.Error{Peer: s.id(), Reason: "membership delta", Cause: err}
 		}
 
 		m.perform(r)
@@ -154,7 +155,7 @@
 	case *pb.PeerFrame_ProbeAnswer:
 		m.options.Table.Probed(now, b.ProbeAnswer.GetInstance(), b.ProbeAnswer.GetReached())
 	default:
-		return &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't expected on a control stream", b)}
+		return &frame.Error{Peer: s.id(), Reason: fmt.Sprintf("%T isn't expected on a control stream", b)}
 	}
 
 	return nil
--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -21,6 +21,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/platform"
 )
 
@@ -354,7 +355,7 @@
 }
 
 func (m *Mesh) logFrameError(err error) {
-	var fe *FrameError
+	var fe *frame.Error
 	if errors.As(err, &fe) {
 		badFrames.Inc()
 		m.options.Log.Warn().Str("event", "bad_frame").Str("peer", fe.Peer).Err(err).Send()
--- a/primrosed/internal/peer/peer_test.go
+++ b/primrosed/internal/peer/peer_test.go
@@ -24,6 +24,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/platform"
 )
 
@@ -178,7 +179,7 @@
 	n := start(t, "entry-0", "a", echo)
 	before := badFrames.Get()
 
-	oversized := binary.BigEndian.AppendUint32(nil, maxControlFrame+1)
+	oversized := binary.BigEndian.AppendUint32(nil, frame.MaxControl+1)
 	garbage := append(binary.BigEndian.AppendUint32(nil, 4), 0xff, 0xff, 0xff, 0xff)
 	empty := binary.BigEndian.AppendUint32(nil, 0)
 
@@ -420,7 +421,7 @@
 				return
 			}
 
-			f, err := readFrame(stream, "entry-0", maxRelayFrame)
+			f, err := frame.Read(stream, "entry-0", frame.MaxRelay)
 			if err != nil {
 				return
 			}
@@ -430,7 +431,7 @@
 			out := &pb.PeerFrame{Id: f.GetId(), Body: &pb.PeerFrame_RelaySearchAnswer{RelaySearchAnswer: a}}
 			damage(out, a)
 
-			_ = writeFrame(stream, out, maxRelayFrame)
+			_ = frame.Write(stream, out, frame.MaxRelay)
 			<-s.mux.CloseChan()
 		})
 
--- a/primrosed/internal/peer/relay.go
+++ b/primrosed/internal/peer/relay.go
@@ -14,6 +14,7 @@
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/integrity"
 	"primrosespring.example/internal/refusal"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 // maxVersionWait bounds the wait of a holder for the configuration that a
@@ -136,7 +137,7 @@
 		s.lastUsed.Store(time.Now().UnixNano())
 	}()
 
-	f, sent, err := m.exchange(ctx, s, req, maxRelayFrame)
+	f, sent, err := m.exchange(ctx, s, req, frame.MaxRelay)
 	if err == nil {
 		return f, nil
 	}
@@ -214,9 +215,9 @@
 		answer.Body = &pb.PeerFrame_ClaimApplyAnswer{ClaimApplyAnswer: a}
 	}
 
-	err := writeFrame(stream, answer, maxRelayFrame)
+	err := frame.Write(stream, answer, frame.MaxRelay)
 
-	var fe *FrameError
+	var fe *frame.Error
 	if !errors.As(err, &fe) {
 		return err
 	}
@@ -226,7 +227,7 @@
 	a := &pb.RelaySearchAnswer{QueryId: f.GetRelaySearch().GetQueryId(), Refusal: refusal.ToProto(tooLarge)}
 	answer.Body = &pb.PeerFrame_RelaySearchAnswer{RelaySearchAnswer: a}
 
-	return writeFrame(stream, answer, maxRelayFrame)
+	return frame.Write(stream, answer, frame.MaxRelay)
 }
 
 func sealed(queryID string, content []byte, err error) ([]byte, *pb.Refusal, uint64) {
--- a/primrosed/internal/peer/session.go
+++ b/primrosed/internal/peer/session.go
@@ -13,6 +13,7 @@
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 const (
@@ -104,7 +105,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
 	defer stop()
 
-	if err := writeFrame(stream, m.hello(kind), maxControlFrame); err != nil {
+	if err := frame.Write(stream, m.hello(kind), frame.MaxControl); err != nil {
 		return nil, err
 	}
 
@@ -135,7 +136,7 @@
 
 	conn.relay.Store(s.kind == pb.SessionKind_SESSION_KIND_RELAY)
 
-	if err := writeFrame(stream, m.hello(s.kind), maxControlFrame); err != nil {
+	if err := frame.Write(stream, m.hello(s.kind), frame.MaxControl); err != nil {
 		return nil, errors.Join(err, mux.Close())
 	}
 
@@ -145,23 +146,23 @@
 func readHello(conn *countedConn, mux *yamux.Session, stream *yamux.Stream, dialled bool) (*session, error) {
 	address := conn.RemoteAddr().String()
 
-	f, err := readFrame(stream, address, maxControlFrame)
+	f, err := frame.Read(stream, address, frame.MaxControl)
 	if err != nil {
 		return nil, err
 	}
 
 	h := f.GetHello()
 	if h == nil {
-		return nil, &FrameError{Peer: address, Reason: "first frame isn't a hello"}
+		return nil, &frame.Error{Peer: address, Reason: "first frame isn't a hello"}
 	}
 
 	rec, err := membership.FromProto(h.GetInstance())
 	if err != nil {
-		return nil, &FrameError{Peer: address, Reason: "hello", Cause: err}
+		return nil, &frame.Error{Peer: address, Reason: "hello", Cause: err}
 	}
 
 	if rec.Instance.PeerAddress == "" {
-		return nil, &FrameError{Peer: address, Reason: "hello has no address"}
+		return nil, &frame.Error{Peer: address, Reason: "hello has no address"}
 	}
 
 	s := &session{
@@ -218,7 +219,7 @@
 	for {
 		select {
 		case f := <-s.out:
-			if err := writeFrame(s.stream, f, maxControlFrame); err != nil {
+			if err := frame.Write(s.stream, f, frame.MaxControl); err != nil {
 				return
 			}
 
--- a/primrosed/internal/peer/spread.go
+++ b/primrosed/internal/peer/spread.go
@@ -11,6 +11,7 @@
 	"primrosespring.example/internal/configuration"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 const (
@@ -144,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 
-	f, _, err := m.exchange(ctx, s, &pb.PeerFrame{Body: &pb.PeerFrame_Fetch{Fetch: &pb.ConfigurationFetch{HaveVersion: have}}}, maxControlFrame)
+	f, _, err := m.exchange(ctx, s, &pb.PeerFrame{Body: &pb.PeerFrame_Fetch{Fetch: &pb.ConfigurationFetch{HaveVersion: have}}}, frame.MaxControl)
 	if err != nil {
 		return err
 	}
@@ -178,9 +179,9 @@
 		return err
 	}
 
-	return writeFrame(stream, &pb.PeerFrame{
+	return frame.Write(stream, &pb.PeerFrame{
 		Id: f.GetId(), Body: &pb.PeerFrame_Configuration{Configuration: pushOf(u, loaded)},
-	}, maxControlFrame)
+	}, frame.MaxControl)
 }
 
 // awaitVersion waits until the configuration in force is at least version. It
--- a/primrosed/internal/peer/stream.go
+++ b/primrosed/internal/peer/stream.go
@@ -10,6 +10,7 @@
 
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 const (
@@ -43,13 +44,13 @@
 
 	req.Id = m.nextID.Add(1)
 
-	if err := writeFrame(stream, req, limit); err != nil {
-		var fe *FrameError
+	if err := frame.Write(stream, req, limit); err != nil {
+		var fe *frame.Error
 
 		return nil, !errors.As(err, &fe), err
 	}
 
-	answer, err = readFrame(stream, s.id(), limit)
+	answer, err = frame.Read(stream, s.id(), limit)
 	if err != nil {
 		m.logFrameError(err)
 
@@ -63,7 +64,7 @@
 	if answer.GetId() != req.GetId() {
 		s.close()
 
-		return nil, true, &FrameError{Peer: s.id(), Reason: fmt.Sprintf("answer is for request %d, not %d", answer.GetId(), req.GetId())}
+		return nil, true, &frame.Error{Peer: s.id(), Reason: fmt.Sprintf("answer is for request %d, not %d", answer.GetId(), req.GetId())}
 	}
 
 	return answer, true, nil
@@ -91,9 +92,9 @@
 	s.lastUsed.Store(time.Now().UnixNano())
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 
-	f, err := readFrame(stream, s.id(), maxRelayFrame)
+	f, err := frame.Read(stream, s.id(), frame.MaxRelay)
 	if err != nil {
-		var fe *FrameError
+		var fe *frame.Error
 		if errors.As(err, &fe) {
 			m.logFrameError(err)
 			s.close()
@@ -110,7 +111,7 @@
 	case *pb.PeerFrame_RelaySearch, *pb.PeerFrame_RelayExecute, *pb.PeerFrame_ClaimApply:
 		err = m.answerRelay(ctx, s, stream, f)
 	default:
-		err = &FrameError{Peer: s.id(), Reason: fmt.Sprintf("%T isn't a request", f.GetBody())}
+		err = &frame.Error{Peer: s.id(), Reason: fmt.Sprintf("%T isn't a request", f.GetBody())}
 		m.logFrameError(err)
 		s.close()
 	}
