routing: prefer searchers that fail fewer of their requests

Change: the expected time that candidates are compared by is divided by the share of attempts that lately succeeded there (weight 1/4, memory 3 s). Ruled out: the back-off after a refusal, which an accepted request ends.

--- /dev/null
+++ b/internal/routing/failing_test.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+)
+
+// Guards against a searcher that fails half of its requests at once, though its
+// health check is good, and goes on to get half of all requests (srv_grey), and
+// against one that is avoided for good after it has recovered.
+func TestSearchersThatFailPartOfTheirRequestsAreAvoided(t *testing.T) {
+	var (
+		table Table
+		grey  int
+		own   int
+	)
+
+	now := time.Unix(1000, 0)
+	shard := &domain.Shard{Searchers: []domain.Searcher{{ID: "grey", Slots: 2}, {ID: "good", Slots: 2}}}
+	send := func(failing bool) string {
+		c, ok := table.Choose(now, Request{Shard: shard, Class: "r"})
+		require.True(t, ok)
+
+		now = now.Add(20 * time.Millisecond)
+
+		if c.Searcher.ID == "grey" {
+			own++
+		}
+
+		if failing && c.Searcher.ID == "grey" && own%2 == 0 {
+			table.ReleaseClass(now, "grey", "r", Refused, time.Millisecond, nil)
+		} else {
+			table.ReleaseClass(now, c.Searcher.ID, "r", Answered, 20*time.Millisecond, &Load{Running: 1})
+		}
+
+		now = now.Add(20 * time.Millisecond)
+
+		return c.Searcher.ID
+	}
+
+	for range 100 {
+		if send(true) == "grey" {
+			grey++
+		}
+	}
+
+	// It takes part in turn until a request fails, and is tried again every few
+	// seconds; 100 requests take 4 s.
+	require.Less(t, grey, 20)
+
+	now = now.Add(20 * time.Second)
+	grey = 0
+
+	for range 100 {
+		if send(false) == "grey" {
+			grey++
+		}
+	}
+
+	require.Greater(t, grey, 30)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -132,6 +132,10 @@
 	state    *state
 	cost     time.Duration
 	service  time.Duration
+	// rank is the cost with that of repeating attempts which fail: a searcher that
+	// fails a part of its requests, though its health check is good, costs as many
+	// times as long.
+	rank     time.Duration
 	penalty  int
 	standing bool
 	probe    bool
@@ -142,7 +146,7 @@
 		return o.searcher == nil || c.penalty < o.penalty
 	}
 
-	return c.cost < o.cost
+	return c.rank < o.rank
 }
 
 func (c candidate) choice() Choice {
@@ -259,6 +263,7 @@
 		return candidate{}, domain.CodeDeadline
 	}
 
+	c.rank = time.Duration(float64(c.cost) / (1 - min(st.failingNow(now), maxFailing)))
 	c.standing = st.queue(now) > float64(sr.Slots)
 
 	if over := st.outstanding - st.limit.Allowed(sr.Slots); over >= 0 {
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"primrosespring.example/internal/domain"
@@ -46,6 +47,10 @@
 	shedUntil   time.Time
 	shedBackoff time.Duration
 
+	// failing is the share of attempts that failed or were refused up to failingAt.
+	failing   float64
+	failingAt time.Time
+
 	// failures counts the failures in a row; the searcher is believed dead
 	// while it isn't zero.
 	failures  int
@@ -119,6 +124,13 @@
 	// to work at twice its estimated speed, so that one whose estimate is too
 	// high gets a request that corrects it.
 	staleAfter = 2 * time.Second
+	// failingWeight is the weight of the latest outcome in the share of failing
+	// attempts; an outcome has lost two thirds of its weight after failingMemory, so
+	// that a searcher that recovered is tried again.
+	failingWeight = 0.25
+	failingMemory = 3 * time.Second
+	// maxFailing bounds the share that an expected time is divided by.
+	maxFailing = 0.9
 	// drainMemory is how long a searcher's own word that it drains outweighs a
 	// status that says otherwise, since a status may lag.
 	drainMemory = 10 * time.Second
@@ -231,6 +243,7 @@
 func (s *state) release(now time.Time, class string, o Outcome, latency time.Duration, load *Load) {
 	s.outstanding--
 	s.since = max(s.since-1, 0)
+	s.outcome(now, o)
 
 	switch o {
 	case Answered:
@@ -254,6 +267,32 @@
 	}
 }
 
+// outcome follows the share of attempts that fail.
+func (s *state) outcome(now time.Time, o Outcome) {
+	sample := 1.0
+
+	switch o {
+	case Cancelled:
+		return
+	case Answered:
+		sample = 0
+	case Shed, Unreachable, Draining, Refused:
+	}
+
+	s.failing = s.failingNow(now)
+	s.failing += (sample - s.failing) * failingWeight
+	s.failingAt = now
+}
+
+// failingNow returns the share of attempts that fail, less the older it is.
+func (s *state) failingNow(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+
+	return s.failing * math.Exp(-float64(now.Sub(s.failingAt))/float64(failingMemory))
+}
+
 // overtaken learns from a request that was given up: it would have taken longer
 // than elapsed. Without it a slow searcher whose requests are all overtaken by
 // their hedges would never be known as slow. The lesson holds for a few of the
