budget, scatter: refuse queries that the extra attempts can't pay for

Cause: while most searchers of many shards refuse requests, the extra attempts that a pool allows don't cover the retries of all queries; spread over all of them, they leave nearly every query below its least coverage, and it fails with an unknown fate after parts of it ran. Change: a pool's budget follows the share of failing attempts; a query is refused with nothing sent if the shards whose budgets can pay for the attempts that it needs don't suffice for an answer. Ruled out: a bound on retries of a query, which serves none whole either.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -130,3 +130,9 @@
 
 // Level implements scatter.Budget: a token bucket doesn't make hedges wait.
 func (s Shared) Level(uint32) float64 { return 1 }
+
+// Observe implements scatter.Budget; a token bucket doesn't follow outcomes.
+func (s Shared) Observe(uint32, bool) {}
+
+// Short implements scatter.Budget: a token bucket refuses no query.
+func (s Shared) Short(uint32, float64) bool { return false }
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -26,6 +27,15 @@
 	// slackShare is the part of the slack that instances divide; the rest covers
 	// instances that started a moment ago and are counted late.
 	slackShare = 0.85
+	// outcomeWeight is the weight of the latest outcome in the share of failing
+	// attempts, so that it follows a change within some tens of attempts.
+	outcomeWeight = 1.0 / 16
+	// usualFailing is the share of failing attempts up to which a budget never
+	// counts as short: retries are rare then, and any budget serves them.
+	usualFailing = 0.2
+	// outcomeMemory is the time after which an outcome has lost two thirds of its
+	// weight, so that requests are tried again when few attempts tell anything.
+	outcomeMemory = time.Second
 )
 
 // Window counts the requests and extra attempts of one pool over a sliding
@@ -40,6 +50,9 @@
 	share    float64
 	requests [steps + 1]int
 	extras   [steps + 1]int
+	// failing is the share of attempts that failed or were refused up to failingAt.
+	failing   float64
+	failingAt time.Time
 	// current is the number of the part that is counted into.
 	current int64
 	started time.Time
@@ -98,6 +111,48 @@
 	}
 }
 
+// Observe takes the outcome of an attempt at the pool: an answer, or a failure or
+// refusal.
+func (w *Window) Observe(now time.Time, answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	sample := 1.0
+	if answered {
+		sample = 0
+	}
+
+	w.failing = w.failingNow(now)
+	w.failing += (sample - w.failing) * outcomeWeight
+	w.failingAt = now
+}
+
+// failingNow returns the share of failing attempts, less the older it is.
+func (w *Window) failingNow(now time.Time) float64 {
+	return w.failing * math.Exp(-float64(now.Sub(w.failingAt))/float64(outcomeMemory))
+}
+
+// Short reports whether the unspent budget can't pay for the attempts that one
+// more request needs, at the share of attempts that lately failed, so that it
+// ends without an answer of the pool in at most the share lacking of all cases.
+// It answers the load pattern of pools that refuse most requests for a while:
+// spread over all requests, the budget would serve none.
+func (w *Window) Short(now time.Time, lacking float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	failing := min(w.failingNow(now), 0.99)
+	if failing <= usualFailing || lacking <= 0 || lacking >= 1 {
+		return false
+	}
+
+	w.roll(now)
+
+	attempts := math.Ceil(math.Log(lacking) / math.Log(failing))
+
+	return w.allowed(now)-float64(w.sum(&w.extras)) < attempts-1
+}
+
 // Level returns the unspent part of what the window allows now, 0 to 1.
 func (w *Window) Level(now time.Time) float64 {
 	w.mu.Lock()
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -41,6 +41,11 @@
 	Return(shard uint32)
 	// Level is the unspent part of the budget, 0 to 1.
 	Level(shard uint32) float64
+	// Observe takes the outcome of an attempt.
+	Observe(shard uint32, answered bool)
+	// Short reports whether the budget can't pay for the attempts that one more
+	// request needs so that at most the share lacking of the shards gets no answer.
+	Short(shard uint32, lacking float64) bool
 }
 
 // Reason says why an attempt is sent.
@@ -97,9 +102,9 @@
 	// the shard has been sent to already: a shed attempt didn't run.
 	RetryShed bool
 	// Crowded is the expected time from which a shard with a standing queue
-	// counts as crowded. If the shards that aren't don't suffice for an answer,
-	// nothing is sent at all: the query would lengthen every queue and be late.
-	// Zero sets no bound.
+	// counts as crowded. If the shards that aren't, and whose budgets aren't short,
+	// don't suffice for an answer, nothing is sent at all: the query would lengthen
+	// every queue and be late, or use up what others need. Zero sets no bound.
 	Crowded time.Duration
 }
 
@@ -124,6 +129,9 @@
 	// guessedHedge is the part of the objective after which a hedge is due while
 	// nothing is known of the latencies of a class of requests.
 	guessedHedge = 0.4
+	// lackingShare is the part of the shards that an answer may lack which is
+	// planned for shards that run out of extra attempts; the rest is for slow ones.
+	lackingShare = 0.5
 	// recheck is how long a hedge that couldn't be sent waits for the next try,
 	// as a divisor of the hedging delay.
 	recheck = 2
@@ -196,6 +204,7 @@
 	s := Step{Send: make([]Attempt, 0, len(q.shards))}
 
 	crowded := 0
+	lacking := lackingShare * (1 - q.leastCoverage())
 	q.open = len(q.shards)
 	q.budget.Fill(len(q.shards), q.params.Service.Rules.ExtraLoadPermille)
 
@@ -209,6 +218,8 @@
 			q.lose(sh, refusal)
 		case q.params.Crowded > 0 && a.Standing && a.Expected > q.params.Crowded:
 			crowded++
+		case q.params.EndEarly && len(q.shards) > 1 && q.budget.Short(uint32(i), lacking):
+			crowded++
 		}
 	}
 
@@ -261,6 +272,7 @@
 
 	latency := now.Sub(a.sent)
 	q.router.Release(now, a.searcher, routing.Answered, latency, load)
+	q.budget.Observe(a.shard, true)
 
 	if a.first {
 		q.hedger.Observe(a.estimate, latency)
@@ -291,6 +303,10 @@
 
 	q.router.Release(now, a.searcher, outcome, now.Sub(a.sent), nil)
 
+	if outcome != routing.Cancelled {
+		q.budget.Observe(a.shard, false)
+	}
+
 	sh := &q.shards[a.shard]
 	sh.failure = code
 
@@ -718,6 +734,11 @@
 	return q.params.EndEarly && !q.acceptable(q.included+q.open)
 }
 
+// leastCoverage is the least share of shards that the rules accept.
+func (q *Query) leastCoverage() float64 {
+	return float64(q.params.Service.Rules.MinCoveragePermille) / domain.Permille
+}
+
 // acceptable reports whether the rules accept that many shards.
 func (q *Query) acceptable(shards int) bool {
 	return coverage.AcceptsCount(q.params.Service.Rules, shards, len(q.shards))
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -258,6 +258,12 @@
 // Level implements Budget.
 func (*onlyFirst) Level(uint32) float64 { return 1 }
 
+// Observe implements Budget.
+func (*onlyFirst) Observe(uint32, bool) {}
+
+// Short implements Budget.
+func (*onlyFirst) Short(uint32, float64) bool { return false }
+
 // levelBudget states a level.
 type levelBudget struct {
 	*onlyFirst
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -15,11 +15,11 @@
 
 // execution is one request at work.
 type execution struct {
-	engine   *Engine
-	view     *directory.View
-	entry    *directory.Entry
-	target   *directory.Target
-	req      *Request
+	engine *Engine
+	view   *directory.View
+	entry  *directory.Entry
+	target *directory.Target
+	req    *Request
 	// margin is kept of the caller's time.
 	margin   time.Duration
 	deadline time.Time
--- a/internal/serving/fake_test.go
+++ b/internal/serving/fake_test.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex // Guards what follows.
 	servers  map[string]*server
 	arrivals map[string]int
+	refusal  error
 }
 
 // server is one searcher of a model.
@@ -38,6 +39,9 @@
 	pauseFor, pauseEvery, phase time.Duration
 	// slow multiplies service times.
 	slow float64
+	// refuses is the share of requests that are refused at once with the model's
+	// refusal.
+	refuses float64
 	// respond overrides the outcome of a request, if it is set.
 	respond func(c Call) (*Reply, *routing.Load, error)
 
@@ -72,8 +76,15 @@
 	m.arrivals[c.Searcher.ID]++
 	mean, _ := time.ParseDuration(c.Request.Header.Get("Work"))
 	work := time.Duration(float64(m.work(mean)) * max(s.slow, 1))
+	refused := s.refuses > 0 && m.rng.Float64() < s.refuses
 	m.mu.Unlock()
 
+	if refused {
+		time.Sleep(time.Millisecond)
+
+		return nil, m.load(s), m.refusal
+	}
+
 	if s.respond != nil {
 		return s.respond(c)
 	}
--- a/internal/serving/load_test.go
+++ b/internal/serving/load_test.go
@@ -84,6 +84,57 @@
 	})
 }
 
+// Guards against a budget of extra attempts that is spread over all queries and
+// serves none: four in five searchers refuse three requests in five for 9 s (day
+// scale-1 of adunni-search-grown, seconds 18 to 27: 13 to 38% of the worth).
+func TestRefusingSearchersLeaveSomeQueriesWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(7, 3, 30, 3, gatheredRoute("list", 30, 200*time.Millisecond, 3*time.Second, 0.95))
+		for _, e := range s.engines {
+			e.SetExtraAttempts(budget.Limit{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
+		}
+
+		var (
+			wg               sync.WaitGroup
+			warm, list, back tally
+		)
+
+		s.offer(t, &wg, "list", 30, 15*time.Millisecond, 3*time.Second, 2*time.Second, &warm)
+		wg.Wait()
+
+		shed := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "send attempt", "shed")
+		set := func(refuse bool) {
+			for p := range 30 {
+				for i := range 3 {
+					sv := s.model.servers[searcherID(p, i)]
+					sv.refuses = 0
+
+					if refuse && (p*3+i)%5 > 0 {
+						sv.refuses = 0.6
+					}
+				}
+			}
+		}
+		s.model.refusal = shed
+
+		set(true)
+		s.offer(t, &wg, "list", 30, 15*time.Millisecond, 3*time.Second, 9*time.Second, &list)
+		wg.Wait()
+		set(false)
+		s.offer(t, &wg, "list", 30, 15*time.Millisecond, 3*time.Second, 4*time.Second, &back)
+		wg.Wait()
+
+		// 270 requests allow 0.18 * 270 extra attempts for a shard and 0.85 of the
+		// slack of 200, about 0.8 for each request. Two shards in five have no searcher
+		// that serves all requests; a request needs 1.5 extra attempts there, so that
+		// half of the queries can be served; a third of those is left for shards that
+		// need more than the mean. The others must hear at once that nothing ran.
+		require.Greater(t, list.share(), 1.0/3)
+		require.Less(t, list.failed, list.asked/5)
+		require.Greater(t, back.share(), 0.9, "no query is refused once the searchers serve again")
+	})
+}
+
 // Guards against the collapse in which queues at the searchers grow until
 // nearly every answer is late: a burst that needs 120% of the slots for 6 s (day
 // trouble-2, seconds 31 to 36).
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -388,3 +388,11 @@
 
 // Level returns the unspent part of the shard's budget, 0 to 1.
 func (b shardBudgets) Level(shard uint32) float64 { return b[shard].Level(time.Now()) }
+
+// Observe takes the outcome of an attempt at the shard.
+func (b shardBudgets) Observe(shard uint32, answered bool) { b[shard].Observe(time.Now(), answered) }
+
+// Short reports whether the shard's budget can't pay for one more request.
+func (b shardBudgets) Short(shard uint32, lacking float64) bool {
+	return b[shard].Short(time.Now(), lacking)
+}
