routing: keep what a longer overtaken attempt told

Cause: an attempt that was taken back or cancelled early told a shorter time than the overtaken one before it and replaced it, so that a slow searcher was forgotten at the next query. Change: while the longer time holds, a shorter one doesn't replace it. Figures: TestEarlyCancelsDontHideSlowSearchers fails without the change (20 ms expected in place of 150 ms).

--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -303,7 +303,14 @@
 		return
 	}
 
-	s.slowAs = min(elapsed, maxOvertaken)
+	slowAs := min(elapsed, maxOvertaken)
+	if now.Before(s.slowUntil) && slowAs <= s.slowAs {
+		// An attempt that was cancelled early, or never begun, tells less than the
+		// one before.
+		return
+	}
+
+	s.slowAs = slowAs
 	s.slowUntil = now.Add(min(max(overtakenGaps*s.gap, minOvertakenTime), maxOvertakenTime))
 }
 
