routing: let no retry find out whether a dead searcher lives again

Cause: a retry was sent as a probe to a searcher that is believed dead as soon as a probe was due, though another copy was known to live; with two attempts for a shard the shard was then lost. While two copies in three refuse connections, probes are due at both at the same times. Change: a retry takes a searcher that is known to live, and probes only if there is none.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -57,6 +57,9 @@
 	Detour time.Duration
 	// Extra marks a hedge, which hardly exceeds a searcher's limit.
 	Extra bool
+	// Sure keeps the request from finding out whether a searcher that is believed
+	// dead lives again, as long as another one can take it.
+	Sure bool
 	// Elsewhere excludes the last entry of Avoid.
 	Elsewhere bool
 	// Within is the longest useful expected time; zero sets no bound.
@@ -160,6 +163,11 @@
 	defer t.mu.Unlock()
 
 	best, refusal := t.pick(now, &r)
+	if best.searcher == nil && r.Sure {
+		r.Sure = false
+		best, refusal = t.pick(now, &r)
+	}
+
 	if best.searcher == nil {
 		return Choice{Refusal: refusal}, false
 	}
@@ -248,7 +256,7 @@
 
 	if st.failures > 0 {
 		switch {
-		case st.probeDue(now) && !r.Extra:
+		case st.probeDue(now) && !r.Extra && !r.Sure:
 			c.probe = true
 
 			return c, ""
