scatter, budget: don't pay for attempts that never reached a searcher

Change: such an attempt gives one extra attempt back, and doesn't count as failing in the decision whether a budget is short; retries ask routing for a searcher that is known to live.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -99,16 +99,15 @@
 	return true
 }
 
-// Return gives back what Take counted for an attempt that wasn't sent.
+// Return gives back one attempt of which nothing reached a searcher. For an extra
+// attempt that is what Take counted; after a first attempt, the next one is the
+// first to arrive and isn't extra.
 func (w *Window) Return(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.roll(now)
-
-	if i := w.current % (steps + 1); w.extras[i] > 0 {
-		w.extras[i]--
-	}
+	w.extras[w.current%(steps+1)]--
 }
 
 // Observe takes the outcome of an attempt at the pool: an answer, or a failure or
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -98,3 +98,20 @@
 	require.LessOrEqual(t, taken, 9, "half of the window has passed")
 	require.Positive(t, taken)
 }
+
+// Guards against retries of attempts that never arrived being counted as extra
+// arrivals, and against the credit for them outliving its window.
+func TestAttemptsThatNeverArrivedAreFree(t *testing.T) {
+	var w Window
+
+	now := time.Unix(1000, 0)
+	w.SetLimit(Limit{Ratio: 0.2, Slack: 2, Window: 10 * time.Second}, 1)
+	require.True(t, w.Take(now))
+	require.False(t, w.Take(now))
+	w.Return(now) // The first attempt of a request.
+	require.True(t, w.Take(now))
+	require.False(t, w.Take(now))
+
+	w.Return(now)
+	require.False(t, w.Take(now.Add(11*time.Second)) && w.Take(now.Add(11*time.Second)))
+}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -183,6 +183,8 @@
 	estimate hedging.Estimate
 	first    bool
 	ended    bool
+	// unsent says that nothing of it reached the searcher.
+	unsent bool
 }
 
 // New returns a query that hasn't started.
@@ -292,6 +294,16 @@
 	return q.finish(now, s)
 }
 
+// Unsent says that nothing of an attempt reached its searcher, which costs the
+// shard's budget nothing. It comes before Failed. It answers the load pattern of
+// many searchers that end at once and refuse connections.
+func (q *Query) Unsent(id uint32) {
+	if int(id) < len(q.attempts) && !q.attempts[id].ended {
+		q.attempts[id].unsent = true
+		q.budget.Return(q.attempts[id].shard)
+	}
+}
+
 // Failed takes the failure of an attempt.
 func (q *Query) Failed(now time.Time, id uint32, outcome routing.Outcome, code domain.Code) Step {
 	var s Step
@@ -303,7 +315,7 @@
 
 	q.router.Release(now, a.searcher, outcome, now.Sub(a.sent), nil)
 
-	if outcome != routing.Cancelled {
+	if outcome != routing.Cancelled && !a.unsent {
 		q.budget.Observe(a.shard, false)
 	}
 
@@ -427,7 +439,7 @@
 
 	c, ok := q.router.Choose(now, routing.Request{
 		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.tried[:sh.sent], Nearby: q.params.Nearby,
-		Eligible: q.eligible, Extra: reason == Hedge, Within: within, Elsewhere: reason == Hedge && !q.again(now, sh),
+		Eligible: q.eligible, Extra: reason == Hedge, Sure: reason == Retry, Within: within, Elsewhere: reason == Hedge && !q.again(now, sh),
 	})
 	if !ok {
 		return nil, c.Refusal
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -264,6 +264,10 @@
 		x.engine.routing.Report(now, a.Searcher.ID, load)
 	}
 
+	if e.Fate == domain.FateNotRun && e.Code == domain.CodeSearcherUnavailable {
+		x.query.Unsent(a.ID)
+	}
+
 	return x.fail(now, a, outcomeOf(e), e.Code, e.Fate)
 }
 
--- a/internal/serving/load_test.go
+++ b/internal/serving/load_test.go
@@ -135,6 +135,45 @@
 	})
 }
 
+// Guards against a budget of extra attempts that is spent on attempts which never
+// reached a searcher: two copies in three end at once and refuse connections for
+// 3 s, before the store says so (incident adunni inc-9b99, seconds 6 to 10: 1,025
+// connections refused, 741 retries).
+func TestRefusedConnectionsCostNoExtraAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(8, 1, 30, 3, gatheredRoute("list", 30, 200*time.Millisecond, 3*time.Second, 0.95))
+		s.engines[0].SetExtraAttempts(budget.Limit{Ratio: 0.1, Window: 10 * time.Second})
+
+		var (
+			wg         sync.WaitGroup
+			warm, list tally
+		)
+
+		s.offer(t, &wg, "list", 20, 15*time.Millisecond, 3*time.Second, 2*time.Second, &warm)
+		wg.Wait()
+
+		gone := domain.Errorf(domain.FateNotRun, domain.CodeSearcherUnavailable, "send attempt", "connection refused")
+
+		for p := range 30 {
+			for i := range 2 {
+				s.model.servers[searcherID(p, (p+i)%3)].respond = func(Call) (*Reply, *routing.Load, error) {
+					time.Sleep(10 * time.Millisecond)
+
+					return nil, nil, gone
+				}
+			}
+		}
+
+		s.offer(t, &wg, "list", 20, 15*time.Millisecond, 3*time.Second, 3*time.Second, &list)
+		wg.Wait()
+
+		// Two attempts at most, one of them at a copy that lives once the others are
+		// known; only the first queries, of which a third of the shards meet two dead
+		// copies, can't be answered.
+		require.Greater(t, list.share(), 0.9)
+	})
+}
+
 // Guards against the collapse in which queues at the searchers grow until
 // nearly every answer is late: a burst that needs 120% of the slots for 6 s (day
 // trouble-2, seconds 31 to 36).
