--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,174 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeStore holds entries and fails while it is down.
+type fakeStore struct {
+	mu       sync.Mutex // Guards what follows.
+	entries  []Entry
+	down     bool
+	lists    int
+	replaced []Entry
+}
+
+var errDown = errors.New("down")
+
+// CreateInstance implements Store.
+func (s *fakeStore) CreateInstance(_ context.Context, e Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return errDown
+	}
+
+	if !slices.ContainsFunc(s.entries, func(o Entry) bool { return o.ID == e.ID }) {
+		s.entries = append(s.entries, e)
+	}
+
+	return nil
+}
+
+// ReplaceInstance implements Store.
+func (s *fakeStore) ReplaceInstance(_ context.Context, e Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.replaced = append(s.replaced, e)
+
+	for i := range s.entries {
+		if s.entries[i].ID == e.ID {
+			s.entries[i] = e
+		}
+	}
+
+	return nil
+}
+
+// ListInstances implements Store.
+func (s *fakeStore) ListInstances(context.Context) ([]Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return nil, errDown
+	}
+
+	s.lists++
+
+	return slices.Clone(s.entries), nil
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// start runs a roster until the end of the test and returns the lists that it
+// told of.
+func start(t *testing.T, s *fakeStore, self Entry) func() [][]Entry {
+	t.Helper()
+
+	var (
+		mu    sync.Mutex
+		lists [][]Entry
+		wg    sync.WaitGroup
+	)
+
+	r := New(zerolog.New(io.Discard), s, self)
+	r.Changed = func(list []Entry) {
+		mu.Lock()
+		defer mu.Unlock()
+
+		lists = append(lists, list)
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	wg.Go(func() { r.Run(ctx) })
+
+	return func() [][]Entry {
+		mu.Lock()
+		defer mu.Unlock()
+
+		return slices.Clone(lists)
+	}
+}
+
+// Guards against a roster that misses the instances which start a moment later,
+// and one that reads the list more often than its price allows.
+func TestRosterSettlesAndThenReadsSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		lists := start(t, s, Entry{ID: "b"})
+
+		synctest.Wait()
+		require.Equal(t, [][]Entry{{{ID: "b"}}}, lists())
+
+		s.set(func() { s.entries = append(s.entries, Entry{ID: "a"}) })
+		time.Sleep(settleEvery)
+		synctest.Wait()
+		require.Equal(t, []Entry{{ID: "a"}, {ID: "b"}}, lists()[1])
+
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Len(t, lists(), 2)
+		require.LessOrEqual(t, s.lists, 10)
+	})
+}
+
+// Guards against an address of an earlier machine of the same name, at which
+// nobody takes what other instances hand over.
+func TestEntriesOfEarlierMachinesAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{entries: []Entry{{ID: "a", PeerAddress: "10.0.0.1:1", Started: 1}, {ID: "b", Started: 1}}}
+		self := Entry{ID: "a", PeerAddress: "10.0.0.2:1", Started: 2}
+		lists := start(t, s, self)
+
+		synctest.Wait()
+		require.Equal(t, []Entry{self}, s.replaced)
+		require.Equal(t, self, lists()[0][0])
+
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Len(t, s.replaced, 1, "a restart alone replaces nothing")
+	})
+}
+
+// Guards against a fleet that is forgotten while the store is away.
+func TestOutagesKeepTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{down: true}
+		lists := start(t, s, Entry{ID: "a"})
+
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.Empty(t, lists())
+
+		s.set(func() { s.down = false })
+		time.Sleep(retryEvery)
+		synctest.Wait()
+		require.Len(t, lists(), 1)
+
+		s.set(func() { s.down = true })
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Len(t, lists(), 1)
+	})
+}
