scenario: spoil the copy that is asked first in answers_spoiled

Which copy is asked first depends on the load before. Change: the copies of the shard are spoiled in turn until an answer tells of a further attempt and the log shows the retry; each search must still be answered 200.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -26,9 +26,11 @@
 //	get URL, put URL FILE     HTTP requests; the body goes to standard output
 //	post URL FILE             posts JSON
 //	await-post URL FILE       repeats a post until it answers 200
-//	post-until-logged NAME PATTERN URL FILE
-//	                          repeats a post, which must answer 200 each time, until
-//	                          the part of a process's log written since matches
+//	spoil-until-retried SHARD FAULT NAME URL FILE TEXT
+//	                          spoils the answers of one copy of a shard of portal-inst
+//	                          after another while it posts, until an answer has TEXT
+//	                          and the log of the instance shows a retry; each post
+//	                          must answer 200
 //	await-get URL PATTERN     repeats a get until its body matches, or doesn't
 //	await-status PATTERN      repeats "primrosectl status" until it matches
 //	await-partial URL FILE    repeats a search until a shard has no live searcher
@@ -121,7 +123,7 @@
 			"pause": signalCommand(syscall.SIGSTOP), "resume": signalCommand(syscall.SIGCONT),
 			"system": system, "instance": instance, "restarts": restarts,
 			"switch-index": switchIndex, "await-index": awaitIndex, "load": load, "join": join, "race": race, "poll": poll, "rising": rising,
-			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost, "post-until-logged": postUntilLogged,
+			"ready": ready, "until": until, "get": get, "put": put, "post": post, "await-post": awaitPost, "spoil-until-retried": spoilUntilRetried,
 			"await-get": awaitGet, "await-log": awaitLog,
 			"await-status": awaitFleetStatus, "await-partial": awaitPartial,
 		},
@@ -233,16 +235,46 @@
 	})
 }
 
-// postUntilLogged repeats a post, so that what a log has to show must happen
-// sooner or later; every answer goes to standard output.
-func postUntilLogged(ts *testscript.TestScript, _ bool, args []string) {
-	log, pattern, body := ts.MkAbs(args[0]+".log"), regexp.MustCompile(args[1]), []byte(ts.ReadFile(args[3]))
+// spoilUntilRetried forces a retry: an instance without load sends the first
+// attempt to the copy that it expects to be faster, whichever that is, so that
+// spoiling the copies in turn must spoil a first attempt. Every answer goes to
+// standard output.
+func spoilUntilRetried(ts *testscript.TestScript, _ bool, args []string) {
+	const (
+		posts = 5
+		// reads is how often the log is read after a retry before more is posted;
+		// lines are written a few times a second.
+		reads = 50
+	)
+
+	log, fault, body := ts.MkAbs(args[2]+".log"), ts.ReadFile(args[1]), []byte(ts.ReadFile(args[4]))
+	pattern := regexp.MustCompile(fmt.Sprintf(`shard=%s searcher=\S+ reason=retry`, args[0]))
 
 	before, err := os.ReadFile(log)
 	ts.Check(err)
 
-	wait(ts, "waiting for "+args[1]+" in the log of "+args[0], func() error {
-		answer(ts, false, http.MethodPost, args[2], body)
+	spoil := func(replica int, fault string) {
+		_, err := request(http.MethodPut,
+			fmt.Sprintf("http://%s/fake/faults?id=portal-inst-%s-%d", ts.Getenv("SEARCHERS"), args[0], replica), []byte(fault))
+		ts.Check(err)
+	}
+
+	replica, left := 0, 0
+
+	wait(ts, "waiting for a retry of shard "+args[0]+" in the log of "+args[2], func() error {
+		if left--; left < 0 {
+			spoil(replica, fault)
+
+			for range posts {
+				if bytes.Contains(answer(ts, false, http.MethodPost, args[3], body), []byte(args[5])) {
+					left = reads
+				}
+			}
+
+			spoil(replica, "{}")
+
+			replica = 1 - replica
+		}
 
 		data, err := os.ReadFile(log)
 		if err == nil && !pattern.Match(data[len(before):]) {
@@ -255,7 +287,7 @@
 
 // answer makes one request. Its body is the script's standard output; a status
 // of 400 or more is a failure.
-func answer(ts *testscript.TestScript, neg bool, method, url string, body []byte) {
+func answer(ts *testscript.TestScript, neg bool, method, url string, body []byte) []byte {
 	data, err := request(method, url, body)
 
 	_, _ = ts.Stdout().Write(data)
@@ -263,6 +295,8 @@
 	if (err != nil) != neg {
 		ts.Fatalf("%s %s: error %v, body %s", method, url, err, data)
 	}
+
+	return data
 }
 
 var errStatus = errors.New("status")
