--- /dev/null
+++ b/internal/scatter/extra.go
@@ -0,0 +1,216 @@
+// Retries and hedges: when they are due, whether the rules allow them, and where
+// they go.
+
+package scatter
+
+import (
+	"slices"
+	"time"
+
+	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/routing"
+)
+
+const (
+	// againFactor is how many hedging delays an attempt must have taken before
+	// its searcher gets the hedge too.
+	againFactor = 1.4
+	// plenty is the unspent part of a shard's budget above which hedges are sent
+	// early. Below it they wait, so that the rest goes to attempts that are truly
+	// stuck and not to the slower ones of the healthy.
+	plenty = 0.5
+	// hedgeReserve is how many times its expected latency a hedge is given before
+	// the objective: 99 in 100 of service times with the usual spread take less.
+	hedgeReserve = 2.5
+	// hedgeSetup is given to a hedge besides: it often goes to another failure
+	// domain, on a new connection.
+	hedgeSetup = 25 * time.Millisecond
+	// guessedHedge is the part of the objective after which a hedge is due while
+	// nothing is known of the latencies of a class of requests.
+	guessedHedge = 0.4
+	// recheck is how long a hedge that couldn't be sent waits for the next try,
+	// as a divisor of the hedging delay.
+	recheck = 2
+)
+
+// hedgeDelay returns how long after an attempt its hedge is due. The less is left
+// of the shard's budget, the closer it comes to the last moment at which a hedge
+// can still answer within the objective. It answers the load pattern of many slow
+// searchers: hedges of the slower healthy attempts would use the budget up before
+// the stuck ones are due.
+func (q *Query) hedgeDelay(now time.Time, shard uint32, e hedging.Estimate, reason Reason, c *routing.Choice) time.Duration {
+	// The hedge of a probe is sent early, since the searcher may be dead.
+	early := q.hedger.Delay(e, reason == First && !c.Probe)
+	if q.params.Objective.IsZero() || reason != First || c.Probe {
+		return early
+	}
+
+	left := q.params.Objective.Sub(now)
+
+	if c.Guessed {
+		return max(early, time.Duration(guessedHedge*float64(left)))
+	}
+
+	latest := left - time.Duration(hedgeReserve*float64(e.Total())) - hedgeSetup
+	scarcity := max(1-q.budget.Level(shard)/plenty, 0)
+
+	return early + time.Duration(scarcity*float64(max(latest-early, 0)))
+}
+
+// hedge sends a further attempt while others are at work, if that is likely to
+// answer sooner. If it can't be sent now, it is tried again later, because the
+// budget fills and queues shrink.
+func (q *Query) hedge(now time.Time, shard uint32, s *Step) {
+	sh := &q.shards[shard]
+	sh.nextAt = time.Time{}
+
+	if !q.params.Service.Rules.Hedging || !q.mayTry(sh) {
+		return
+	}
+
+	last := &q.attempts[sh.ids[sh.sent-1]]
+	within := min(q.left(now), q.hedger.Left(last.estimate, now.Sub(last.sent)))
+
+	kind := budget.Hedge
+	if sh.late || sh.sent > 1 {
+		kind = budget.LateHedge
+	}
+
+	if within > 0 && q.budget.Take(shard, kind) {
+		if a, _ := q.send(now, shard, Hedge, within, s); a != nil {
+			q.replace(now, shard, a.Searcher.ID, s)
+
+			return
+		}
+
+		q.budget.Return(shard)
+	}
+
+	sh.late = true
+	sh.nextAt = now.Add(q.hedger.Delay(last.estimate, false) / recheck)
+}
+
+// again reports whether a hedge may go to the searcher that has the last
+// attempt. What is late there is more often in the queue than in service, and
+// would be put back to its end.
+func (q *Query) again(now time.Time, sh *shardState) bool {
+	last := &q.attempts[sh.ids[sh.sent-1]]
+
+	return float64(now.Sub(last.sent)) >= againFactor*float64(q.hedger.Delay(last.estimate, true))
+}
+
+// replace cancels the attempts that the newest one repeats at the same
+// searcher. They would go on to hold the slots that it waits for.
+func (q *Query) replace(now time.Time, shard uint32, searcher string, s *Step) {
+	sh := &q.shards[shard]
+
+	for _, id := range sh.ids[:sh.sent-1] {
+		if q.attempts[id].searcher == searcher {
+			q.giveUp(now, id, s)
+		}
+	}
+}
+
+// retry replaces attempts that have all failed, and gives the shard up when
+// that can't succeed in the time left.
+func (q *Query) retry(now time.Time, shard uint32, expected time.Duration, s *Step) {
+	sh := &q.shards[shard]
+	sh.nextAt = time.Time{}
+
+	if !q.mayTry(sh) {
+		q.lose(sh, sh.failure)
+
+		return
+	}
+
+	if expected > 0 && sh.failure == domain.CodeOverloaded && q.allTried(sh) {
+		// Every searcher has just shed the request; a queue needs about one
+		// latency to get shorter.
+		sh.nextAt = now.Add(expected)
+
+		return
+	}
+
+	if !q.budget.Take(shard, budget.Retry) {
+		if o := q.params.Objective; !o.IsZero() && !now.Before(o) {
+			// The caller learns at once, rather than at the deadline, that the
+			// searchers take no more.
+			q.lose(sh, domain.CodeOverloaded)
+
+			return
+		}
+
+		sh.nextAt = now.Add(q.hedger.Delay(q.attempts[sh.ids[sh.sent-1]].estimate, false))
+
+		return
+	}
+
+	if a, refusal := q.send(now, shard, Retry, patience*q.left(now), s); a == nil {
+		q.budget.Return(shard)
+		q.lose(sh, q.lost(sh, refusal))
+	}
+}
+
+// allTried reports whether no searcher of the shard is left untried.
+func (q *Query) allTried(sh *shardState) bool {
+	n := 0
+
+	for i := range sh.sent {
+		known := false
+		for j := range i {
+			known = known || sh.tried[j] == sh.tried[i]
+		}
+
+		if !known {
+			n++
+		}
+	}
+
+	return n >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.ids[0]].shard].Searchers)
+}
+
+// lost returns the code of a shard without a usable searcher: what its own
+// attempts met says more than what routing believes.
+func (q *Query) lost(sh *shardState, refusal domain.Code) domain.Code {
+	if sh.failure != "" && sh.failure != domain.CodeSearcherUnavailable {
+		return sh.failure
+	}
+
+	return refusal
+}
+
+// mayTry reports whether the rules allow another attempt. One that was shed
+// didn't run and doesn't count.
+func (q *Query) mayTry(sh *shardState) bool {
+	return sh.sent < min(int(q.params.Service.Rules.MaxAttempts)+sh.shed, len(sh.ids))
+}
+
+// mayReach reports whether an attempt at the searcher keeps to the number of
+// searchers that the rules allow for a shard; shed attempts count here.
+func (q *Query) mayReach(sh *shardState, searcher string) bool {
+	distinct := 0
+
+	for i, id := range sh.tried[:sh.sent] {
+		if id == searcher {
+			return true
+		}
+
+		if !slices.Contains(sh.tried[:i], id) {
+			distinct++
+		}
+	}
+
+	return distinct < int(q.params.Service.Rules.MaxAttempts)
+}
+
+// Unsent says that nothing of an attempt reached its searcher, which costs the
+// shard's budget nothing. It comes before Failed. It answers the load pattern of
+// many searchers that end at once and refuse connections.
+func (q *Query) Unsent(id uint32) {
+	if int(id) < len(q.attempts) && !q.attempts[id].ended {
+		q.attempts[id].unsent = true
+		q.budget.Return(q.attempts[id].shard)
+	}
+}
