gatherer: close sessions without holding a lock

Cause: found by reading: SetPlan, Close and drop closed yamux sessions, which is output, under the client's lock; design.md says that no lock is held during input or output. A connection that was accepted while the server closed could keep Close waiting. Change: sessions are collected under the lock and closed after it; a session that begins after Close is closed at once. The lock order is in design.md.

--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -172,7 +172,8 @@
 func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
 	return &Engine{
 		log: log, settings: s, directory: d, searchers: sr, routing: rt,
-		shares: Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed}, started: time.Now(), delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*poolBudget),
+		started: time.Now(), shares: Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed},
+		delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*poolBudget),
 	}
 }
 
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -55,9 +55,18 @@
 
 // SetPlan says to whom queries are handed over, and connects to them.
 func (c *Client) SetPlan(p gathering.Plan) {
+	for _, s := range c.replan(p) {
+		_ = s.Close()
+	}
+}
+
+// replan takes a plan and returns the sessions that it has no use for.
+func (c *Client) replan(p gathering.Plan) []*yamux.Session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	var unused []*yamux.Session
+
 	c.plan = p
 	known := c.peers
 	c.peers = make(map[string]*peer)
@@ -74,26 +83,28 @@
 
 	for id, old := range known {
 		if c.peers[id] != old && old.session != nil {
-			_ = old.session.Close()
+			unused = append(unused, old.session)
 		}
 	}
 
 	for _, in := range p.Near {
 		c.connect(c.peers[in.ID])
 	}
+
+	return unused
 }
 
 // Close ends all sessions.
 func (c *Client) Close() {
+	unused := c.replan(gathering.Plan{})
+
 	c.mu.Lock()
 	c.closed = true
+	c.mu.Unlock()
 
-	for _, p := range c.peers {
-		if p.session != nil {
-			_ = p.session.Close()
-		}
+	for _, s := range unused {
+		_ = s.Close()
 	}
-	c.mu.Unlock()
 
 	c.work.Wait()
 }
@@ -183,7 +194,7 @@
 		case err != nil:
 			c.avoid(p, "connect", err)
 		case c.closed || c.peers[p.instance.ID] != p:
-			_ = s.Close()
+			c.work.Go(func() { _ = s.Close() })
 		default:
 			p.session = s
 			c.log.Info().Str("event", "gatherer_connected").Str("gatherer", p.instance.ID).
@@ -218,12 +229,12 @@
 // drop closes the session of a peer that failed.
 func (c *Client) drop(p *peer, s *yamux.Session, step string, cause error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 
 	if p.session == s {
 		p.session = nil
 		c.avoid(p, step, cause)
 	}
+	c.mu.Unlock()
 
 	_ = s.Close()
 }
--- a/primrosed/internal/gatherer/server.go
+++ b/primrosed/internal/gatherer/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +39,7 @@
 	open     map[*yamux.Session]bool
 	working  int
 	stopping bool
+	closed   bool
 }
 
 // NewServer returns a server of the instance self for at most limit queries at a
@@ -81,10 +84,13 @@
 // Close ends all sessions; the listener must be closed before.
 func (s *Server) Close() {
 	s.mu.Lock()
-	for mux := range s.open {
+	s.closed = true
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+
+	for _, mux := range open {
 		_ = mux.Close()
 	}
-	s.mu.Unlock()
 
 	s.sessions.Wait()
 }
@@ -99,8 +105,13 @@
 
 	s.mu.Lock()
 	s.open[mux] = true
+	closed := s.closed
 	s.mu.Unlock()
 
+	if closed {
+		_ = mux.Close()
+	}
+
 	defer func() {
 		_ = mux.Close()
 
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -224,7 +224,7 @@
 	stop()
 	_ = handovers.Close()
 	i.parts.Gatherer.Close()
-	i.parts.Gatherers.Close()
+	i.parts.Gatherers.Close() //nolint:contextcheck // An empty plan connects to nobody.
 	wg.Wait()
 
 	for _, s := range state {
