serving: read the model under its lock in a test

Cause: found by the race detector while this change was read again: TestOvertakenAttemptsEndAtOnce read and set searchers of the model while attempts that were cancelled still left it. Only the test was at fault. Change: the lock is held; the assertions are the same.

--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -225,6 +225,7 @@
 			require.NoError(t, err)
 		}
 
+		s.model.mu.Lock()
 		for _, sv := range s.model.servers {
 			sv.ran = nil
 		}
@@ -235,8 +236,12 @@
 
 		stuck := s.model.servers[searcherID(0, 0)]
 		stuck.slow = 1000
+		s.model.mu.Unlock()
 
 		time.AfterFunc(400*time.Millisecond, func() {
+			s.model.mu.Lock()
+			defer s.model.mu.Unlock()
+
 			require.Zero(t, stuck.running, "its shard has been answered by the other copy")
 			require.Positive(t, s.model.servers[searcherID(1, 0)].running+s.model.servers[searcherID(1, 1)].running)
 		})
