--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"primrosespring.example/internal/outcome"
 )
 
 // Limit is what extra attempts a pool of searchers allows in any span of
@@ -50,9 +52,8 @@
 	share    float64
 	requests [steps + 1]int
 	extras   [steps + 1]int
-	// failing is the share of attempts that failed or were refused up to failingAt.
-	failing   float64
-	failingAt time.Time
+	// failing is the share of attempts that failed or were refused.
+	failing outcome.Share
 	// current is the number of the part that is counted into.
 	current int64
 	started time.Time
@@ -116,19 +117,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	sample := 1.0
-	if answered {
-		sample = 0
-	}
-
-	w.failing = w.failingNow(now)
-	w.failing += (sample - w.failing) * outcomeWeight
-	w.failingAt = now
-}
-
-// failingNow returns the share of failing attempts, less the older it is.
-func (w *Window) failingNow(now time.Time) float64 {
-	return w.failing * math.Exp(-float64(now.Sub(w.failingAt))/float64(outcomeMemory))
+	w.failing.Add(now, !answered, outcomeWeight, outcomeMemory)
 }
 
 // Short reports whether the unspent budget can't pay for the attempts that one
@@ -140,7 +129,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	failing := min(w.failingNow(now), 0.99)
+	failing := min(w.failing.At(now, outcomeMemory), 0.99)
 	if failing <= usualFailing || lacking <= 0 || lacking >= 1 {
 		return false
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -42,22 +42,6 @@
 	Searchers map[string]*domain.Searcher
 }
 
-// GatheredConnections returns the least number of connections that a searcher of
-// a gathered route accepts, or 0 if there is no such route.
-func (v *View) GatheredConnections() int {
-	least := 0
-
-	for i := range v.Table.Routes {
-		for _, name := range v.Table.Routes[i].Shards {
-			if p, ok := v.Table.Pool(name); ok && (least == 0 || int(p.Connections) < least) {
-				least = int(p.Connections)
-			}
-		}
-	}
-
-	return least
-}
-
 // Match returns the route for a request.
 func (v *View) Match(host, path string) (*Entry, bool) {
 	i, ok := v.Table.Match(host, path)
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -168,6 +168,22 @@
 	return best, best >= 0
 }
 
+// GatheredConnections returns the least number of connections that a searcher of
+// a gathered route accepts, or 0 if there is no such route.
+func (t *RouteTable) GatheredConnections() int {
+	least := 0
+
+	for i := range t.Routes {
+		for _, name := range t.Routes[i].Shards {
+			if p, ok := t.Pool(name); ok && (least == 0 || int(p.Connections) < least) {
+				least = int(p.Connections)
+			}
+		}
+	}
+
+	return least
+}
+
 // Pool returns the pool of that name.
 func (t *RouteTable) Pool(name string) (Pool, bool) {
 	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == name })
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,12 +58,12 @@
 	ListInstances(ctx context.Context) ([]Entry, error)
 }
 
-// Roster knows the instances. It is safe for concurrent use.
+// Roster knows the instances. Only Run, which is called once, uses its state.
 type Roster struct {
 	log   zerolog.Logger
 	store Store
 	self  Entry
-	count atomic.Int64
+	// known is the last list that differed from the one before.
 	known []Entry
 	// Changed is called with a new list, which it must not change; it must be set
 	// before Run.
@@ -73,14 +72,11 @@
 
 // New returns a roster that assumes Assumed instances.
 func New(log zerolog.Logger, s Store, self Entry) *Roster {
-	r := &Roster{log: log, store: s, self: self}
-	r.count.Store(Assumed)
-
-	return r
+	return &Roster{log: log, store: s, self: self}
 }
 
-// Instances returns how many instances there are.
-func (r *Roster) Instances() int { return int(r.count.Load()) }
+// instances returns how many instances are known, or Assumed before a list.
+func (r *Roster) instances() int { return cmp.Or(len(r.known), Assumed) }
 
 // Run registers the instance and keeps the count until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
@@ -100,10 +96,10 @@
 
 			if !failing && ctx.Err() == nil {
 				r.log.Warn().Str("event", "roster_unavailable").Bool("registered", registered).
-					Int("instances", r.Instances()).Err(err).Send()
+					Int("instances", r.instances()).Err(err).Send()
 			}
 		case failing:
-			r.log.Info().Str("event", "roster_regained").Int("instances", r.Instances()).Send()
+			r.log.Info().Str("event", "roster_regained").Int("instances", r.instances()).Send()
 		}
 
 		failing = err != nil
@@ -159,7 +155,6 @@
 	}
 
 	r.log.Info().Str("event", "roster").Int("instances", len(entries)).Int("before", len(r.known)).Send()
-	r.count.Store(int64(max(len(entries), 1)))
 	r.known = entries
 	r.Changed(entries)
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -271,7 +271,7 @@
 		return candidate{}, domain.CodeDeadline
 	}
 
-	c.rank = time.Duration(float64(c.cost) / (1 - min(st.failingNow(now), maxFailing)))
+	c.rank = time.Duration(float64(c.cost) / (1 - min(st.failing.At(now, failingMemory), maxFailing)))
 	c.standing = st.queue(now) > float64(sr.Slots)
 
 	if over := st.outstanding - st.limit.Allowed(sr.Slots); over >= 0 {
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -1,11 +1,11 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/limits"
+	"primrosespring.example/internal/outcome"
 )
 
 // state is what the instance knows of one searcher. The table's lock guards it.
@@ -47,9 +47,8 @@
 	shedUntil   time.Time
 	shedBackoff time.Duration
 
-	// failing is the share of attempts that failed or were refused up to failingAt.
-	failing   float64
-	failingAt time.Time
+	// failing is the share of attempts that failed or were refused.
+	failing outcome.Share
 
 	// failures counts the failures in a row; the searcher is believed dead
 	// while it isn't zero.
@@ -269,28 +268,9 @@
 
 // outcome follows the share of attempts that fail.
 func (s *state) outcome(now time.Time, o Outcome) {
-	sample := 1.0
-
-	switch o {
-	case Cancelled:
-		return
-	case Answered:
-		sample = 0
-	case Shed, Unreachable, Draining, Refused:
+	if o != Cancelled {
+		s.failing.Add(now, o != Answered, failingWeight, failingMemory)
 	}
-
-	s.failing = s.failingNow(now)
-	s.failing += (sample - s.failing) * failingWeight
-	s.failingAt = now
-}
-
-// failingNow returns the share of attempts that fail, less the older it is.
-func (s *state) failingNow(now time.Time) float64 {
-	if s.failing == 0 {
-		return 0
-	}
-
-	return s.failing * math.Exp(-float64(now.Sub(s.failingAt))/float64(failingMemory))
 }
 
 // overtaken learns from a request that was given up: it would have taken longer
--- /dev/null
+++ b/primrosed/internal/frame/hangup.go
@@ -0,0 +1,36 @@
+package frame
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Stream is the part of a yamux stream that Hangup uses.
+type Stream interface {
+	io.Reader
+	SetReadDeadline(t time.Time) error
+}
+
+// Hangup returns a context that ends when the peer closes the stream or sends a
+// stray byte, and a function that ends the watch. The peer must have nothing more
+// to send.
+func Hangup(ctx context.Context, s Stream) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		defer cancel()
+
+		var b [1]byte
+
+		_, _ = s.Read(b[:])
+	}()
+
+	return ctx, func() {
+		_ = s.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		cancel()
+	}
+}
--- a/primrosed/internal/gatherer/server.go
+++ b/primrosed/internal/gatherer/server.go
@@ -163,7 +163,11 @@
 	if s.started(from, stream) {
 		taken.Inc()
 
-		resp, err := s.run(ctx, stream, serve)
+		// The query is cancelled when the sender closes the stream.
+		ctx, done := frame.Hangup(ctx, stream)
+		resp, err := serve(ctx)
+
+		done()
 		s.answer(stream, r.ID, resp, err)
 	}
 }
@@ -230,31 +234,6 @@
 	return true
 }
 
-// run carries out a query; it is cancelled when the sender closes the stream.
-func (s *Server) run(ctx context.Context, stream *yamux.Stream, serve func(context.Context) (*serving.Response, error),
-) (*serving.Response, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-
-	watched := make(chan struct{})
-
-	go func() {
-		defer close(watched)
-		defer cancel()
-
-		var b [1]byte
-
-		_, _ = stream.Read(b[:]) // Any end of the wait, or a stray byte, ends the query.
-	}()
-
-	resp, err := serve(ctx)
-
-	_ = stream.SetReadDeadline(time.Unix(1, 0))
-	<-watched
-
-	return resp, err
-}
-
 // answer sends the outcome. A sender that has left doesn't need it.
 func (s *Server) answer(stream *yamux.Stream, requestID string, resp *serving.Response, err error) {
 	a := &pb.HandoverAnswer{RequestId: requestID}
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -61,7 +61,7 @@
 	defer f.mu.Unlock()
 
 	if v := i.parts.Directory.View(); v != nil {
-		f.connections = v.GatheredConnections()
+		f.connections = v.Table.GatheredConnections()
 	}
 
 	if len(f.instances) == 0 {
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -364,7 +364,6 @@
 
 	i.parts.Group.Retain(i.parts.Directory.Usable)
 	i.parts.Table.Retain(i.parts.Directory.Usable)
-	i.replan()
 }
 
 // configurationSink takes configurations from the store.
@@ -396,6 +395,7 @@
 
 	if took {
 		s.changed()
+		s.replan()
 	}
 }
 
--- a/primrosed/internal/peer/relay.go
+++ b/primrosed/internal/peer/relay.go
@@ -191,7 +191,7 @@
 // answerRelay runs a relayed request and sends its answer. The request is
 // cancelled when the peer closes the stream.
 func (m *Mesh) answerRelay(ctx context.Context, s *session, stream *yamux.Stream, f *pb.PeerFrame) error {
-	ctx, done := m.hangup(ctx, stream)
+	ctx, done := frame.Hangup(ctx, stream)
 	defer done()
 
 	answer := &pb.PeerFrame{Id: f.GetId()}
--- a/primrosed/internal/peer/stream.go
+++ b/primrosed/internal/peer/stream.go
@@ -121,28 +121,6 @@
 	}
 }
 
-// hangup returns a context that ends when the peer closes the stream, and a
-// function that ends the watch.
-func (m *Mesh) hangup(ctx context.Context, stream *yamux.Stream) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-
-	go func() {
-		defer close(done)
-		defer cancel()
-
-		var b [1]byte
-
-		_, _ = stream.Read(b[:])
-	}()
-
-	return ctx, func() {
-		_ = stream.SetReadDeadline(time.Unix(1, 0))
-		<-done
-		cancel()
-	}
-}
-
 // relaySession returns the open relay session with an instance or dials one.
 func (m *Mesh) relaySession(ctx context.Context, to domain.Instance) (*session, error) {
 	for {
