rpc: refuse unknown JSON fields and large requests as invalid

It also reads such a body to its end first.

Change: package rpc has the codec, the bound on the body and the bound on what gzip unpacks to, for callers and operators alike. A JSON error keeps the library's wrapping, without the typed refusal: its text names the field, and FromConnect gives it the code invalid.

Ruled out: an interceptor, since Connect decodes before it calls one; http.MaxBytesReader, since Connect turns its error into the same 429.

The tests fail with the library's own limit and codec: "unknown field" answers 501 instead of 400, the large ones 429.

--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -92,6 +92,8 @@
 		code = domain.CodeCancelled
 	case connect.CodeOf(err) == connect.CodeUnavailable:
 		code = domain.CodePeerUnavailable
+	case connect.CodeOf(err) == connect.CodeInvalidArgument:
+		code = domain.CodeInvalid
 	}
 
 	return &domain.Error{Code: code, Step: step, Peer: peer, Message: "call failed", Cause: err}
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
@@ -26,6 +25,7 @@
 	"primrosespring.example/primrosed/internal/peer"
 	"primrosespring.example/primrosed/internal/platform"
 	"primrosespring.example/primrosed/internal/query"
+	"primrosespring.example/primrosed/internal/rpc"
 	"primrosespring.example/primrosed/internal/searcher"
 	"primrosespring.example/primrosed/internal/settings"
 )
@@ -217,11 +217,11 @@
 	callers.Use(i.closeWhenStopping)
 	operators.Use(i.closeWhenStopping, i.endStreamsWhenStopping)
 
-	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller, connect.WithReadMaxBytes(maxCallerBytes))
-	callers.Mount(path, h)
+	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller, rpc.Options(maxCallerBytes))
+	callers.Mount(path, rpc.LimitBody(maxCallerBytes, h))
 
-	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator, connect.WithReadMaxBytes(maxOperatorBytes))
-	operators.Mount(path, h)
+	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator, rpc.Options(maxOperatorBytes))
+	operators.Mount(path, rpc.LimitBody(maxOperatorBytes, h))
 
 	out := &servers{}
 
