--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
+
+	"github.com/juju/errors"
 
 	"primrosespring.example/internal/domain"
 )
@@ -39,7 +40,7 @@
 func Decode(data []byte) (*Stored, error) {
 	var s Stored
 	if err := json.Unmarshal(data, &s); err != nil {
-		return nil, fmt.Errorf("decode stored configuration: %w", err)
+		return nil, errors.Annotate(err, "decode stored configuration")
 	}
 
 	return &s, nil
@@ -50,7 +51,7 @@
 func (s *Stored) Encode() ([]byte, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
-		return nil, fmt.Errorf("encode stored configuration: %w", err)
+		return nil, errors.Annotate(err, "encode stored configuration")
 	}
 
 	if len(data) > MaxStoredBytes {
--- a/internal/domain/configuration.go
+++ b/internal/domain/configuration.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/juju/errors"
 )
 
 // Configuration is everything that operators set. It is immutable: services
@@ -48,7 +50,7 @@
 
 	var p plain
 	if err := json.Unmarshal(data, &p); err != nil {
-		return fmt.Errorf("decode configuration: %w", err)
+		return errors.Annotate(err, "decode configuration")
 	}
 
 	if err := Configuration(p).Validate(); err != nil {
--- a/internal/domain/member.go
+++ b/internal/domain/member.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
+
+	"github.com/juju/errors"
 )
 
 // Member is a member organisation with its share of capacity.
@@ -35,7 +36,7 @@
 
 	var p plain
 	if err := json.Unmarshal(data, &p); err != nil {
-		return fmt.Errorf("decode member: %w", err)
+		return errors.Annotate(err, "decode member")
 	}
 
 	if err := Member(p).Validate(); err != nil {
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"regexp"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Limits on a configuration. They keep the stored object under the platform's
@@ -263,7 +265,7 @@
 
 	var p plain
 	if err := json.Unmarshal(data, &p); err != nil {
-		return fmt.Errorf("decode service: %w", err)
+		return errors.Annotate(err, "decode service")
 	}
 
 	if err := Service(p).Validate(); err != nil {
--- a/primrosectl/internal/command/output.go
+++ b/primrosectl/internal/command/output.go
@@ -5,6 +5,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
@@ -15,7 +16,7 @@
 func (a *app) printJSON(m proto.Message) error {
 	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true, Multiline: true}.Marshal(m)
 	if err != nil {
-		return fmt.Errorf("encode output: %w", err)
+		return errors.Annotate(err, "encode output")
 	}
 
 	_, err = fmt.Fprintln(a.stdout, string(data))
--- a/primrosectl/internal/command/service.go
+++ b/primrosectl/internal/command/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -161,7 +162,7 @@
 	if file != "-" {
 		f, err := os.Open(file)
 		if err != nil {
-			return nil, fmt.Errorf("open service file: %w", err)
+			return nil, errors.Annotate(err, "open service file")
 		}
 		defer func() { _ = f.Close() }()
 
@@ -170,12 +171,12 @@
 
 	data, err := io.ReadAll(io.LimitReader(in, maxFileBytes))
 	if err != nil {
-		return nil, fmt.Errorf("read service file: %w", err)
+		return nil, errors.Annotate(err, "read service file")
 	}
 
 	svc := &pb.Service{}
 	if err := protojson.Unmarshal(data, svc); err != nil {
-		return nil, fmt.Errorf("decode service file %s: %w", file, err)
+		return nil, errors.Annotatef(err, "decode service file %s", file)
 	}
 
 	return svc, nil
--- a/primrosed/internal/frame/frame.go
+++ b/primrosed/internal/frame/frame.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -103,7 +104,7 @@
 		b = append(b, make([]byte, n)...)
 
 		if _, err := io.ReadFull(r, b[len(b)-n:]); err != nil {
-			return nil, fmt.Errorf("read body: %w", err)
+			return nil, errors.Annotate(err, "read body")
 		}
 	}
 
--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -6,14 +6,13 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/claims"
@@ -151,7 +150,7 @@
 
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return errors.Annotate(err, "listen for peers")
 	}
 
 	m.listener = l
--- a/primrosed/internal/peer/stream.go
+++ b/primrosed/internal/peer/stream.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
 
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -161,7 +161,7 @@
 	if err == nil && s.id() != to.ID {
 		s.close()
 
-		err = fmt.Errorf("%s answers at %s", s.id(), to.PeerAddress)
+		err = errors.Errorf("%s answers at %s", s.id(), to.PeerAddress)
 	}
 
 	m.mu.Lock()
--- a/primrosed/internal/platform/client.go
+++ b/primrosed/internal/platform/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -20,6 +19,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
 
 	"primrosespring.example/internal/domain"
 )
@@ -398,12 +398,12 @@
 func (r *response) version(c call, fate domain.Fate) (uint64, error) {
 	v, err := strconv.ParseUint(strings.Trim(r.etag, `"`), 10, 64)
 	if err != nil {
-		return 0, c.fail(fate, fmt.Errorf("read version: %w", err))
+		return 0, c.fail(fate, errors.Annotate(err, "read version"))
 	}
 
 	return v, nil
 }
 
 func (r *response) statusError() error {
-	return fmt.Errorf("status %d %s", r.status, http.StatusText(r.status))
+	return errors.Errorf("status %d %s", r.status, http.StatusText(r.status))
 }
--- a/primrosed/internal/settings/settings.go
+++ b/primrosed/internal/settings/settings.go
@@ -7,12 +7,13 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 )
 
@@ -104,13 +105,13 @@
 func Load(file string) (Settings, error) {
 	f, err := os.Open(file)
 	if err != nil {
-		return Settings{}, fmt.Errorf("open settings: %w", err)
+		return Settings{}, errors.Annotate(err, "open settings")
 	}
 	defer func() { _ = f.Close() }()
 
 	data, err := io.ReadAll(io.LimitReader(f, maxSettingsBytes))
 	if err != nil {
-		return Settings{}, fmt.Errorf("read settings: %w", err)
+		return Settings{}, errors.Annotate(err, "read settings")
 	}
 
 	return Decode(data)
@@ -128,7 +129,7 @@
 	d.DisallowUnknownFields()
 
 	if err := d.Decode(&s); err != nil {
-		return Settings{}, fmt.Errorf("decode settings: %w", err)
+		return Settings{}, errors.Annotate(err, "decode settings")
 	}
 
 	if d.More() {
--- a/primrosefake/internal/balancer/balancer.go
+++ b/primrosefake/internal/balancer/balancer.go
@@ -4,13 +4,13 @@
 package balancer
 
 import (
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Validate reports the first field that is missing.
 func (b *Backend) Validate() error {
 	if b.ID == "" || b.Address == "" || b.Health == "" {
-		return fmt.Errorf("backend %q: id, address and health must be given", b.ID)
+		return errors.Errorf("backend %q: id, address and health must be given", b.ID)
 	}
 
 	return nil
@@ -91,7 +91,7 @@
 		}
 
 		if seen[list[i].ID] {
-			return fmt.Errorf("backend %q: id is used twice", list[i].ID)
+			return errors.Errorf("backend %q: id is used twice", list[i].ID)
 		}
 
 		seen[list[i].ID] = true
--- a/primrosefake/internal/command/command.go
+++ b/primrosefake/internal/command/command.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 )
@@ -73,7 +73,7 @@
 	}
 
 	if err := json.Unmarshal(b, v); err != nil {
-		return fmt.Errorf("%s: %w", name, err)
+		return errors.Annotatef(err, "%s", name)
 	}
 
 	return nil
--- a/primrosefake/internal/command/fleet.go
+++ b/primrosefake/internal/command/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 
@@ -117,7 +118,7 @@
 		m.Idle.ControlBytesPerSecond, m.Idle.MaxControlBytesPerSecond, m.Idle.StoreCallsPerSecond, m.Idle.WaitingWatches,
 		m.Spread.Everywhere.P50, m.Spread.Everywhere.P99, m.Spread.Everywhere.Worst,
 		m.Spread.Failed, m.Spread.Missing, m.Spread.Reverts); err != nil {
-		return fmt.Errorf("write row: %w", err)
+		return errors.Annotate(err, "write row")
 	}
 
 	if f.out == "" {
@@ -126,7 +127,7 @@
 
 	data, err := json.MarshalIndent(m, "", " ")
 	if err != nil {
-		return fmt.Errorf("encode measurement: %w", err)
+		return errors.Annotate(err, "encode measurement")
 	}
 
 	return os.WriteFile(f.out, append(data, '\n'), resultPermission)
--- a/primrosefake/internal/command/load.go
+++ b/primrosefake/internal/command/load.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 
@@ -112,7 +112,7 @@
 
 	data, err := json.MarshalIndent(results, "", " ")
 	if err != nil {
-		return fmt.Errorf("encode results: %w", err)
+		return errors.Annotate(err, "encode results")
 	}
 
 	return os.WriteFile(name, append(data, '\n'), resultPermission)
--- a/primrosefake/internal/command/report.go
+++ b/primrosefake/internal/command/report.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
 	"primrosespring.example/primrosefake/internal/load"
@@ -49,12 +49,12 @@
 func readResults(name string) ([]*load.Result, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return nil, fmt.Errorf("open results: %w", err)
+		return nil, errors.Annotate(err, "open results")
 	}
 
 	var out []*load.Result
 	if err := json.Unmarshal(data, &out); err != nil {
-		return nil, fmt.Errorf("%s: decode results: %w", name, err)
+		return nil, errors.Annotatef(err, "%s: decode results", name)
 	}
 
 	return out, nil
--- a/primrosefake/internal/faultproxy/proxy.go
+++ b/primrosefake/internal/faultproxy/proxy.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -11,6 +9,7 @@
 	"sync"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
 )
 
 const maxControlBytes = 1 << 20
@@ -59,19 +58,19 @@
 // Add opens a link and returns the address that it listens on.
 func (p *Proxy) Add(o Options) (string, error) {
 	if err := o.Validate(); err != nil {
-		return "", fmt.Errorf("link %q: %w", o.Name, err)
+		return "", errors.Annotatef(err, "link %q", o.Name)
 	}
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	if p.links[o.Name] != nil {
-		return "", fmt.Errorf("link %q: name is used twice", o.Name)
+		return "", errors.Errorf("link %q: name is used twice", o.Name)
 	}
 
 	l := newLink(p.schedule, o, p.seed)
 	if err := l.listen(); err != nil {
-		return "", fmt.Errorf("link %q: %w", o.Name, err)
+		return "", errors.Annotatef(err, "link %q", o.Name)
 	}
 
 	p.links[o.Name] = l
@@ -140,7 +139,7 @@
 	case "lose_caller":
 		return l.each(func(s *session) { s.halfOpen(s.caller) }), nil
 	default:
-		return 0, fmt.Errorf("action %q is unknown", action)
+		return 0, errors.Errorf("action %q is unknown", action)
 	}
 }
 
@@ -162,7 +161,7 @@
 
 	l := p.links[name]
 	if l == nil {
-		return nil, fmt.Errorf("link %q: %w", name, errNoLink)
+		return nil, errors.Annotatef(errNoLink, "link %q", name)
 	}
 
 	return l, nil
--- a/primrosefake/internal/fleet/spread.go
+++ b/primrosefake/internal/fleet/spread.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
@@ -164,7 +164,7 @@
 
 		select {
 		case <-ctx.Done():
-			return m.spread, fmt.Errorf("measure spread: %w", ctx.Err())
+			return m.spread, errors.Annotate(ctx.Err(), "measure spread")
 		case <-time.After(pause):
 		}
 	}
@@ -246,7 +246,7 @@
 		Options: &pb.ChangeOptions{ChangeId: uuid.NewString(), Operator: "spread"},
 	})
 	if err != nil {
-		return 0, fmt.Errorf("change configuration: %w", err)
+		return 0, errors.Annotate(err, "change configuration")
 	}
 
 	return resp.GetResult().GetConfigurationVersion(), nil
--- a/primrosefake/internal/fleet/usage.go
+++ b/primrosefake/internal/fleet/usage.go
@@ -5,13 +5,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/primrosefake/internal/procfs"
 	"primrosespring.example/primrosefake/internal/workload"
 )
@@ -52,7 +53,7 @@
 // are those of the instances, in the order of the topology.
 func MeasureUsage(ctx context.Context, t *workload.Topology, pids []int, duration time.Duration) (Usage, error) {
 	if len(pids) != len(t.Instances) {
-		return Usage{}, fmt.Errorf("%d process ids given for %d instances", len(pids), len(t.Instances))
+		return Usage{}, errors.Errorf("%d process ids given for %d instances", len(pids), len(t.Instances))
 	}
 
 	if err := resetMeter(ctx, t.Platform); err != nil {
@@ -169,7 +170,7 @@
 
 	var m meter
 	if err := json.Unmarshal(data, &m); err != nil {
-		return 0, 0, fmt.Errorf("decode meter: %w", err)
+		return 0, 0, errors.Annotate(err, "decode meter")
 	}
 
 	t := m.Total
@@ -188,17 +189,17 @@
 func call(ctx context.Context, method, url string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
-		return nil, fmt.Errorf("%s %s: %w", method, url, err)
+		return nil, errors.Annotatef(err, "%s %s", method, url)
 	}
 
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%s %s: %w", method, url, err)
+		return nil, errors.Annotatef(err, "%s %s", method, url)
 	}
 	defer func() { _ = resp.Body.Close() }()
 
 	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, fmt.Errorf("%s %s: status %s", method, url, resp.Status)
+		return nil, errors.Errorf("%s %s: status %s", method, url, resp.Status)
 	}
 
 	return io.ReadAll(io.LimitReader(resp.Body, maxMetricsBytes))
--- a/primrosefake/internal/load/control.go
+++ b/primrosefake/internal/load/control.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -12,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/primrosefake/internal/workload"
 )
@@ -354,17 +355,17 @@
 
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("control API: %w", err)
+		return errors.Annotate(err, "control API")
 	}
 	defer func() { _ = resp.Body.Close() }()
 
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
 	if err != nil {
-		return fmt.Errorf("control API: %w", err)
+		return errors.Annotate(err, "control API")
 	}
 
 	if resp.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("control API: %s %s: %s: %s", method, address, resp.Status, bytes.TrimSpace(answer))
+		return errors.Errorf("control API: %s %s: %s: %s", method, address, resp.Status, bytes.TrimSpace(answer))
 	}
 
 	if out == nil {
--- a/primrosefake/internal/load/run.go
+++ b/primrosefake/internal/load/run.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	stderrors "errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/primrosefake/internal/procfs"
@@ -68,7 +70,7 @@
 
 		r, err := p.run(ctx)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
+			return nil, errors.Annotatef(err, "%s", name)
 		}
 
 		out = append(out, r)
@@ -235,7 +237,7 @@
 
 		for n := range connections {
 			if err := p.waitWhole(ctx, s.Name, n); err != nil {
-				return fmt.Errorf("service %s isn't ready: %w", s.Name, err)
+				return errors.Annotatef(err, "service %s isn't ready", s.Name)
 			}
 		}
 	}
@@ -254,7 +256,7 @@
 		}
 
 		if ctx.Err() != nil {
-			return errors.Join(ctx.Err(), err)
+			return stderrors.Join(ctx.Err(), err)
 		}
 
 		pause(ctx, readyInterval)
@@ -278,7 +280,7 @@
 		}
 
 		if err := p.awaitExecute(ctx, s); err != nil {
-			return fmt.Errorf("service %s doesn't run requests: %w", s.Name, err)
+			return errors.Annotatef(err, "service %s doesn't run requests", s.Name)
 		}
 	}
 
--- a/primrosefake/internal/platform/faults.go
+++ b/primrosefake/internal/platform/faults.go
@@ -1,11 +1,12 @@
 package platform
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Mode says how the platform answers.
@@ -54,17 +55,17 @@
 	switch f.Mode {
 	case ModeUp, ModeDown, ModeRefuse, ModeHang, ModeSlow, ModeLoseWriteAnswers:
 	default:
-		return fmt.Errorf("mode %q is unknown", f.Mode)
+		return errors.Errorf("mode %q is unknown", f.Mode)
 	}
 
 	switch f.Stale {
 	case StaleNone, StaleReads, StaleWatches, StaleAll:
 	default:
-		return fmt.Errorf("stale %q is unknown", f.Stale)
+		return errors.Errorf("stale %q is unknown", f.Stale)
 	}
 
 	if f.Share < 0 || f.Share > 1 || f.StaleShare < 0 || f.StaleShare > 1 || f.DelayMS < 0 {
-		return fmt.Errorf("share %v, stale_share %v or delay_ms %v is out of range", f.Share, f.StaleShare, f.DelayMS)
+		return errors.Errorf("share %v, stale_share %v or delay_ms %v is out of range", f.Share, f.StaleShare, f.DelayMS)
 	}
 
 	return nil
--- a/primrosefake/internal/procfs/procfs.go
+++ b/primrosefake/internal/procfs/procfs.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -21,12 +23,12 @@
 func CPUTime(pid int) (time.Duration, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
-		return 0, fmt.Errorf("read CPU time: %w", err)
+		return 0, errors.Annotate(err, "read CPU time")
 	}
 
 	ticks, err := cpuTicks(data)
 	if err != nil {
-		return 0, fmt.Errorf("read CPU time of %d: %w", pid, err)
+		return 0, errors.Annotatef(err, "read CPU time of %d", pid)
 	}
 
 	return time.Duration(ticks) * clockTick, nil
@@ -39,17 +41,17 @@
 
 	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
 	if len(fields) <= stime {
-		return 0, fmt.Errorf("stat has %d fields after the name", len(fields))
+		return 0, errors.Errorf("stat has %d fields after the name", len(fields))
 	}
 
 	user, err := strconv.ParseInt(string(fields[utime]), 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("user time: %w", err)
+		return 0, errors.Annotate(err, "user time")
 	}
 
 	system, err := strconv.ParseInt(string(fields[stime]), 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("system time: %w", err)
+		return 0, errors.Annotate(err, "system time")
 	}
 
 	return user + system, nil
@@ -60,7 +62,7 @@
 func ResidentMB(pid int) (float64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0, fmt.Errorf("read memory: %w", err)
+		return 0, errors.Annotate(err, "read memory")
 	}
 
 	for line := range strings.Lines(string(data)) {
@@ -74,7 +76,7 @@
 		return kb * kibibyte / megabyte, err
 	}
 
-	return 0, fmt.Errorf("read memory of %d: no VmRSS", pid)
+	return 0, errors.Errorf("read memory of %d: no VmRSS", pid)
 }
 
 // LoadAverage returns the machine's load average over one minute, or zero if it
--- a/primrosefake/internal/report/page.go
+++ b/primrosefake/internal/report/page.go
@@ -6,6 +6,8 @@
 	"html/template"
 	"io"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/primrosefake/internal/load"
 )
 
@@ -50,7 +52,7 @@
 func WriteHTML(out io.Writer, results []*load.Result) error {
 	t, err := template.New("page").Parse(pageText)
 	if err != nil {
-		return fmt.Errorf("parse page: %w", err)
+		return errors.Annotate(err, "parse page")
 	}
 
 	p, err := newPage(results)
--- a/primrosefake/internal/report/plots.go
+++ b/primrosefake/internal/report/plots.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"image/color"
 	"math"
 	"strconv"
 	"strings"
 
+	"github.com/juju/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
@@ -86,12 +86,12 @@
 	} {
 		p, err := f.build(results)
 		if err != nil {
-			return nil, fmt.Errorf("plot %q: %w", f.title, err)
+			return nil, errors.Annotatef(err, "plot %q", f.title)
 		}
 
 		svg, err := renderSVG(p)
 		if err != nil {
-			return nil, fmt.Errorf("plot %q: %w", f.title, err)
+			return nil, errors.Annotatef(err, "plot %q", f.title)
 		}
 
 		out = append(out, figure{Title: f.title, Caption: f.caption, Timed: f.timed, SVG: svg})
--- a/primrosefake/internal/searcher/group.go
+++ b/primrosefake/internal/searcher/group.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
+	stderrors "errors"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
 
 	"primrosespring.example/internal/domain"
 )
@@ -32,7 +32,7 @@
 		}
 
 		if err != nil {
-			return nil, fmt.Errorf("searchers[%d] (%s): %w", i, o.ID, err)
+			return nil, errors.Annotatef(err, "searchers[%d] (%s)", i, o.ID)
 		}
 
 		seen[o.ID] = true
@@ -49,7 +49,7 @@
 		if err := e.Listen(); err != nil {
 			g.Close()
 
-			return fmt.Errorf("searcher %s: %w", e.options.Load().ID, err)
+			return errors.Annotatef(err, "searcher %s", e.options.Load().ID)
 		}
 	}
 
@@ -212,7 +212,7 @@
 		errs = append(errs, e.SetFaults(f))
 	}
 
-	return errors.Join(errs...)
+	return stderrors.Join(errs...)
 }
 
 func startDrain(body []byte, es []*Endpoint) error {
--- a/primrosefake/internal/searcher/options.go
+++ b/primrosefake/internal/searcher/options.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 )
 
@@ -85,7 +85,7 @@
 	case "", StatusTrue, StatusHealthy, StatusUnhealthy:
 		return nil
 	default:
-		return fmt.Errorf("status_mode %q is unknown", o.StatusMode)
+		return errors.Errorf("status_mode %q is unknown", o.StatusMode)
 	}
 }
 
@@ -114,7 +114,7 @@
 	for i, r := range raw.Searchers {
 		o, err := raw.Defaults.patch(r)
 		if err != nil {
-			return fmt.Errorf("searchers[%d]: %w", i, err)
+			return errors.Annotatef(err, "searchers[%d]", i)
 		}
 
 		f.Searchers[i] = o
--- a/primrosefake/internal/workload/apply.go
+++ b/primrosefake/internal/workload/apply.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -54,7 +53,7 @@
 
 	for _, i := range c.Instances {
 		if err := register(ctx, client, t.Platform, i); err != nil {
-			return fmt.Errorf("register instance %s: %w", i.ID, err)
+			return errors.Annotatef(err, "register instance %s", i.ID)
 		}
 	}
 
@@ -88,12 +87,12 @@
 func openConfiguration(dir string) (Configuration, error) {
 	data, err := os.ReadFile(filepath.Join(dir, ConfigurationFile))
 	if err != nil {
-		return Configuration{}, fmt.Errorf("open configuration: %w", err)
+		return Configuration{}, errors.Annotate(err, "open configuration")
 	}
 
 	var c Configuration
 	if err := json.Unmarshal(data, &c); err != nil {
-		return Configuration{}, fmt.Errorf("decode configuration: %w", err)
+		return Configuration{}, errors.Annotate(err, "decode configuration")
 	}
 
 	return c, nil
@@ -122,7 +121,7 @@
 
 	for _, i := range t.Instances {
 		if err := waitInForce(ctx, adminClient(i), version); err != nil {
-			return fmt.Errorf("instance %s: %w", i.ID, err)
+			return errors.Annotatef(err, "instance %s", i.ID)
 		}
 	}
 
@@ -140,7 +139,7 @@
 	for _, s := range c.Services {
 		resp, err := client.CreateService(ctx, &pb.CreateServiceRequest{Service: serviceToProto(s), Options: options()})
 		if err != nil {
-			return 0, fmt.Errorf("create service %s: %w", s.Name, err)
+			return 0, errors.Annotatef(err, "create service %s", s.Name)
 		}
 
 		version = resp.GetResult().GetConfigurationVersion()
@@ -149,7 +148,7 @@
 	for _, m := range c.Members {
 		resp, err := client.SetMember(ctx, &pb.SetMemberRequest{Member: &pb.Member{Name: m.Name, Weight: m.Weight}, Options: options()})
 		if err != nil {
-			return 0, fmt.Errorf("set member %s: %w", m.Name, err)
+			return 0, errors.Annotatef(err, "set member %s", m.Name)
 		}
 
 		version = resp.GetResult().GetConfigurationVersion()
@@ -167,7 +166,7 @@
 
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("version %d isn't in force: %w", version, ctx.Err())
+			return errors.Annotatef(ctx.Err(), "version %d isn't in force", version)
 		case <-time.After(applyInterval):
 		}
 	}
--- a/primrosefake/internal/workload/generate.go
+++ b/primrosefake/internal/workload/generate.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/loopback"
 )
@@ -24,7 +26,7 @@
 // beginning with firstPort, or anywhere if that is 0.
 func Generate(w *Workload, dir string, firstPort int) (*Topology, error) {
 	if err := os.MkdirAll(dir, directoryPermission); err != nil {
-		return nil, fmt.Errorf("make directory: %w", err)
+		return nil, errors.Annotate(err, "make directory")
 	}
 
 	g := &generator{workload: w, dir: dir, ports: loopback.NewPorts(firstPort)}
@@ -226,7 +228,7 @@
 
 	data, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
-		g.err = fmt.Errorf("encode %s: %w", name, err)
+		g.err = errors.Annotatef(err, "encode %s", name)
 
 		return
 	}
@@ -240,7 +242,7 @@
 	}
 
 	if err := os.WriteFile(filepath.Join(g.dir, name), data, filePermission); err != nil {
-		g.err = fmt.Errorf("write %s: %w", name, err)
+		g.err = errors.Annotatef(err, "write %s", name)
 	}
 }
 
--- a/primrosefake/internal/workload/topology.go
+++ b/primrosefake/internal/workload/topology.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 )
 
@@ -69,12 +71,12 @@
 func OpenTopology(dir string) (*Topology, *Workload, error) {
 	data, err := os.ReadFile(filepath.Join(dir, TopologyFile))
 	if err != nil {
-		return nil, nil, fmt.Errorf("open topology: %w", err)
+		return nil, nil, errors.Annotate(err, "open topology")
 	}
 
 	var t Topology
 	if err := json.Unmarshal(data, &t); err != nil {
-		return nil, nil, fmt.Errorf("decode topology: %w", err)
+		return nil, nil, errors.Annotate(err, "decode topology")
 	}
 
 	w, err := Open(filepath.Join(dir, WorkloadFile))
--- a/primrosefake/internal/workload/workload.go
+++ b/primrosefake/internal/workload/workload.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -16,6 +15,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosespring.example/internal/domain"
 )
 
@@ -279,7 +280,7 @@
 
 		var f Fault
 		if err := d.Decode(&f); err != nil {
-			return nil, fmt.Errorf("fault %s: %w", text, decodeError(err))
+			return nil, errors.Annotatef(decodeError(err), "fault %s", text)
 		}
 
 		out.Faults = append(out.Faults, f)
@@ -303,18 +304,18 @@
 
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, fmt.Errorf("open workload (built in are %s): %w", strings.Join(Names(), ", "), err)
+		return nil, errors.Annotatef(err, "open workload (built in are %s)", strings.Join(Names(), ", "))
 	}
 	defer func() { _ = f.Close() }()
 
 	data, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("read workload: %w", err)
+		return nil, errors.Annotate(err, "read workload")
 	}
 
 	w, err := Decode(data)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, errors.Annotatef(err, "%s", name)
 	}
 
 	return w, nil
