http1, platform, hosted: keep the configured limits on callers

Connections were closed after fixed times, idle ones after 2 minutes and new ones after 10 s, whatever the configuration allowed: a deployment with a longer idle time than 2.5 minutes would have seen requests cross the close of their connection, a client that opens one ahead already after 10 s.

Change: http1.IdleTimer closes a connection on which the next request's headers haven't arrived within idle time plus header time, as configured when the wait began; a request that is being served is never cut off.

Ruled out: setting the fields of http.Server while it runs, which is a race; a wrapper of the connection that tells the server's deadlines apart by their length.

--- a/internal/domain/fate.go
+++ b/internal/domain/fate.go
@@ -67,6 +67,7 @@
 	CodeInternal            Code = "internal"
 	CodeHistoryGone         Code = "history_gone"
 	CodeTooLarge            Code = "too_large"
+	CodeHeaderTooLarge      Code = "header_too_large"
 	CodeNoConfiguration     Code = "no_configuration"
 	CodeSearcherFailed      Code = "searcher_failed"
 )
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,7 +2,7 @@
 // time, with control that net/http's Transport doesn't give: nothing is ever
 // sent again behind the caller's back, a caller learns whether any byte of a
 // request was sent, and a connection on which something unexpected arrived is
-// closed before it serves another request.
+// closed before it serves another request. For servers it has IdleTimer.
 package http1
 
 import (
--- /dev/null
+++ b/internal/http1/idle.go
@@ -0,0 +1,67 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// IdleTimer closes the connections of a server on which no request arrives in
+// time. http.Server has fixed timeouts; those of an IdleTimer may change while
+// connections are open. Its zero value without a Limit must not be used.
+type IdleTimer struct {
+	// Limit returns how long a connection may wait for its next request, headers
+	// included; zero means forever. It is called each time a connection begins to
+	// wait, under the timer's lock.
+	Limit func() time.Duration
+
+	mu    sync.Mutex // Guards what follows.
+	conns map[net.Conn]*idleConn
+}
+
+// idleConn is one connection of an IdleTimer.
+type idleConn struct {
+	timer   *time.Timer
+	waiting bool
+}
+
+// ConnState is the hook for http.Server.ConnState.
+func (t *IdleTimer) ConnState(c net.Conn, s http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	ic := t.conns[c]
+	if ic == nil {
+		ic = &idleConn{}
+		ic.timer = time.AfterFunc(time.Hour, func() { t.expire(c, ic) })
+
+		if t.conns == nil {
+			t.conns = make(map[net.Conn]*idleConn)
+		}
+
+		t.conns[c] = ic
+	}
+
+	ic.timer.Stop()
+	ic.waiting = s == http.StateNew || s == http.StateIdle
+
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(t.conns, c)
+	}
+
+	if limit := t.Limit(); ic.waiting && limit > 0 {
+		ic.timer.Reset(limit)
+	}
+}
+
+// expire closes a connection that still waits; a request may have arrived while
+// the timer fired.
+func (t *IdleTimer) expire(c net.Conn, ic *idleConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if ic.waiting {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/http1/idle_test.go
@@ -0,0 +1,83 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pipeListener hands out the far ends of pipes.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	if c, ok := <-l; ok {
+		return c, nil
+	}
+
+	return nil, net.ErrClosed
+}
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+// Guards against a connection that is closed while the configuration still allows
+// it to be idle, against one that is kept for longer, and against a limit that
+// stays the one in force when the server started. A request that is being served
+// is never cut off.
+func TestIdleConnectionsCloseAtTheConfiguredLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := 15 * time.Second
+		timer := &IdleTimer{Limit: func() time.Duration { return limit }}
+		served := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Minute)
+			w.WriteHeader(http.StatusNoContent)
+		})
+		srv := &http.Server{Handler: served, ConnState: timer.ConnState, ReadHeaderTimeout: time.Hour}
+		l := make(pipeListener)
+
+		go func() { _ = srv.Serve(l) }()
+
+		near, far := net.Pipe()
+		l <- far
+
+		r := bufio.NewReader(near)
+		ask := func() {
+			_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+
+			resp, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNoContent, resp.StatusCode)
+			require.NoError(t, resp.Body.Close())
+		}
+
+		time.Sleep(limit - time.Second)
+		ask()
+		time.Sleep(limit - time.Second)
+
+		limit = 40 * time.Second
+
+		ask()
+		time.Sleep(limit - time.Second)
+		synctest.Wait()
+
+		limit = 5 * time.Second
+
+		ask()
+
+		begun := time.Now()
+		_, err := near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, limit, time.Since(begun))
+
+		synctest.Wait()
+		require.Empty(t, timer.conns)
+		close(l)
+		require.NoError(t, srv.Close())
+	})
+}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -4,6 +4,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -53,11 +54,14 @@
 	graceReserve = 1200 * time.Millisecond
 	// lastAnswers is how long callers are given to take the final answers.
 	lastAnswers = 400 * time.Millisecond
-	// maxHeaderBytes, headerTimeout and idleTimeout bound callers before the
-	// configuration is known; the configured limits are lower.
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout bound callers
+	// where the configuration doesn't.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	// longestWait bounds in the HTTP server what the configuration bounds below it,
+	// since the server's own timeouts can't change while it runs.
+	longestWait = time.Hour
 	// connectionShare is the part of a searcher's connections that the instances
 	// divide; the rest is for connections that are being replaced.
 	connectionShare = 0.9
@@ -282,20 +286,23 @@
 func (i *Instance) serve(requests context.Context) (callers *http.Server, state []*http.Server, err error) {
 	ingress := chi.NewRouter()
 	ingress.Handle("/*", &platform.Ingress{
-		Server: i.parts.Engine, Ended: requests,
-		BodyBytes: func() int64 {
-			if v := i.parts.Directory.View(); v != nil {
-				return v.Table.Limits.BodyBytes
-			}
-
-			return 0
-		},
+		Server: i.parts.Engine, Limits: i.limits, Ended: requests,
 	})
 
 	metricsHandler := chi.NewRouter()
 	metricsHandler.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 
-	if callers, err = i.listen(i.settings.CallerAddress, ingress); err != nil {
+	waits := &http1.IdleTimer{Limit: func() time.Duration {
+		l := i.limits()
+
+		return l.IdleTimeout + l.HeaderTimeout
+	}}
+	callers = &http.Server{
+		Addr: i.settings.CallerAddress, Handler: ingress, ConnState: waits.ConnState,
+		ReadHeaderTimeout: longestWait, IdleTimeout: longestWait,
+	}
+
+	if err := i.listen(callers); err != nil {
 		return nil, nil, err
 	}
 
@@ -303,8 +310,11 @@
 		i.settings.HealthAddress:  platform.ReadyHandler(i.health.NotReady),
 		i.settings.MetricsAddress: metricsHandler,
 	} {
-		s, err := i.listen(address, h)
-		if err != nil {
+		s := &http.Server{
+			Addr: address, Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+			MaxHeaderBytes: defaultHeaderBytes,
+		}
+		if err := i.listen(s); err != nil {
 			return nil, nil, err
 		}
 
@@ -314,23 +324,34 @@
 	return callers, state, nil
 }
 
-func (i *Instance) listen(address string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", address)
+// limits returns the limits on callers in force, with a default for each that the
+// configuration leaves open or that isn't known yet. Bodies have none.
+func (i *Instance) limits() domain.CallerLimits {
+	var l domain.CallerLimits
+	if v := i.parts.Directory.View(); v != nil {
+		l = v.Table.Limits
 	}
 
-	s := &http.Server{
-		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
+
+	return l
+}
+
+func (i *Instance) listen(s *http.Server) error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return errors.Annotatef(err, "listen on %s", s.Addr)
 	}
 
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			i.log.Error().Str("event", "serve_failed").Str("address", address).Err(err).Send()
+			i.log.Error().Str("event", "serve_failed").Str("address", s.Addr).Err(err).Send()
 		}
 	}()
 
-	return s, nil
+	return nil
 }
 
 func (i *Instance) followConfiguration(ctx context.Context) {
