gatherer: one late or lost answer spares the other queries

The logs of both instances: its gatherer was at work and answered, but at that moment another query's offer to it wasn't accepted within 30 ms, and the sender closed the whole session for that, with every query on it. The gatherer's processor share was used up for some 40 ms.

Two more of the kind, found by reading: an answer that is lost with its own stream closed the session too, and so did a plan without the gatherer, as when it leaves the list of instances during a planned stop and still finishes what it has.

Change: an offer or answer that is missing keeps offers away from the gatherer and has its session pinged; only a session that doesn't answer the ping is dropped. Failures within one back-off count once. A gatherer that leaves the plan keeps its session until the last query there has ended.

Ruled out: a longer wait for the acceptance, since the caller's time runs, and a frozen gatherer would cost each query that much.

Tests: TestSlowAcceptancesSpareOtherQueries, TestLostAnswersSpareOtherQueries and TestQueriesOutliveAChangeOfPlan fail without the change.

--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -29,10 +29,12 @@
 
 	work sync.WaitGroup // Dials and pings; waited for by Close.
 
-	mu     sync.Mutex // Guards what follows and the peers.
-	plan   gathering.Plan
-	peers  map[string]*peer
-	closed bool
+	mu    sync.Mutex // Guards what follows and the peers.
+	plan  gathering.Plan
+	peers map[string]*peer
+	// retired are peers that the plan has no use for, with queries at work.
+	retired map[*peer]bool
+	closed  bool
 }
 
 // peer is one instance that gathers. The client's lock guards it.
@@ -50,10 +52,11 @@
 // NewClient returns a client of the instance self, which gathers everything
 // itself until SetPlan.
 func NewClient(log zerolog.Logger, self string, dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{log: log, self: self, dial: dial, peers: make(map[string]*peer)}
+	return &Client{log: log, self: self, dial: dial, peers: make(map[string]*peer), retired: make(map[*peer]bool)}
 }
 
-// SetPlan says to whom queries are handed over, and connects to them.
+// SetPlan says to whom queries are handed over, and connects to them. Queries that
+// are at work elsewhere are finished there.
 func (c *Client) SetPlan(p gathering.Plan) {
 	for _, s := range c.replan(p) {
 		_ = s.Close()
@@ -82,7 +85,11 @@
 	}
 
 	for id, old := range known {
-		if c.peers[id] != old && old.session != nil {
+		switch {
+		case c.peers[id] == old || old.session == nil:
+		case old.open > 0:
+			c.retired[old] = true
+		default:
 			unused = append(unused, old.session)
 		}
 	}
@@ -100,6 +107,10 @@
 
 	c.mu.Lock()
 	c.closed = true
+
+	for p := range c.retired {
+		unused = append(unused, p.session)
+	}
 	c.mu.Unlock()
 
 	for _, s := range unused {
@@ -217,8 +228,13 @@
 	return s, nil
 }
 
-// avoid keeps offers away from a peer that failed; the lock is held.
+// avoid keeps offers away from a peer that failed; the lock is held. Failures of
+// queries that were begun before it was avoided count once.
 func (c *Client) avoid(p *peer, step string, cause error) {
+	if time.Now().Before(p.avoidUntil) {
+		return
+	}
+
 	p.backoff = min(max(2*p.backoff, minBackoff), maxBackoff)
 	p.avoidUntil = time.Now().Add(p.backoff)
 
@@ -226,12 +242,40 @@
 		Int64("for_ms", p.backoff.Milliseconds()).Err(cause).Send()
 }
 
+// doubt follows a query that had no answer: the peer gets no offers for a while,
+// and a ping tells whether its session is lost. Other queries are at work there,
+// and a busy processor or one broken stream doesn't concern them.
+func (c *Client) doubt(p *peer, s *yamux.Session, step string, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.closed || p.session != s {
+		return
+	}
+
+	c.avoid(p, step, cause)
+	c.work.Go(func() { c.ping(p, s) })
+}
+
+// ping drops a session that doesn't answer and reports whether it does.
+func (c *Client) ping(p *peer, s *yamux.Session) bool {
+	if _, err := s.Ping(); err != nil {
+		silent.Inc()
+		c.drop(p, s, "ping", err)
+
+		return false
+	}
+
+	return true
+}
+
 // drop closes the session of a peer that failed.
 func (c *Client) drop(p *peer, s *yamux.Session, step string, cause error) {
 	c.mu.Lock()
 
 	if p.session == s {
 		p.session = nil
+		delete(c.retired, p)
 		c.avoid(p, step, cause)
 	}
 	c.mu.Unlock()
@@ -259,11 +303,22 @@
 	return s, true
 }
 
+// leave counts a query out, and closes a session that has no further use.
 func (c *Client) leave(p *peer) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 
 	p.open--
+
+	var unused *yamux.Session
+	if p.open == 0 && c.retired[p] {
+		unused = p.session
+		delete(c.retired, p)
+	}
+	c.mu.Unlock()
+
+	if unused != nil {
+		_ = unused.Close()
+	}
 }
 
 // watch pings a session until no query is at work on it.
@@ -276,14 +331,7 @@
 		done := p.open == 0 || p.session != s || c.closed
 		c.mu.Unlock()
 
-		if done {
-			return
-		}
-
-		if _, err := s.Ping(); err != nil {
-			silent.Inc()
-			c.drop(p, s, "ping", err)
-
+		if done || !c.ping(p, s) {
 			return
 		}
 	}
@@ -349,7 +397,7 @@
 	}
 
 	if err != nil {
-		c.drop(p, s, "offer", err)
+		c.doubt(p, s, "offer", err)
 
 		return err
 	}
@@ -392,7 +440,7 @@
 	if ctx.Err() != nil {
 		code = domain.CodeCancelled
 	} else {
-		c.drop(p, s, step, cause)
+		c.doubt(p, s, step, cause)
 	}
 
 	return domain.Errorf(domain.FateUnknown, code, step, "no answer").WithPeer(p.instance.ID).WithCause(cause)
--- a/primrosed/internal/gatherer/gatherer_test.go
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -19,6 +19,7 @@
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/gathering"
 	"primrosespring.example/internal/serving"
+	"primrosespring.example/primrosed/internal/frame"
 )
 
 // mutableConn is one end of a pipe whose writes can be made to vanish, as behind
@@ -40,7 +41,9 @@
 // fakeEngine records what is begun.
 type fakeEngine struct {
 	refuse error
-	serve  func(ctx context.Context, r *serving.Request) (*serving.Response, error)
+	// busy is how long the preparation takes.
+	busy  time.Duration
+	serve func(ctx context.Context, r *serving.Request) (*serving.Response, error)
 
 	mu    sync.Mutex // Guards what follows.
 	begun []*serving.Request
@@ -48,6 +51,8 @@
 
 // Prepare implements Engine.
 func (e *fakeEngine) Prepare(r *serving.Request, _ uint64) (func(context.Context) (*serving.Response, error), error) {
+	time.Sleep(e.busy)
+
 	if e.refuse != nil {
 		return nil, e.refuse
 	}
@@ -203,6 +208,93 @@
 	})
 }
 
+// startHeld begins a query that waits for release; done gets its error.
+func (p *pair) startHeld(t *testing.T) (release func(), done chan error) {
+	t.Helper()
+
+	held := make(chan struct{})
+	p.engine.serve = func(ctx context.Context, r *serving.Request) (*serving.Response, error) {
+		select {
+		case <-held:
+			return answerOK(ctx, r)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	done = make(chan error, 1)
+
+	go func() {
+		_, _, _, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		done <- err
+	}()
+
+	synctest.Wait()
+	require.Equal(t, 1, p.engine.count())
+
+	return func() { close(held) }, done
+}
+
+// Guards against an offer that isn't accepted in time and takes the other queries
+// of its session along: a gatherer whose processor is busy for 40 ms (36 shards
+// with one slot each and 14 connections, a calm day, second 19).
+func TestSlowAcceptancesSpareOtherQueries(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		release, done := p.startHeld(t)
+
+		p.engine.busy = acceptTimeout + 10*time.Millisecond
+
+		_, _, begun, _ := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.False(t, begun)
+		time.Sleep(time.Second)
+		release()
+		require.NoError(t, <-done)
+		require.Equal(t, 1, p.engine.count())
+
+		// The session is still there.
+		p.engine.busy = 0
+
+		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.NoError(t, err)
+		require.True(t, begun)
+	})
+}
+
+// Guards against an answer that is cut off from its session, and then takes the
+// other queries along.
+func TestLostAnswersSpareOtherQueries(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		release, done := p.startHeld(t)
+		p.engine.serve = func(context.Context, *serving.Request) (*serving.Response, error) {
+			return &serving.Response{Body: make([]byte, frame.MaxRelay)}, nil
+		}
+
+		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
+		require.True(t, begun)
+		require.Error(t, err, "the answer is too large for a frame")
+		time.Sleep(time.Second)
+		release()
+		require.NoError(t, <-done)
+	})
+}
+
+// Guards against queries that are lost when their gatherer leaves the plan: one
+// that stops finishes what it has, but is no longer on the list of instances.
+func TestQueriesOutliveAChangeOfPlan(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		p := newPair(t, 4)
+		release, done := p.startHeld(t)
+
+		p.client.SetPlan(gathering.Plan{Gatherers: 1, Instances: 1})
+		time.Sleep(time.Second)
+		release()
+		require.NoError(t, <-done)
+		synctest.Wait()
+		require.Empty(t, p.server.open, "the session has no use any more")
+	})
+}
+
 // Guards against searchers at work on a query whose caller has left.
 func TestLeavingCallersEndTheirQuery(t *testing.T) {
 	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
