domain, platform: drop the unused time that a searcher is cold

Cause: it was decoded and read by nothing: routing learns a cold searcher from its latencies, as any slow one. Change: the field goes, and its special case in the comparison of registrations.

--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -60,7 +60,7 @@
 		m.denied = false
 	}
 
-	before.Sequence, before.ColdFor = reg.Sequence, reg.ColdFor
+	before.Sequence = reg.Sequence
 
 	return !ok || removed || before != reg
 }
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -202,8 +202,6 @@
 	FailureDomain string `json:"failure_domain"`
 	Slots         uint32 `json:"slots"`
 	Draining      bool   `json:"draining"`
-	// ColdFor is how much longer the searcher is slow after its start.
-	ColdFor time.Duration `json:"cold_for_ns"`
 	// Started is the start of the searcher's process in Unix milliseconds; it
 	// tells incarnations of one id apart. Zero if the searcher doesn't say.
 	Started int64 `json:"started"`
