--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -2,6 +2,7 @@
 package snapshot
 
 import (
+	"context"
 	"maps"
 	"sync"
 
@@ -17,6 +18,11 @@
 	// chosen keeps the choice for each service until a report about the
 	// service changes something or its partition map changes.
 	chosen map[string]choice
+	// asked is the newest configuration version whose searchers have all been
+	// asked what they hold.
+	asked uint64
+	// news is closed with the next change of held or asked; nil if nobody waits.
+	news chan struct{}
 }
 
 type holding struct {
@@ -29,6 +35,8 @@
 	service  *domain.Service
 	snapshot domain.Snapshot
 	ok       bool
+	// whole says that every shard has a searcher that holds the snapshot.
+	whole bool
 }
 
 // Report replaces what searcher is known to hold of one shard.
@@ -65,19 +73,83 @@
 // shards, the newest on a tie, and whether any searcher holds one. It is
 // computed once after each change.
 func (t *Table) Choose(service *domain.Service) (domain.Snapshot, bool) {
+	c := t.choice(service)
+
+	return c.snapshot, c.ok
+}
+
+// Await is Choose for a service of the configuration version given. Right after a
+// change some searchers haven't said yet what they hold of a new partition map: a
+// snapshot that lacks shards is chosen only after all have been asked, or when ctx
+// ends.
+func (t *Table) Await(ctx context.Context, service *domain.Service, version uint64) (domain.Snapshot, bool) {
+	for {
+		if c := t.choice(service); c.whole {
+			return c.snapshot, c.ok
+		}
+
+		asked, news := t.watch()
+
+		// What was reported before the watch began brings no news.
+		c := t.choice(service)
+		if c.whole || asked >= version {
+			return c.snapshot, c.ok
+		}
+
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return c.snapshot, c.ok
+		}
+	}
+}
+
+// Asked says that every searcher of the configuration version has answered what it
+// holds, or has had the time for it.
+func (t *Table) Asked(version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if version > t.asked {
+		t.asked = version
+		t.tell()
+	}
+}
+
+// watch returns the version asked for and a channel that is closed with the next
+// news.
+func (t *Table) watch() (uint64, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.news == nil {
+		t.news = make(chan struct{})
+	}
+
+	return t.asked, t.news
+}
+
+// tell wakes those that wait for news; the lock is held.
+func (t *Table) tell() {
+	if t.news != nil {
+		close(t.news)
+		t.news = nil
+	}
+}
+
+func (t *Table) choice(service *domain.Service) choice {
 	t.mu.RLock()
 	c, ok := t.chosen[service.Name]
 	t.mu.RUnlock()
 
 	if ok && c.service == service {
-		return c.snapshot, c.ok
+		return c
 	}
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	c = choice{service: service}
-	c.snapshot, c.ok = t.best(service)
+	c = t.best(service)
 
 	if t.chosen == nil {
 		t.chosen = make(map[string]choice)
@@ -85,10 +157,11 @@
 
 	t.chosen[service.Name] = c
 
-	return c.snapshot, c.ok
+	return c
 }
 
-// Retain forgets what the services of c don't name.
+// Retain forgets what the services of c don't name. The searchers of c are still
+// to be asked.
 func (t *Table) Retain(c *domain.Configuration) {
 	named := make(map[holding]bool)
 
@@ -105,6 +178,7 @@
 
 	maps.DeleteFunc(t.held, func(h holding, _ map[domain.Snapshot]bool) bool { return !named[h] })
 	clear(t.chosen)
+	t.asked = min(t.asked, max(c.Version, 1)-1)
 }
 
 // replace installs set unless it equals what is known. Sets are never changed
@@ -123,9 +197,10 @@
 
 	t.held[h] = set
 	delete(t.chosen, h.service)
+	t.tell()
 }
 
-func (t *Table) best(service *domain.Service) (domain.Snapshot, bool) {
+func (t *Table) best(service *domain.Service) choice {
 	shards := make(map[domain.Snapshot]int)
 
 	for _, sh := range service.PartitionMap.Shards {
@@ -152,5 +227,5 @@
 		}
 	}
 
-	return best, count > 0
+	return choice{service: service, snapshot: best, ok: count > 0, whole: count == len(service.PartitionMap.Shards)}
 }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -1,7 +1,10 @@
 package snapshot
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -96,3 +99,66 @@
 	require.True(t, tb.Holds("booking", 0, "s0", version(1)))
 	require.False(t, tb.Holds("booking", 0, "s9", version(1)))
 }
+
+// Guards against a choice that lacks shards although their searchers are just
+// being asked, and against one that waits for searchers that say nothing.
+func TestAwaitEndsWithTheRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tb Table
+
+		s := testService()
+		c := &domain.Configuration{Version: 7, Services: []domain.Service{*s}}
+
+		await := func() <-chan domain.Snapshot {
+			out := make(chan domain.Snapshot, 1)
+
+			go func() {
+				got, _ := tb.Await(t.Context(), s, c.Version)
+				out <- got
+			}()
+
+			synctest.Wait()
+
+			return out
+		}
+
+		tb.Retain(c)
+		tb.Report("booking", 0, "s0", []domain.Snapshot{version(1)})
+
+		chosen := await()
+		require.Empty(t, chosen)
+		tb.Report("booking", 1, "s2", []domain.Snapshot{version(1)})
+		require.Equal(t, version(1), <-chosen)
+
+		// The round has ended without a word of s2.
+		tb = Table{}
+		tb.Retain(c)
+		tb.Report("booking", 0, "s0", []domain.Snapshot{version(1)})
+
+		chosen = await()
+		tb.Asked(c.Version - 1)
+		synctest.Wait()
+		require.Empty(t, chosen)
+		tb.Asked(c.Version)
+		require.Equal(t, version(1), <-chosen)
+		require.Len(t, await(), 1, "nobody is left to ask")
+
+		// The service came to this instance without a new configuration.
+		tb.Retain(c)
+
+		chosen = await()
+		require.Empty(t, chosen)
+		tb.Asked(c.Version)
+		<-chosen
+
+		// A caller's time ends the wait.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+
+		tb.Retain(c)
+
+		_, ok := tb.Await(ctx, s, c.Version)
+		require.True(t, ok)
+		require.Error(t, ctx.Err())
+	})
+}
--- a/primrosed/internal/query/fake_test.go
+++ b/primrosed/internal/query/fake_test.go
@@ -101,6 +101,8 @@
 	draining bool
 	shed     bool
 	held     map[domain.Snapshot]bool
+	// statusAfter is how long a status takes.
+	statusAfter time.Duration
 }
 
 func newFleet(l load, cfg *domain.Configuration) *fleet {
@@ -245,6 +247,14 @@
 func (l link) Status(ctx context.Context, sr *domain.Searcher) (*pb.GetStatusResponse, error) {
 	s := l.searchers[sr.ID]
 
+	s.mu.Lock()
+	after := s.statusAfter
+	s.mu.Unlock()
+
+	if err := wait(ctx, after); err != nil {
+		return nil, err
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/primrosed/internal/query/poller.go
+++ b/primrosed/internal/query/poller.go
@@ -183,6 +183,7 @@
 	}
 
 	wg.Wait()
+	p.snapshots.Asked(p.version)
 	p.routing.Review()
 }
 
--- a/primrosed/internal/query/query_test.go
+++ b/primrosed/internal/query/query_test.go
@@ -1,14 +1,17 @@
 package query
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"primrosespring.example/internal/domain"
@@ -192,6 +195,104 @@
 	})
 }
 
+// repartitioned returns cfg with a second partition map, which all searchers of f
+// hold beside the first.
+func repartitioned(f *fleet, cfg *domain.Configuration) *domain.Configuration {
+	next := *cfg
+	next.Version++
+	next.Services = slices.Clone(cfg.Services)
+	next.Services[0].PartitionMap.Version = 2
+
+	for id := range f.searchers {
+		f.set(func(s *fakeSearcher) {
+			s.held = map[domain.Snapshot]bool{
+				{IndexVersion: 1, PartitionMapVersion: 1}: true, {IndexVersion: 1, PartitionMapVersion: 2}: true,
+			}
+		}, id)
+	}
+
+	return &next
+}
+
+// Guards against a partial answer right after a new partition map: the first
+// queries on it found the snapshot that most shards hold before the other
+// searchers had said what they hold (scenario repartition beside load: 4 of 6
+// shards asked).
+func TestNewPartitionMapWaitsForItsSearchers(t *testing.T) {
+	one(t, quiet(10), func(n *node, f *fleet, cfg *domain.Configuration) {
+		next := repartitioned(f, cfg)
+		f.set(func(s *fakeSearcher) { s.statusAfter = 20 * time.Millisecond }, "s0-0", "s0-1", "s5-0")
+		f.set(func(s *fakeSearcher) { s.statusAfter = time.Hour }, "s5-1")
+
+		var polled sync.WaitGroup
+
+		polled.Go(func() { n.poll(next) })
+		time.Sleep(time.Millisecond)
+
+		begin := time.Now()
+		resp, err := ask(n, next, 1)
+		require.NoError(t, err)
+		require.EqualValues(t, 2, resp.GetSnapshot().GetPartitionMapVersion())
+		require.Len(t, resp.GetCoverage().GetIncluded(), 10)
+		require.Less(t, time.Since(begin), 100*time.Millisecond, "one searcher of a shard suffices")
+		polled.Wait()
+	})
+}
+
+// Guards against queries that wait until their deadline for a shard whose
+// searchers say nothing.
+func TestNewPartitionMapDoesNotWaitForTheSilent(t *testing.T) {
+	l := quiet(10)
+	l.rules.MinCoveragePermille = 500
+
+	one(t, l, func(n *node, f *fleet, cfg *domain.Configuration) {
+		next := repartitioned(f, cfg)
+		f.set(func(s *fakeSearcher) { s.statusAfter = time.Hour }, "s5-0", "s5-1")
+
+		var polled sync.WaitGroup
+
+		polled.Go(func() { n.poll(next) })
+		time.Sleep(time.Millisecond)
+
+		begin := time.Now()
+		resp, err := ask(n, next, 1)
+		require.NoError(t, err)
+		require.Len(t, resp.GetCoverage().GetIncluded(), 9)
+		require.Less(t, time.Since(begin), pollTimeout+100*time.Millisecond)
+		polled.Wait()
+	})
+}
+
+// Guards against a partial answer or a failure that leaves no line behind, so that
+// its cause can't be found afterwards.
+func TestIncompleteQueriesAreLogged(t *testing.T) {
+	l := quiet(3)
+	l.rules.MinCoveragePermille = 600
+
+	one(t, l, func(n *node, f *fleet, cfg *domain.Configuration) {
+		var lines bytes.Buffer
+
+		n.runner.log = zerolog.New(&lines)
+
+		_, err := ask(n, cfg, 1)
+		require.NoError(t, err)
+		require.Empty(t, lines.String())
+
+		f.set(func(s *fakeSearcher) { s.held = nil }, "s1-0", "s1-1")
+
+		_, err = ask(n, cfg, 2)
+		require.NoError(t, err)
+		require.Contains(t, lines.String(), `"event":"query_incomplete"`)
+		require.Contains(t, lines.String(), `"missing":"1:snapshot_gone"`)
+
+		lines.Reset()
+
+		_, err = n.runner.Search(context.Background(), cfg, &pb.SearchRequest{Service: "unknown", RequestId: "r-9"})
+		require.Error(t, err)
+		require.Contains(t, lines.String(), `"request_id":"r-9"`)
+	})
+}
+
 // Guards against a false "not run": it is said before the first attempt only.
 func TestFates(t *testing.T) {
 	one(t, quiet(2), func(n *node, f *fleet, cfg *domain.Configuration) {
--- a/primrosed/internal/query/runner.go
+++ b/primrosed/internal/query/runner.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,13 @@
 // of ctx. Errors are domain.Error.
 func (r *Runner) Search(ctx context.Context, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
 	start := time.Now()
+	resp, err := r.serve(ctx, start, cfg, req)
+	r.logIncomplete(cfg, req, start, resp, err)
 
+	return resp, err
+}
+
+func (r *Runner) serve(ctx context.Context, start time.Time, cfg *domain.Configuration, req *pb.SearchRequest) (*pb.SearchResponse, error) {
 	svc, err := repeatable(cfg, req)
 	if err != nil {
 		countRefusal(err)
@@ -97,6 +104,31 @@
 	return resp, err
 }
 
+// logIncomplete writes why a query has no answer or one that lacks shards.
+func (r *Runner) logIncomplete(cfg *domain.Configuration, req *pb.SearchRequest, start time.Time, resp *pb.SearchResponse, err error) {
+	missing := resp.GetCoverage().GetMissing()
+	if err == nil && len(missing) == 0 {
+		return
+	}
+
+	e := r.log.Info().Str("event", "query_incomplete").Str("request_id", req.GetRequestId()).Str("service", req.GetService()).
+		Uint64("version", cfg.Version).Int64("elapsed_ms", time.Since(start).Milliseconds())
+
+	if err != nil {
+		e.Err(err).Send()
+
+		return
+	}
+
+	list := make([]string, len(missing))
+	for i, m := range missing {
+		list[i] = strconv.FormatUint(uint64(m.GetShard()), 10) + ":" + m.GetReason()
+	}
+
+	e.Str("missing", strings.Join(list, " ")).Uint64("partition_map_version", resp.GetSnapshot().GetPartitionMapVersion()).
+		Uint64("index_version", resp.GetSnapshot().GetIndexVersion()).Uint32("attempts", resp.GetAttempts()).Send()
+}
+
 func repeatable(cfg *domain.Configuration, req *pb.SearchRequest) (*domain.Service, error) {
 	svc, ok := cfg.Service(req.GetService())
 	if !ok {
@@ -129,7 +161,7 @@
 	attempts := 0
 
 	for starts := 1; ; starts++ {
-		snap, ok := r.snapshots.Choose(svc)
+		snap, ok := r.snapshots.Await(ctx, svc, cfg.Version)
 		if !ok {
 			return nil, noSnapshot(svc, attempts)
 		}
