serving: let in queries that find short queues

A shard counts as crowded from 0.45 of the objective on; instances that hear of each queue often see short ones, which pauses make and which are gone in time, where nine instances see none of them.

Change: crowded from 0.6 of the objective.

--- a/internal/serving/load_test.go
+++ b/internal/serving/load_test.go
@@ -222,6 +222,35 @@
 	})
 }
 
+// Guards against requests that are refused though the slots suffice: three
+// instances, which hear of each searcher's queue three times as often as nine,
+// and searchers that pause (a deployment of 3 instances on day quiet-1: 66 of
+// 2,242 tries refused, none of them needlessly with 9 instances).
+func TestShortQueuesAreNoReasonToRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 9, 3, 20, 2, gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89))
+		for _, sv := range s.model.servers {
+			sv.pauseFor, sv.pauseEvery = 250*time.Millisecond, 6*time.Second
+		}
+
+		var (
+			wg         sync.WaitGroup
+			warm, list tally
+		)
+
+		s.offer(t, &wg, "list", 75, 28*time.Millisecond, 3*time.Second, 2*time.Second, &warm)
+		wg.Wait()
+		s.offer(t, &wg, "list", 75, 28*time.Millisecond, 3*time.Second, 20*time.Second, &list)
+		wg.Wait()
+
+		// 75 requests of 28 ms need 2.1 of the 4 slots of a shard. 2 are left while one
+		// searcher pauses, so that no queue of 250 ms is long. One in a hundred is for
+		// several shards whose searchers pause at once.
+		require.LessOrEqual(t, list.refused, list.asked/100)
+		require.Greater(t, list.share(), 0.9)
+	})
+}
+
 // Guards against work for requests that have ended: shards whose one copy is
 // ten times slower leave the other at its limit, and each place in its queue
 // that an answered request still holds makes a further one late (day trouble-3).
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -134,7 +134,7 @@
 	// crowdedShare is the part of the objective from which a shard with a standing
 	// queue counts as crowded; the rest is for queues that grow between two words
 	// of a searcher, and for hedges.
-	crowdedShare = 0.45
+	crowdedShare = 0.6
 	// detour is how much longer a request may be expected to take nearby than in
 	// another failure domain, since bytes between them are paid for.
 	detour = 6 * time.Millisecond
