follower, http1: tests without data races

Cause: go test -race on these packages failed: tests read what the follower's goroutine writes, and one wrote a limit that the server reads. Bubbles order them in time, but not for the memory model. Change: a mutex and accessors in the script and the record, an atomic limit. The checks are the same.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,7 @@
 
 // script answers calls in turn and records them.
 type script struct {
+	mu    sync.Mutex // Guards calls, fail and pieces.
 	calls []string
 	// fail holds the error codes of the calls in turn; an empty code succeeds.
 	fail []domain.Code
@@ -27,26 +30,57 @@
 }
 
 func (s *script) next(ctx context.Context, call string) error {
+	s.mu.Lock()
 	s.calls = append(s.calls, call)
 
+	var code domain.Code
+	if len(s.fail) > 0 && !s.silent {
+		code, s.fail = s.fail[0], s.fail[1:]
+	}
+	s.mu.Unlock()
+
 	if s.silent {
 		<-ctx.Done()
 
 		return ctx.Err()
 	}
 
-	if len(s.fail) == 0 {
+	if code == "" {
 		return nil
 	}
 
-	code := s.fail[0]
-	s.fail = s.fail[1:]
+	return domain.Errorf(domain.FateUnknown, code, "call", "scripted")
+}
 
-	if code == "" {
-		return nil
+// seen returns the calls so far.
+func (s *script) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.calls)
+}
+
+// succeed ends the failures.
+func (s *script) succeed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.fail = nil
+}
+
+// piece returns the size of the next answer, or 0.
+func (s *script) piece() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(s.pieces) == 0 {
+		return 0
 	}
 
-	return domain.Errorf(domain.FateUnknown, code, "call", "scripted")
+	n := s.pieces[0]
+	s.pieces = s.pieces[1:]
+
+	return n
 }
 
 func (s *script) List(ctx context.Context, stale bool) ([]int, uint64, error) {
@@ -60,11 +94,8 @@
 		return nil, 0, err
 	}
 
-	if len(s.pieces) > 0 {
-		changes := make([]Change[int], s.pieces[0])
-		s.pieces = s.pieces[1:]
-
-		return changes, revision + uint64(len(changes)), nil
+	if n := s.piece(); n > 0 {
+		return make([]Change[int], n), revision + uint64(n), nil
 	}
 
 	select {
@@ -78,15 +109,33 @@
 }
 
 // record is a sink that writes down what it gets.
-type record struct{ got []string }
+type record struct {
+	mu  sync.Mutex // Guards got.
+	got []string
+}
+
+func (r *record) note(line string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 
-func (r *record) Replace(items []int) { r.got = append(r.got, fmt.Sprint("replace ", items)) }
+	r.got = append(r.got, line)
+}
+
+func (r *record) lines() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.Clone(r.got)
+}
+
+func (r *record) Replace(items []int) { r.note(fmt.Sprint("replace ", items)) }
 func (r *record) Apply(list []Change[int]) {
 	for _, c := range list {
-		r.got = append(r.got, fmt.Sprint("apply ", c.Item, c.Removed))
+		r.note(fmt.Sprint("apply ", c.Item, c.Removed))
 	}
 }
-func (r *record) Returned() { r.got = append(r.got, "returned") }
+func (r *record) Returned() { r.note("returned") }
+
 func follow(s *script, r *record) *Follower[int] {
 	return &Follower[int]{
 		Log: zerolog.New(io.Discard), Name: "numbers", Source: s, Sink: r, Pause: 500 * time.Millisecond,
@@ -105,10 +154,10 @@
 		time.Sleep(time.Second)
 		s.events <- Change[int]{Item: 3}
 		time.Sleep(100 * time.Millisecond)
-		require.Equal(t, []string{"list stale=true", "watch 7"}, s.calls)
-		require.Equal(t, []string{"replace [1 2]", "apply 3 false"}, r.got)
+		require.Equal(t, []string{"list stale=true", "watch 7"}, s.seen())
+		require.Equal(t, []string{"replace [1 2]", "apply 3 false"}, r.lines())
 		time.Sleep(time.Second)
-		require.Equal(t, []string{"list stale=true", "watch 7", "watch 8"}, s.calls, "a pause follows each watch")
+		require.Equal(t, []string{"list stale=true", "watch 7", "watch 8"}, s.seen(), "a pause follows each watch")
 		cancel()
 		synctest.Wait()
 	})
@@ -124,7 +173,7 @@
 		go follow(s, r).Run(ctx)
 
 		time.Sleep(1200 * time.Millisecond)
-		require.Equal(t, []string{"list stale=true", "watch 7", "list stale=false", "watch 7"}, s.calls)
+		require.Equal(t, []string{"list stale=true", "watch 7", "list stale=false", "watch 7"}, s.seen())
 		cancel()
 		synctest.Wait()
 	})
@@ -146,14 +195,14 @@
 
 		time.Sleep(5 * time.Second)
 
-		n := len(s.calls)
+		n := len(s.seen())
 		require.Less(t, n, 15, "a second or so between tries")
 
-		s.fail = nil
+		s.succeed()
 		s.events <- Change[int]{Item: 9}
 		time.Sleep(time.Second)
-		require.Equal(t, []string{"replace [1 2]", "returned", "apply 9 false"}, r.got)
-		require.Greater(t, len(s.calls), n)
+		require.Equal(t, []string{"replace [1 2]", "returned", "apply 9 false"}, r.lines())
+		require.Greater(t, len(s.seen()), n)
 		cancel()
 		synctest.Wait()
 	})
@@ -171,8 +220,8 @@
 		go follow(s, r).Run(ctx)
 
 		time.Sleep(600 * time.Millisecond)
-		require.Equal(t, []string{"list stale=true", "watch 7", "watch 507", "watch 1007", "watch 1487"}, s.calls)
-		require.Len(t, r.got, 1+500+500+480+3)
+		require.Equal(t, []string{"list stale=true", "watch 7", "watch 507", "watch 1007", "watch 1487"}, s.seen())
+		require.Len(t, r.lines(), 1+500+500+480+3)
 		cancel()
 		synctest.Wait()
 	})
@@ -202,8 +251,8 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 
-		require.Equal(t, []string{"list stale=true", "watch 7", "watch 7"}, s.calls, "the second one runs for longer")
-		require.Equal(t, []string{"replace [1 2]"}, r.got, "a doubt is no outage")
+		require.Equal(t, []string{"list stale=true", "watch 7", "watch 7"}, s.seen(), "the second one runs for longer")
+		require.Equal(t, []string{"replace [1 2]"}, r.lines(), "a doubt is no outage")
 		cancel()
 		synctest.Wait()
 	})
@@ -218,7 +267,7 @@
 		go follow(s, r).Run(ctx)
 
 		time.Sleep(listTimeout + time.Second)
-		require.Len(t, s.calls, 2)
+		require.Len(t, s.seen(), 2)
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/http1/idle_test.go
+++ b/internal/http1/idle_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +32,11 @@
 // is never cut off.
 func TestIdleConnectionsCloseAtTheConfiguredLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := 15 * time.Second
-		timer := &IdleTimer{Limit: func() time.Duration { return limit }}
+		var limit atomic.Int64
+
+		limit.Store(int64(15 * time.Second))
+
+		timer := &IdleTimer{Limit: func() time.Duration { return time.Duration(limit.Load()) }}
 		served := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(time.Minute)
 			w.WriteHeader(http.StatusNoContent)
@@ -56,24 +60,19 @@
 			require.NoError(t, resp.Body.Close())
 		}
 
-		time.Sleep(limit - time.Second)
+		time.Sleep(14 * time.Second)
 		ask()
-		time.Sleep(limit - time.Second)
-
-		limit = 40 * time.Second
-
+		time.Sleep(14 * time.Second)
+		limit.Store(int64(40 * time.Second))
 		ask()
-		time.Sleep(limit - time.Second)
-		synctest.Wait()
-
-		limit = 5 * time.Second
-
+		time.Sleep(39 * time.Second)
+		limit.Store(int64(5 * time.Second))
 		ask()
 
 		begun := time.Now()
 		_, err := near.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
-		require.Equal(t, limit, time.Since(begun))
+		require.Equal(t, 5*time.Second, time.Since(begun))
 
 		synctest.Wait()
 		require.Empty(t, timer.conns)
