--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -21,8 +21,8 @@
 	// asked is the newest configuration version whose searchers have all been
 	// asked what they hold.
 	asked uint64
-	// news is closed with the next change of held or asked; nil if nobody waits.
-	news chan struct{}
+	// changed is closed with the next change of held or asked; nil if nobody waits.
+	changed chan struct{}
 }
 
 type holding struct {
@@ -88,16 +88,16 @@
 			return c.snapshot, c.ok
 		}
 
-		asked, news := t.watch()
+		asked, changed := t.watch()
 
-		// What was reported before the watch began brings no news.
+		// What was reported before the watch began doesn't close the channel.
 		c := t.choice(service)
 		if c.whole || asked >= version {
 			return c.snapshot, c.ok
 		}
 
 		select {
-		case <-news:
+		case <-changed:
 		case <-ctx.Done():
 			return c.snapshot, c.ok
 		}
@@ -112,28 +112,28 @@
 
 	if version > t.asked {
 		t.asked = version
-		t.tell()
+		t.notify()
 	}
 }
 
 // watch returns the version asked for and a channel that is closed with the next
-// news.
+// change.
 func (t *Table) watch() (uint64, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if t.news == nil {
-		t.news = make(chan struct{})
+	if t.changed == nil {
+		t.changed = make(chan struct{})
 	}
 
-	return t.asked, t.news
+	return t.asked, t.changed
 }
 
-// tell wakes those that wait for news; the lock is held.
-func (t *Table) tell() {
-	if t.news != nil {
-		close(t.news)
-		t.news = nil
+// notify wakes those that wait for a change; the lock is held.
+func (t *Table) notify() {
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
 	}
 }
 
@@ -197,7 +197,7 @@
 
 	t.held[h] = set
 	delete(t.chosen, h.service)
-	t.tell()
+	t.notify()
 }
 
 func (t *Table) best(service *domain.Service) choice {
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -59,8 +59,8 @@
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
-	// longestWait bounds in the HTTP server what the configuration bounds below it,
-	// since the server's own timeouts can't change while it runs.
+	// longestWait is the HTTP server's own timeout for callers, which can't change
+	// while it runs. The configured timeouts are lower; http1.IdleTimer keeps them.
 	longestWait = time.Hour
 	// connectionShare is the part of a searcher's connections that the instances
 	// divide; the rest is for connections that are being replaced.
