query: no timer for a status that comes at once

Cause: go test -race of this package crashed in the runtime (SIGSEGV in timer.maybeRunChan, and once a ThreadSanitizer check) under a select on a timer of 0 s in a bubble, which the stand-in's Status began to make. Change: it waits only if the test asks for it. Without -race the tests never failed on it.

--- a/primrosed/internal/query/fake_test.go
+++ b/primrosed/internal/query/fake_test.go
@@ -251,8 +251,10 @@
 	after := s.statusAfter
 	s.mu.Unlock()
 
-	if err := wait(ctx, after); err != nil {
-		return nil, err
+	if after > 0 {
+		if err := wait(ctx, after); err != nil {
+			return nil, err
+		}
 	}
 
 	s.mu.Lock()
