all: call what exists instead of a second copy

Found on reading the whole change once more; no behaviour changes.

- scatter: allTried and mayReach each counted the different searchers that a shard was sent to; both call shardState.reached.
- serving: the lines of a request answered here and of one handed over share their beginning and their outcome; the shares assumed before the number of instances is known stood in serving and in hosted.
- http1: IdleTimer asked for the limits on every change of a connection's state, also when a request began, and started a timer of an hour to stop it.
It asks when a wait begins, as its comment says.
- rpc: a body is a reader and a closer; its own type was needless.
- gatherer: Errorf formats by itself.
- tests: one way to let searchers pause, to ask during a round of polls, and to hold a query at a gatherer.
The assertions are the same.

Left: the yamux settings of peer and gatherer share three of eight lines, and Stop of gatherer.Server and Close of execute.Executor a wait of ten; their limits, timeouts and endings differ.

--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -22,7 +22,7 @@
 
 // idleConn is one connection of an IdleTimer.
 type idleConn struct {
-	timer   *time.Timer
+	timer   *time.Timer // Nil before the first wait with a limit.
 	waiting bool
 }
 
@@ -34,7 +34,6 @@
 	ic := t.conns[c]
 	if ic == nil {
 		ic = &idleConn{}
-		ic.timer = time.AfterFunc(time.Hour, func() { t.expire(c, ic) })
 
 		if t.conns == nil {
 			t.conns = make(map[net.Conn]*idleConn)
@@ -43,14 +42,27 @@
 		t.conns[c] = ic
 	}
 
-	ic.timer.Stop()
 	ic.waiting = s == http.StateNew || s == http.StateIdle
 
+	if ic.timer != nil {
+		ic.timer.Stop()
+	}
+
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(t.conns, c)
 	}
 
-	if limit := t.Limit(); ic.waiting && limit > 0 {
+	if !ic.waiting {
+		return
+	}
+
+	limit := t.Limit()
+
+	switch {
+	case limit <= 0:
+	case ic.timer == nil:
+		ic.timer = time.AfterFunc(limit, func() { t.expire(c, ic) })
+	default:
 		ic.timer.Reset(limit)
 	}
 }
--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -155,20 +155,7 @@
 
 // allTried reports whether no searcher of the shard is left untried.
 func (q *Query) allTried(sh *shardState) bool {
-	n := 0
-
-	for i := range sh.sent {
-		known := false
-		for j := range i {
-			known = known || sh.tried[j] == sh.tried[i]
-		}
-
-		if !known {
-			n++
-		}
-	}
-
-	return n >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.ids[0]].shard].Searchers)
+	return sh.reached() >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.ids[0]].shard].Searchers)
 }
 
 // lost returns the code of a shard without a usable searcher: what its own
@@ -190,19 +177,20 @@
 // mayReach reports whether an attempt at the searcher keeps to the number of
 // searchers that the rules allow for a shard; shed attempts count here.
 func (q *Query) mayReach(sh *shardState, searcher string) bool {
-	distinct := 0
+	return slices.Contains(sh.tried[:sh.sent], searcher) || sh.reached() < int(q.params.Service.Rules.MaxAttempts)
+}
 
-	for i, id := range sh.tried[:sh.sent] {
-		if id == searcher {
-			return true
-		}
+// reached returns how many different searchers attempts went to.
+func (s *shardState) reached() int {
+	n := 0
 
-		if !slices.Contains(sh.tried[:i], id) {
-			distinct++
+	for i, id := range s.tried[:s.sent] {
+		if !slices.Contains(s.tried[:i], id) {
+			n++
 		}
 	}
 
-	return distinct < int(q.params.Service.Rules.MaxAttempts)
+	return n
 }
 
 // Unsent says that nothing of an attempt reached its searcher, which costs the
--- a/internal/serving/fake_test.go
+++ b/internal/serving/fake_test.go
@@ -284,6 +284,13 @@
 	return s
 }
 
+// pause makes every searcher stop for a while, again and again.
+func (s *system) pause(length, every time.Duration) {
+	for _, sv := range s.model.servers {
+		sv.pauseFor, sv.pauseEvery = length, every
+	}
+}
+
 func gatheredRoute(name string, pools int, objective, timeout time.Duration, coverage float64) domain.Route {
 	r := domain.Route{
 		Name: name, Host: "h", PathPrefix: "/" + name + "/", Repeatable: true, Timeout: timeout, LatencyObjective: objective,
--- a/internal/serving/load_test.go
+++ b/internal/serving/load_test.go
@@ -24,9 +24,7 @@
 func TestPausesAreHedgedWithinTheObjective(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, 1, 3, 20, 2, gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89))
-		for _, sv := range s.model.servers {
-			sv.pauseFor, sv.pauseEvery = 500*time.Millisecond, 5*time.Second
-		}
+		s.pause(500*time.Millisecond, 5*time.Second)
 
 		var (
 			wg   sync.WaitGroup
@@ -83,9 +81,7 @@
 		warm, list tally
 	)
 
-	for _, sv := range s.model.servers {
-		sv.pauseFor, sv.pauseEvery = 250*time.Millisecond, 6*time.Second
-	}
+	s.pause(250*time.Millisecond, 6*time.Second)
 
 	s.offer(t, &wg, "list", 20, 28*time.Millisecond, 3*time.Second, 5*time.Second, &warm)
 	wg.Wait()
@@ -229,9 +225,7 @@
 func TestShortQueuesAreNoReasonToRefuse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, 9, 3, 20, 2, gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89))
-		for _, sv := range s.model.servers {
-			sv.pauseFor, sv.pauseEvery = 250*time.Millisecond, 6*time.Second
-		}
+		s.pause(250*time.Millisecond, 6*time.Second)
 
 		var (
 			wg         sync.WaitGroup
--- a/internal/serving/log.go
+++ b/internal/serving/log.go
@@ -20,8 +20,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
-	ev := x.engine.log.Info().Str("event", "request").Str("request_id", x.req.ID).Str("route", x.entry.Route.Name).
-		Uint64("version", x.view.Table.Version).Uint64("registry_change", x.view.RegistryChange).
+	ev := x.requestEvent().Uint64("registry_change", x.view.RegistryChange).
 		Int64("elapsed_ms", time.Since(x.req.Received).Milliseconds()).Int("attempts", len(x.attempts))
 
 	if x.req.HandedOverBy != "" {
@@ -29,33 +28,34 @@
 	}
 
 	x.addPlacement(ev)
-
-	switch {
-	case err != nil:
-		addError(ev, err)
-	case resp.Gathered:
-		ev.Str("outcome", "answered").Int("missing", resp.Missing)
-	default:
-		ev.Str("outcome", "answered").Int("status", resp.Status)
-	}
-
+	addOutcome(ev, resp, err)
 	ev.Send()
 }
 
 // logHandedOver writes the outcome of a request that another instance worked on;
 // that one writes a line with the same id and the placement.
 func (x *execution) logHandedOver(by string, resp *Response, err error) {
-	ev := x.engine.log.Info().Str("event", "request").Str("request_id", x.req.ID).Str("route", x.entry.Route.Name).
-		Uint64("version", x.view.Table.Version).Int64("elapsed_ms", time.Since(x.req.Received).Milliseconds()).
-		Str("gathered_by", by)
+	ev := x.requestEvent().Int64("elapsed_ms", time.Since(x.req.Received).Milliseconds()).Str("gathered_by", by)
+
+	addOutcome(ev, resp, err)
+	ev.Send()
+}
+
+// requestEvent begins the line of a request's outcome.
+func (x *execution) requestEvent() *zerolog.Event {
+	return x.engine.log.Info().Str("event", "request").Str("request_id", x.req.ID).Str("route", x.entry.Route.Name).
+		Uint64("version", x.view.Table.Version)
+}
 
-	if err != nil {
+func addOutcome(ev *zerolog.Event, resp *Response, err error) {
+	switch {
+	case err != nil:
 		addError(ev, err)
-	} else {
+	case resp.Gathered:
 		ev.Str("outcome", "answered").Int("missing", resp.Missing)
+	default:
+		ev.Str("outcome", "answered").Int("status", resp.Status)
 	}
-
-	ev.Send()
 }
 
 // addPlacement lists the searchers that the attempts went to.
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -168,11 +168,16 @@
 	Direct   float64
 }
 
+// AssumedShares hold before the number of instances is known.
+func AssumedShares() Shares {
+	return Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed}
+}
+
 // New returns an engine.
 func New(log zerolog.Logger, s Settings, d *directory.Directory, sr Searchers, rt *routing.Table) *Engine {
 	return &Engine{
 		log: log, settings: s, directory: d, searchers: sr, routing: rt,
-		started: time.Now(), shares: Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed},
+		started: time.Now(), shares: AssumedShares(),
 		delayers: make(map[string]*hedging.Delayer), budgets: make(map[string]*poolBudget),
 	}
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -83,17 +83,14 @@
 // snapshot that lacks shards is chosen only after all have been asked, or when ctx
 // ends.
 func (t *Table) Await(ctx context.Context, service *domain.Service, version uint64) (domain.Snapshot, bool) {
-	for {
-		if c := t.choice(service); c.whole {
-			return c.snapshot, c.ok
-		}
+	c := t.choice(service)
 
+	for !c.whole {
 		asked, changed := t.watch()
 
 		// What was reported before the watch began doesn't close the channel.
-		c := t.choice(service)
-		if c.whole || asked >= version {
-			return c.snapshot, c.ok
+		if c = t.choice(service); c.whole || asked >= version {
+			break
 		}
 
 		select {
@@ -102,6 +99,8 @@
 			return c.snapshot, c.ok
 		}
 	}
+
+	return c.snapshot, c.ok
 }
 
 // Asked says that every searcher of the configuration version has answered what it
--- a/primrosed/internal/frame/frame.go
+++ b/primrosed/internal/frame/frame.go
@@ -62,8 +62,8 @@
 	return err
 }
 
-// Read reads one frame of a peer. A Error means that the bytes are
-// wrong; other errors come from the connection.
+// Read reads one frame of a peer. An Error means that the bytes are wrong; other
+// errors come from the connection.
 func Read(r io.Reader, peer string, limit int) (*pb.PeerFrame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -450,8 +449,8 @@
 func decodeAnswer(gatherer, requestID string, a *pb.HandoverAnswer) (*serving.Response, error) {
 	switch {
 	case a == nil || a.GetRequestId() != requestID:
-		return nil, domain.Errorf(domain.FateUnknown, domain.CodeCorrupt, "check answer", "%s",
-			fmt.Sprintf("it is for request %q", a.GetRequestId())).WithPeer(gatherer)
+		return nil, domain.Errorf(domain.FateUnknown, domain.CodeCorrupt, "check answer",
+			"it is for request %q", a.GetRequestId()).WithPeer(gatherer)
 	case a.GetRefusal() != nil:
 		e := refusal.FromProto(a.GetRefusal())
 		if e.Peer == "" {
--- a/primrosed/internal/gatherer/gatherer_test.go
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -324,24 +324,7 @@
 func TestGatherersDeclineAndFinish(t *testing.T) {
 	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
 		p := newPair(t, 1)
-		release := make(chan struct{})
-		p.engine.serve = func(ctx context.Context, r *serving.Request) (*serving.Response, error) {
-			<-release
-
-			return answerOK(ctx, r)
-		}
-
-		var first error
-
-		done := make(chan struct{})
-
-		go func() {
-			defer close(done)
-
-			_, _, _, first = p.client.Gather(t.Context(), testRequest(), testRoute)
-		}()
-
-		synctest.Wait()
+		release, done := p.startHeld(t)
 
 		_, _, begun, _ := p.client.Gather(t.Context(), testRequest(), testRoute)
 		require.False(t, begun, "the limit is reached")
@@ -352,9 +335,8 @@
 
 		synctest.Wait()
 		require.Empty(t, stopped)
-		close(release)
-		<-done
-		require.NoError(t, first)
+		release()
+		require.NoError(t, <-done)
 		require.NoError(t, <-stopped)
 
 		_, _, begun, _ = p.client.Gather(t.Context(), testRequest(), testRoute)
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -20,8 +20,10 @@
 }
 
 func newShares() *shares {
+	assumed := serving.AssumedShares()
+
 	s := &shares{}
-	s.current.Store(&serving.Shares{Gathered: 1.0 / roster.Assumed, Direct: 1.0 / roster.Assumed})
+	s.current.Store(&assumed)
 
 	return s
 }
--- a/primrosed/internal/query/query_test.go
+++ b/primrosed/internal/query/query_test.go
@@ -214,6 +214,24 @@
 	return &next
 }
 
+// askWhilePolled sends a query a moment after a round of polls for cfg has begun,
+// and returns the answer and how long it took.
+func askWhilePolled(t *testing.T, n *node, cfg *domain.Configuration) (*pb.SearchResponse, time.Duration) {
+	t.Helper()
+
+	var polled sync.WaitGroup
+	defer polled.Wait()
+
+	polled.Go(func() { n.poll(cfg) })
+	time.Sleep(time.Millisecond)
+
+	begin := time.Now()
+	resp, err := ask(n, cfg, 1)
+	require.NoError(t, err)
+
+	return resp, time.Since(begin)
+}
+
 // Guards against a partial answer right after a new partition map: the first
 // queries on it found the snapshot that most shards hold before the other
 // searchers had said what they hold (scenario repartition beside load: 4 of 6
@@ -224,18 +242,10 @@
 		f.set(func(s *fakeSearcher) { s.statusAfter = 20 * time.Millisecond }, "s0-0", "s0-1", "s5-0")
 		f.set(func(s *fakeSearcher) { s.statusAfter = time.Hour }, "s5-1")
 
-		var polled sync.WaitGroup
-
-		polled.Go(func() { n.poll(next) })
-		time.Sleep(time.Millisecond)
-
-		begin := time.Now()
-		resp, err := ask(n, next, 1)
-		require.NoError(t, err)
+		resp, took := askWhilePolled(t, n, next)
 		require.EqualValues(t, 2, resp.GetSnapshot().GetPartitionMapVersion())
 		require.Len(t, resp.GetCoverage().GetIncluded(), 10)
-		require.Less(t, time.Since(begin), 100*time.Millisecond, "one searcher of a shard suffices")
-		polled.Wait()
+		require.Less(t, took, 100*time.Millisecond, "one searcher of a shard suffices")
 	})
 }
 
@@ -249,17 +259,9 @@
 		next := repartitioned(f, cfg)
 		f.set(func(s *fakeSearcher) { s.statusAfter = time.Hour }, "s5-0", "s5-1")
 
-		var polled sync.WaitGroup
-
-		polled.Go(func() { n.poll(next) })
-		time.Sleep(time.Millisecond)
-
-		begin := time.Now()
-		resp, err := ask(n, next, 1)
-		require.NoError(t, err)
+		resp, took := askWhilePolled(t, n, next)
 		require.Len(t, resp.GetCoverage().GetIncluded(), 9)
-		require.Less(t, time.Since(begin), pollTimeout+100*time.Millisecond)
-		polled.Wait()
+		require.Less(t, took, pollTimeout+100*time.Millisecond)
 	})
 }
 
--- a/primrosed/internal/rpc/rpc.go
+++ b/primrosed/internal/rpc/rpc.go
@@ -38,20 +38,14 @@
 // isn't counted.
 func LimitBody(limit int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = &body{ReadCloser: r.Body, bounded: bounded{reader: r.Body, left: limit + envelopeBytes, limit: limit}}
+		r.Body = struct {
+			io.Reader
+			io.Closer
+		}{&bounded{reader: r.Body, left: limit + envelopeBytes, limit: limit}, r.Body}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// body is the bounded body of a request.
-type body struct {
-	io.ReadCloser
-	bounded bounded
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) { return b.bounded.Read(p) }
-
 // bounded reads left bytes and fails if there are more; limit is named in the
 // error.
 type bounded struct {
