--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,6 +109,34 @@
 	return changed
 }
 
+// Configurations returns the configuration in force, if there is one, as a copy for
+// other instances.
+func (d *Directory) Configurations() []*domain.RouteTable {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.table == nil {
+		return nil
+	}
+
+	return []*domain.RouteTable{d.table}
+}
+
+// Registrations returns the registrations that stand, as a copy for other
+// instances. It reports false before the first list, and for RejoinTime after the
+// store's return: who is missing then may be back in a moment, and an instance
+// that takes the copy couldn't tell.
+func (d *Directory) Registrations() ([]domain.Registration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if !d.listed || time.Now().Before(d.registry.returnedAt.Add(RejoinTime)) {
+		return nil, false
+	}
+
+	return d.registry.standing(), true
+}
+
 // SearcherChange is a new registration or the removal of one.
 type SearcherChange struct {
 	ID           string
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -154,3 +154,39 @@
 	require.False(t, d.Usable("s"))
 	require.True(t, d.Usable("u"))
 }
+
+// Guards against a copy for other instances that lacks a draining searcher's
+// sequence, holds a removed one, or is given while nobody can tell whether a missing
+// registration has only lapsed with the store.
+func TestCopiesAreGivenOnceSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Directory{}
+		require.Nil(t, d.Configurations())
+
+		_, ok := d.Registrations()
+		require.False(t, ok, "no list yet")
+
+		draining := registration("b", func(r *domain.Registration) { r.Draining = true })
+		d.ReplaceSearchers([]domain.Registration{draining, registration("a", nil), registration("c", nil)})
+		remove(d, "c")
+
+		list, ok := d.Registrations()
+		require.True(t, ok)
+		require.Equal(t, []domain.Registration{registration("a", nil), draining}, list)
+
+		d.StoreReturned()
+		remove(d, "a")
+
+		_, ok = d.Registrations()
+		require.False(t, ok, "a may register again")
+		time.Sleep(RejoinTime)
+
+		list, ok = d.Registrations()
+		require.True(t, ok)
+		require.Equal(t, []domain.Registration{draining}, list)
+
+		table := &domain.RouteTable{Version: 3}
+		d.Configure(table)
+		require.Equal(t, []*domain.RouteTable{table}, d.Configurations())
+	})
+}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -129,6 +129,22 @@
 	return out
 }
 
+// standing returns the registrations that haven't been removed, draining ones
+// included, sorted by id.
+func (r *registry) standing() []domain.Registration {
+	out := make([]domain.Registration, 0, len(r.members))
+
+	for _, m := range r.members {
+		if m.removedAt.IsZero() {
+			out = append(out, m.registration)
+		}
+	}
+
+	slices.SortFunc(out, func(a, b domain.Registration) int { return strings.Compare(a.ID, b.ID) })
+
+	return out
+}
+
 // prune forgets the searchers that were removed before the time given.
 func (r *registry) prune(before time.Time) {
 	for id, m := range r.members {
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"math"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 )
 
 // Pool is a named group of searchers that answer alike. A pool is one shard of
@@ -152,6 +154,24 @@
 	return nil
 }
 
+// UnmarshalJSON decodes and checks a route table.
+func (t *RouteTable) UnmarshalJSON(data []byte) error {
+	type plain RouteTable
+
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.Annotate(err, "decode route table")
+	}
+
+	if err := RouteTable(p).Validate(); err != nil {
+		return err
+	}
+
+	*t = RouteTable(p)
+
+	return nil
+}
+
 // Match returns the index of the route with the longest prefix of path among
 // those of host.
 func (t *RouteTable) Match(host, path string) (int, bool) {
@@ -223,6 +243,24 @@
 	return CheckAddress("address", r.Address)
 }
 
+// UnmarshalJSON decodes and checks a registration.
+func (r *Registration) UnmarshalJSON(data []byte) error {
+	type plain Registration
+
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.Annotate(err, "decode registration")
+	}
+
+	if err := Registration(p).Validate(); err != nil {
+		return err
+	}
+
+	*r = Registration(p)
+
+	return nil
+}
+
 // Supersedes reports whether r is a later word of the searcher than o. A write
 // that the store carried out late may bring an earlier one back.
 func (r Registration) Supersedes(o Registration) bool {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,12 +1,17 @@
 // Package follower keeps a copy of a collection in the platform's store: it
 // lists it once, then watches for changes, and lists again when the history is
 // gone. Outages are waited out with growing pauses; what was known stays known.
+//
+// An instance that the store doesn't answer takes newer copies from other
+// instances. A copy states the store's revision, so that the watch goes on from
+// it when the store returns.
 package follower
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +47,13 @@
 	Returned()
 }
 
+// Peers are other instances that follow the same collection.
+type Peers[T any] interface {
+	// Newer returns a copy with a higher revision than the one given, or revision 0
+	// if no instance that answers has one.
+	Newer(ctx context.Context, revision uint64) (items []T, at uint64)
+}
+
 const (
 	// watchWait is the longest time that one watch waits. Each watch is a call
 	// with a price; TCP probes find a dead connection sooner.
@@ -49,6 +61,13 @@
 	// listTimeout bounds one list. The store answers in milliseconds; a slow one
 	// takes some tens of times longer.
 	listTimeout = 3 * time.Second
+	// firstListTimeout bounds the first list if there are peers to ask after it. An
+	// instance that starts while the store is silent serves within 2 s (brief); two
+	// pages of a store that takes 60 times as long as usual fit in.
+	firstListTimeout = 800 * time.Millisecond
+	// askEvery is the least time between two calls to the peers. A change is due
+	// everywhere within 3 to 5 s.
+	askEvery = time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 3 * time.Second
 	// A watch is begun again because of a doubt after minDoubt at the soonest, and
@@ -79,29 +98,39 @@
 	// show a middle that acknowledges and forwards nothing. Nil is never in doubt.
 	Doubt <-chan struct{}
 
+	// Peers are asked for newer copies while the store doesn't answer. Nil has none.
+	Peers Peers[T]
+
+	// revision is the store's revision that the sink has everything of.
+	revision atomic.Uint64
+	// askedAt is when the peers were last asked.
+	askedAt time.Time
 	// changes is how many changes the last call brought.
 	changes int
 	// doubtAfter is how long a watch runs before a doubt ends it.
 	doubtAfter time.Duration
 }
 
+// Revision returns the store's revision up to which the sink has taken every
+// change, or 0 before the first list. The sink may be ahead of it.
+func (f *Follower[T]) Revision() uint64 { return f.revision.Load() }
+
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	var (
-		revision uint64
-		listed   bool
-		lost     time.Time
-		backoff  = minBackoff
-		stale    = true
+		listed  bool
+		lost    time.Time
+		backoff = minBackoff
+		stale   = true
 	)
 
 	for ctx.Err() == nil {
 		var err error
 
 		if !listed {
-			revision, err = f.list(ctx, stale, &lost)
+			err = f.list(ctx, stale, &lost)
 		} else {
-			revision, err = f.watch(ctx, revision, &lost)
+			err = f.watch(ctx, &lost)
 		}
 
 		switch {
@@ -114,11 +143,15 @@
 		case historyGone(err):
 			// A stale list may be older than the history that is left.
 			listed, stale = false, false
-			f.Log.Info().Str("event", "store_history_gone").Str("collection", f.Name).Uint64("revision", revision).Send()
+			f.Log.Info().Str("event", "store_history_gone").Str("collection", f.Name).Uint64("revision", f.Revision()).Send()
 		case ctx.Err() == nil:
 			if lost.IsZero() {
 				lost = time.Now()
-				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).Uint64("revision", revision).Err(err).Send()
+				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).Uint64("revision", f.Revision()).Err(err).Send()
+			}
+
+			if f.copyFromPeers(ctx) {
+				listed = true
 			}
 
 			pause(ctx, backoff/2+rand.N(backoff/2+1))
@@ -127,24 +160,58 @@
 	}
 }
 
-func (f *Follower[T]) list(ctx context.Context, stale bool, lost *time.Time) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+func (f *Follower[T]) list(ctx context.Context, stale bool, lost *time.Time) error {
+	timeout := listTimeout
+	if f.Peers != nil && f.Revision() == 0 && lost.IsZero() {
+		timeout = firstListTimeout
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	items, revision, err := f.Source.List(ctx, stale)
 	if err != nil {
-		return 0, err
+		return err
 	}
 
 	f.returned(lost)
-	f.Sink.Replace(items)
+	f.replace(items, revision)
 	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
 		Uint64("revision", revision).Bool("stale", stale).Send()
 
-	return revision, nil
+	return nil
 }
 
-func (f *Follower[T]) watch(ctx context.Context, revision uint64, lost *time.Time) (uint64, error) {
+// copyFromPeers takes a newer copy of the peers, if one has it, and reports
+// whether it did.
+func (f *Follower[T]) copyFromPeers(ctx context.Context) bool {
+	now := time.Now()
+	if f.Peers == nil || !f.askedAt.IsZero() && now.Sub(f.askedAt) < askEvery {
+		return false
+	}
+
+	f.askedAt = now
+	before := f.Revision()
+
+	items, revision := f.Peers.Newer(ctx, before)
+	if revision <= before {
+		return false
+	}
+
+	f.replace(items, revision)
+	f.Log.Info().Str("event", "copy_taken").Str("collection", f.Name).Int("items", len(items)).
+		Uint64("revision", revision).Uint64("before", before).Send()
+
+	return true
+}
+
+// replace hands a whole collection to the sink.
+func (f *Follower[T]) replace(items []T, revision uint64) {
+	f.Sink.Replace(items)
+	f.revision.Store(revision)
+}
+
+func (f *Follower[T]) watch(ctx context.Context, lost *time.Time) error {
 	wait := watchWait
 	if !lost.IsZero() {
 		// The first watch after an outage shows soon that the store is back.
@@ -155,6 +222,7 @@
 	defer cancel()
 
 	doubted := f.endOnDoubt(cancel)
+	revision := f.Revision()
 
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
 	if doubted() {
@@ -163,11 +231,11 @@
 
 		f.Log.Info().Str("event", "store_watch_doubted").Str("collection", f.Name).Uint64("revision", revision).Send()
 
-		return revision, nil
+		return nil
 	}
 
 	if err != nil {
-		return revision, err
+		return err
 	}
 
 	f.returned(lost)
@@ -178,7 +246,9 @@
 		f.Sink.Apply(changes)
 	}
 
-	return max(next, revision), nil
+	f.revision.Store(max(next, revision))
+
+	return nil
 }
 
 // endOnDoubt ends a watch when there is a doubt, though not before it has run for
--- /dev/null
+++ b/internal/follower/peers_test.go
@@ -0,0 +1,148 @@
+package follower
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+)
+
+// copies is a set of other instances with one copy.
+type copies struct {
+	mu       sync.Mutex // Guards what follows.
+	items    []int
+	revision uint64
+	asked    []uint64
+}
+
+// Newer implements Peers.
+func (c *copies) Newer(_ context.Context, revision uint64) ([]int, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.asked = append(c.asked, revision)
+
+	if c.revision <= revision {
+		return nil, 0
+	}
+
+	return c.items, c.revision
+}
+
+func (c *copies) set(revision uint64, items ...int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.items, c.revision = items, revision
+}
+
+func (c *copies) times() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return len(c.asked)
+}
+
+// Guards against an instance that starts while the store is silent and serves
+// nothing until its return, though other instances know the collection.
+func TestFollowerStartsFromACopyOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{silent: true}, &record{}
+		c := &copies{}
+		c.set(40, 5, 6)
+
+		f := follow(s, r)
+		f.Peers = c
+
+		go f.Run(ctx)
+
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"replace [5 6]"}, r.lines(), "within 2 s of the start")
+		require.Equal(t, uint64(40), f.Revision())
+		require.Equal(t, []string{"list stale=true", "watch 40"}, s.seen(), "the store is asked from the copy's revision on")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a second whole list after a start from a copy, and against a sink
+// that isn't told of the store's return.
+func TestFollowerGoesOnFromACopyWhenTheStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{events: make(chan Change[int], 1)}, &record{}
+		s.fail = []domain.Code{domain.CodeStoreUnavailable, domain.CodeStoreUnavailable}
+		c := &copies{}
+		c.set(40, 5, 6)
+
+		f := follow(s, r)
+		f.Peers = c
+
+		go f.Run(ctx)
+
+		s.events <- Change[int]{Item: 7}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"replace [5 6]", "returned", "apply 7 false"}, r.lines())
+		require.Equal(t, uint64(41), f.Revision())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an instance that the store turns away for long and that goes on
+// with an old copy, though its peers follow the changes; and against one call to
+// the peers for each failed call to the store.
+func TestFollowerTakesNewerCopiesWhileItIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{events: make(chan Change[int])}, &record{}
+		s.fail = []domain.Code{""}
+
+		for range 60 {
+			s.fail = append(s.fail, domain.CodeStoreUnavailable)
+		}
+
+		c := &copies{}
+		f := follow(s, r)
+		f.Peers = c
+
+		go f.Run(ctx)
+
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []string{"replace [1 2]"}, r.lines(), "no peer has a newer copy")
+		require.LessOrEqual(t, c.times(), 5, "once a second")
+
+		c.set(9, 8)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"replace [1 2]", "replace [8]"}, r.lines())
+		require.Equal(t, uint64(9), f.Revision())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a call to the peers while the store answers.
+func TestFollowerDoesNotAskPeersWhileTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &script{events: make(chan Change[int])}, &record{}
+		c := &copies{}
+		c.set(40, 5, 6)
+
+		f := follow(s, r)
+		f.Peers = c
+
+		go f.Run(ctx)
+
+		time.Sleep(time.Minute)
+		require.Zero(t, c.times())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/hosting/settings.go
+++ b/internal/hosting/settings.go
@@ -13,6 +13,8 @@
 // they change.
 type Settings struct {
 	Instance domain.Instance
+	// Peers are the peer addresses of a few other instances. They may be out of date.
+	Peers []string
 	// CallerAddress serves callers, HealthAddress the platform's balancer; IP
 	// address and port.
 	CallerAddress string
@@ -56,6 +58,12 @@
 		}
 	}
 
+	for _, a := range s.Peers {
+		if err := domain.CheckAddress("peers", a); err != nil {
+			return err
+		}
+	}
+
 	for _, d := range []struct {
 		field string
 		value time.Duration
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,10 +8,15 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
 )
 
 const (
@@ -25,8 +30,11 @@
 	settleEvery = 2 * time.Second
 	// retryEvery is how often a failed call is tried again.
 	retryEvery = time.Second
-	// callTimeout bounds one call.
+	// callTimeout bounds the calls of one round.
 	callTimeout = 3 * time.Second
+	// firstCallTimeout bounds those of the first round if there are peers to ask
+	// after it; an instance serves within 2 s of its start (brief).
+	firstCallTimeout = 800 * time.Millisecond
 )
 
 // Entry is what an instance writes about itself.
@@ -35,13 +43,45 @@
 	FailureDomain string `json:"failure_domain"`
 	// Started is the start of the process in Unix milliseconds.
 	Started int64 `json:"started_unix_ms"`
-	// PeerAddress takes what other instances hand over.
+	// PeerAddress takes what other instances hand over or ask for; empty if it takes
+	// nothing.
 	PeerAddress string `json:"peer_address"`
 	// Cores is the processor share in cores, LinkMbps the bandwidth of the link.
 	Cores    float64 `json:"cores"`
 	LinkMbps float64 `json:"link_mbps"`
 }
 
+// Validate reports the first field that can't be accepted.
+func (e Entry) Validate() error {
+	if e.ID == "" {
+		return errors.New("entry of an instance: id must not be empty")
+	}
+
+	if e.PeerAddress == "" {
+		return nil
+	}
+
+	return domain.CheckAddress("peer_address", e.PeerAddress)
+}
+
+// UnmarshalJSON decodes and checks an entry.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	type plain Entry
+
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.Annotate(err, "decode entry of an instance")
+	}
+
+	if err := Entry(p).Validate(); err != nil {
+		return err
+	}
+
+	*e = Entry(p)
+
+	return nil
+}
+
 // same reports whether both entries say the same, apart from the start.
 func (e Entry) same(o Entry) bool {
 	e.Started, o.Started = 0, 0
@@ -58,16 +98,28 @@
 	ListInstances(ctx context.Context) ([]Entry, error)
 }
 
-// Roster knows the instances. Only Run, which is called once, uses its state.
+// Peers are other instances that know a list.
+type Peers interface {
+	// Newer returns a list if an instance that answers has one, or revision 0. Lists
+	// have no order: revision 0 asks for any list, and 1 stands for each.
+	Newer(ctx context.Context, revision uint64) (entries []Entry, at uint64)
+}
+
+// Roster knows the instances. Run, which is called once, is its only writer.
 type Roster struct {
 	log   zerolog.Logger
 	store Store
 	self  Entry
+	// tried says that a round has been begun.
+	tried bool
 	// known is the last list that differed from the one before.
-	known []Entry
+	known atomic.Pointer[[]Entry]
 	// Changed is called with a new list, which it must not change; it must be set
 	// before Run.
 	Changed func(instances []Entry)
+	// Peers are asked for their list while none is known and the store doesn't
+	// answer; nil if there are none. It must be set before Run.
+	Peers Peers
 }
 
 // New returns a roster that assumes Assumed instances.
@@ -75,8 +127,17 @@
 	return &Roster{log: log, store: s, self: self}
 }
 
+// Entries returns the last list, which must not be changed, or nil before one.
+func (r *Roster) Entries() []Entry {
+	if l := r.known.Load(); l != nil {
+		return *l
+	}
+
+	return nil
+}
+
 // instances returns how many instances are known, or Assumed before a list.
-func (r *Roster) instances() int { return cmp.Or(len(r.known), Assumed) }
+func (r *Roster) instances() int { return cmp.Or(len(r.Entries()), Assumed) }
 
 // Run registers the instance and keeps the count until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
@@ -94,6 +155,8 @@
 		case err != nil:
 			wait = retryEvery
 
+			r.copyFromPeers(ctx)
+
 			if !failing && ctx.Err() == nil {
 				r.log.Warn().Str("event", "roster_unavailable").Bool("registered", registered).
 					Int("instances", r.instances()).Err(err).Send()
@@ -117,7 +180,14 @@
 // round registers the instance if that is due, reads the list, and reports
 // whether it has changed.
 func (r *Roster) round(ctx context.Context, registered *bool) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if r.Peers != nil && !r.tried {
+		timeout = firstCallTimeout
+	}
+
+	r.tried = true
+
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	if !*registered {
@@ -145,17 +215,30 @@
 	return r.take(entries), nil
 }
 
+// copyFromPeers takes the list of another instance if none is known.
+func (r *Roster) copyFromPeers(ctx context.Context) {
+	if r.Peers == nil || r.Entries() != nil || ctx.Err() != nil {
+		return
+	}
+
+	if entries, at := r.Peers.Newer(ctx, 0); at > 0 {
+		r.log.Info().Str("event", "copy_taken").Str("collection", "instances").Int("items", len(entries)).Send()
+		r.take(entries)
+	}
+}
+
 // take reports whether a list differs from the one before. A stale list may lack entries of a
 // moment ago, this instance's included.
 func (r *Roster) take(entries []Entry) bool {
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 
-	if slices.EqualFunc(entries, r.known, Entry.same) {
+	before := r.Entries()
+	if slices.EqualFunc(entries, before, Entry.same) {
 		return false
 	}
 
-	r.log.Info().Str("event", "roster").Int("instances", len(entries)).Int("before", len(r.known)).Send()
-	r.known = entries
+	r.log.Info().Str("event", "roster").Int("instances", len(entries)).Int("before", len(before)).Send()
+	r.known.Store(&entries)
 	r.Changed(entries)
 
 	return true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -79,7 +79,7 @@
 
 // start runs a roster until the end of the test and returns the lists that it
 // told of.
-func start(t *testing.T, s *fakeStore, self Entry) func() [][]Entry {
+func start(t *testing.T, s *fakeStore, self Entry, peers ...Peers) func() [][]Entry {
 	t.Helper()
 
 	var (
@@ -89,6 +89,10 @@
 	)
 
 	r := New(zerolog.New(io.Discard), s, self)
+	for _, p := range peers {
+		r.Peers = p
+	}
+
 	r.Changed = func(list []Entry) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -172,3 +176,37 @@
 		require.Len(t, lists(), 1)
 	})
 }
+
+// fakePeers know a list.
+type fakePeers struct{ entries []Entry }
+
+// Newer implements Peers.
+func (p *fakePeers) Newer(_ context.Context, revision uint64) ([]Entry, uint64) {
+	if p.entries == nil || revision > 0 {
+		return nil, 0
+	}
+
+	return slices.Clone(p.entries), 1
+}
+
+// Guards against an instance that starts while the store is down and takes part as
+// one of 64 for as long, though other instances know the list; and against a list
+// of peers replacing one of the store.
+func TestRosterTakesTheListOfPeersDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{down: true}
+		peers := &fakePeers{entries: []Entry{{ID: "b"}, {ID: "a"}}}
+		lists := start(t, s, Entry{ID: "c"}, peers)
+
+		time.Sleep(2 * time.Second)
+		require.Equal(t, [][]Entry{{{ID: "a"}, {ID: "b"}}}, lists())
+
+		peers.entries = []Entry{{ID: "z"}}
+		s.set(func() { s.down, s.entries = false, []Entry{{ID: "a"}, {ID: "b"}} })
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(time.Minute)
+		require.Equal(t, []Entry{{ID: "a"}, {ID: "b"}, {ID: "c"}}, lists()[1])
+		require.Len(t, lists(), 2)
+	})
+}
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"primrosespring.example/internal/refusal"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/primrosed/internal/mux"
 )
 
 // Client hands queries over. It implements serving.Gatherers and is safe for
@@ -24,7 +24,7 @@
 type Client struct {
 	log  zerolog.Logger
 	self string
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial mux.DialFunc
 
 	work sync.WaitGroup // Dials and pings; waited for by Close.
 
@@ -50,7 +50,7 @@
 
 // NewClient returns a client of the instance self, which gathers everything
 // itself until SetPlan.
-func NewClient(log zerolog.Logger, self string, dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
+func NewClient(log zerolog.Logger, self string, dial mux.DialFunc) *Client {
 	return &Client{log: log, self: self, dial: dial, peers: make(map[string]*peer), retired: make(map[*peer]bool)}
 }
 
@@ -193,7 +193,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 
-		s, err := c.open(ctx, p.instance.Address)
+		s, err := mux.Dial(ctx, c.dial, p.instance.Address)
 
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -213,20 +213,6 @@
 	})
 }
 
-func (c *Client) open(ctx context.Context, address string) (*yamux.Session, error) {
-	nc, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-
-	s, err := yamux.Client(nc, muxConfig())
-	if err != nil {
-		return nil, errors.Join(err, nc.Close())
-	}
-
-	return s, nil
-}
-
 // avoid keeps offers away from a peer that failed; the lock is held. Failures of
 // queries that were begun before it was avoided count once.
 func (c *Client) avoid(p *peer, step string, cause error) {
--- a/primrosed/internal/gatherer/gatherer.go
+++ b/primrosed/internal/gatherer/gatherer.go
@@ -15,12 +15,10 @@
 package gatherer
 
 import (
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/hashicorp/yamux"
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/serving"
@@ -33,22 +31,15 @@
 	acceptTimeout = 30 * time.Millisecond
 	// startTimeout is how long a gatherer waits for the start of what it accepted.
 	startTimeout = 500 * time.Millisecond
-	// offerTimeout bounds the arrival of the offer on a new stream.
-	offerTimeout = 2 * time.Second
 	// A session with queries at work is pinged every pingInterval; one that doesn't
-	// answer within pingTimeout is closed.
+	// answer within mux.WriteTimeout is closed.
 	pingInterval = 150 * time.Millisecond
-	pingTimeout  = 250 * time.Millisecond
 	// A gatherer that didn't accept or fell silent gets no offers for minBackoff,
 	// and for twice as long each further time.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
 	// maxOffers bounds the gatherers that one query is offered to.
 	maxOffers = 2
-	// streamCloseTimeout is how long a half-closed stream keeps its state.
-	streamCloseTimeout = 5 * time.Second
-	// maxBacklog bounds the streams that wait to be accepted.
-	maxBacklog = 1024
 )
 
 var (
@@ -59,20 +50,6 @@
 	silent     = metrics.NewCounter(`primrose_gatherers_silent_total`)
 )
 
-func muxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	// Sessions are pinged while queries are at work; an idle one that is silent is
-	// found by the next offer.
-	c.EnableKeepAlive = false
-	c.ConnectionWriteTimeout = pingTimeout
-	c.StreamOpenTimeout = 0
-	c.StreamCloseTimeout = streamCloseTimeout
-	c.AcceptBacklog = maxBacklog
-	c.LogOutput = io.Discard
-
-	return c
-}
-
 // encodeOffer makes the offer of a request to the instance.
 func encodeOffer(instance, sender string, r *serving.Request, fingerprint uint64) *pb.PeerFrame {
 	o := &pb.HandoverOffer{
--- a/primrosed/internal/gatherer/gatherer_test.go
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -13,13 +13,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/gathering"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/primrosed/internal/mux"
 )
 
 // mutableConn is one end of a pipe whose writes can be made to vanish, as behind
@@ -75,9 +78,10 @@
 
 // pair is a client and a server joined by pipes.
 type pair struct {
-	client *Client
-	server *Server
-	engine *fakeEngine
+	client   *Client
+	server   *Server
+	sessions *mux.Server
+	engine   *fakeEngine
 	// muted swallows what the server writes.
 	muted atomic.Bool
 }
@@ -101,9 +105,12 @@
 
 	p := &pair{engine: &fakeEngine{serve: answerOK}}
 	p.server = NewServer(zerolog.New(io.Discard), "g", p.engine, limit)
+	p.sessions = mux.NewServer(zerolog.New(io.Discard), func(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
+		p.server.Handle(ctx, peer, first.GetHandoverOffer(), stream)
+	})
 	p.client = NewClient(zerolog.New(io.Discard), "e", func(ctx context.Context, _ string) (net.Conn, error) {
 		near, far := net.Pipe()
-		p.server.sessions.Go(func() { p.server.serveConn(context.WithoutCancel(ctx), mutableConn{far, &p.muted}) })
+		p.sessions.Take(context.WithoutCancel(ctx), mutableConn{far, &p.muted})
 
 		return near, nil
 	})
@@ -112,8 +119,8 @@
 	})
 	t.Cleanup(func() {
 		p.client.Close()
-		p.server.Close()
-		time.Sleep(streamCloseTimeout) // Half-closed streams have timers.
+		p.sessions.Close()
+		time.Sleep(mux.StreamCloseTimeout) // Half-closed streams have timers.
 	})
 	synctest.Wait()
 
@@ -199,7 +206,7 @@
 		begin := time.Now()
 		_, _, begun, err := p.client.Gather(t.Context(), testRequest(), testRoute)
 		require.True(t, begun)
-		require.LessOrEqual(t, time.Since(begin), pingInterval+pingTimeout)
+		require.LessOrEqual(t, time.Since(begin), pingInterval+mux.WriteTimeout)
 
 		var e *domain.Error
 		require.ErrorAs(t, err, &e)
@@ -291,7 +298,7 @@
 		release()
 		require.NoError(t, <-done)
 		synctest.Wait()
-		require.Empty(t, p.server.open, "the session has no use any more")
+		require.Zero(t, p.sessions.Sessions(), "the session has no use any more")
 	})
 }
 
--- a/primrosed/internal/gatherer/server.go
+++ b/primrosed/internal/gatherer/server.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,32 +29,17 @@
 	// limit bounds the queries at work for others.
 	limit int
 
-	sessions sync.WaitGroup
-	queries  sync.WaitGroup
+	queries sync.WaitGroup
 
 	mu       sync.Mutex // Guards what follows.
-	open     map[*yamux.Session]bool
 	working  int
 	stopping bool
-	closed   bool
 }
 
 // NewServer returns a server of the instance self for at most limit queries at a
 // time.
 func NewServer(log zerolog.Logger, self string, e Engine, limit int) *Server {
-	return &Server{log: log, self: self, engine: e, limit: limit, open: make(map[*yamux.Session]bool)}
-}
-
-// Serve takes connections of a listener until it is closed.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			return err
-		}
-
-		s.sessions.Go(func() { s.serveConn(ctx, nc) })
-	}
+	return &Server{log: log, self: self, engine: e, limit: limit}
 }
 
 // Stop declines new queries and waits for those at work until ctx ends.
@@ -81,72 +63,8 @@
 	}
 }
 
-// Close ends all sessions; the listener must be closed before.
-func (s *Server) Close() {
-	s.mu.Lock()
-	s.closed = true
-	open := slices.Collect(maps.Keys(s.open))
-	s.mu.Unlock()
-
-	for _, mux := range open {
-		_ = mux.Close()
-	}
-
-	s.sessions.Wait()
-}
-
-func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
-	mux, err := yamux.Server(nc, muxConfig())
-	if err != nil {
-		_ = nc.Close()
-
-		return
-	}
-
-	s.mu.Lock()
-	s.open[mux] = true
-	closed := s.closed
-	s.mu.Unlock()
-
-	if closed {
-		_ = mux.Close()
-	}
-
-	defer func() {
-		_ = mux.Close()
-
-		s.mu.Lock()
-		delete(s.open, mux)
-		s.mu.Unlock()
-	}()
-
-	var streams sync.WaitGroup
-	defer streams.Wait()
-
-	for {
-		stream, err := mux.AcceptStream()
-		if err != nil {
-			return
-		}
-
-		streams.Go(func() { s.serveStream(ctx, nc.RemoteAddr().String(), stream) })
-	}
-}
-
-// serveStream takes one query through its steps.
-func (s *Server) serveStream(ctx context.Context, from string, stream *yamux.Stream) {
-	defer func() { _ = stream.Close() }()
-
-	_ = stream.SetReadDeadline(time.Now().Add(offerTimeout)) // A closed stream fails below.
-
-	f, err := frame.Read(stream, from, frame.MaxRelay)
-	if err != nil {
-		s.log.Warn().Str("event", "handover_unreadable").Str("peer", from).Err(err).Send()
-
-		return
-	}
-
-	offer := f.GetHandoverOffer()
+// Handle takes one query through its steps; its offer has been read.
+func (s *Server) Handle(ctx context.Context, peer string, offer *pb.HandoverOffer, stream *yamux.Stream) {
 	r := decodeOffer(offer)
 
 	serve, err := s.accept(offer, r)
@@ -160,7 +78,7 @@
 	}
 	defer s.leave()
 
-	if s.started(from, stream) {
+	if s.started(peer, stream) {
 		taken.Inc()
 
 		// The query is cancelled when the sender closes the stream.
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"reflect"
 	"sync"
 	"sync/atomic"
 
+	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 
 	"primrosespring.example/internal/gathering"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/serving"
+	"primrosespring.example/primrosed/internal/mux"
 )
 
 // shares are the instance's parts of what all instances share.
@@ -41,12 +45,20 @@
 // setFleet takes a list of the roster.
 func (i *Instance) setFleet(entries []roster.Entry) {
 	list := make([]gathering.Instance, len(entries))
+	addresses := make([]string, 0, len(entries))
+
 	for j, e := range entries {
+		if e.PeerAddress != "" {
+			addresses = append(addresses, e.PeerAddress)
+		}
+
 		list[j] = gathering.Instance{
 			ID: e.ID, FailureDomain: e.FailureDomain, Address: e.PeerAddress, Cores: e.Cores, LinkMbps: e.LinkMbps,
 		}
 	}
 
+	i.parts.Replicas.SetInstances(addresses)
+
 	i.fleet.mu.Lock()
 	i.fleet.instances = list
 	i.fleet.mu.Unlock()
@@ -86,10 +98,21 @@
 	i.parts.Gatherers.SetPlan(p)
 }
 
-// serveOthers takes the queries that other instances hand over until the listener
-// is closed.
-func (i *Instance) serveOthers(ctx context.Context, l net.Listener) {
-	if err := i.parts.Gatherer.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
+// servePeers takes the sessions of other instances until the listener is closed.
+func (i *Instance) servePeers(ctx context.Context, s *mux.Server, l net.Listener) {
+	if err := s.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
 		i.log.Error().Str("event", "serve_failed").Str("address", l.Addr().String()).Err(err).Send()
 	}
 }
+
+// servePeer serves one exchange with another instance.
+func (i *Instance) servePeer(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
+	switch b := first.GetBody().(type) {
+	case *pb.PeerFrame_HandoverOffer:
+		i.parts.Gatherer.Handle(ctx, peer, b.HandoverOffer, stream)
+	case *pb.PeerFrame_CopyRequest:
+		i.copies.Handle(peer, b.CopyRequest, stream)
+	default:
+		i.log.Warn().Str("event", "peer_frame_unexpected").Str("peer", peer).Str("type", fmt.Sprintf("%T", b)).Send()
+	}
+}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -23,7 +24,6 @@
 
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
-	"primrosespring.example/internal/follower"
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/logline"
@@ -33,6 +33,8 @@
 	"primrosespring.example/platform"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/gatherer"
+	"primrosespring.example/primrosed/internal/mux"
+	"primrosespring.example/primrosed/internal/replica"
 )
 
 const (
@@ -41,10 +43,6 @@
 	gcPercent = 50
 	// memoryShare is the part of the memory limit that the runtime keeps to.
 	memoryShare = 0.7
-	// pauseShare is the part of the bounds for draining searchers and for changes
-	// that is kept between two watches, so that changes in quick succession cost
-	// one call. Twice that and the store's answer stay well within the bounds.
-	pauseShare = 0.3
 	// balancerDelay is how long an instance goes on taking connections after it
 	// says that it isn't ready: the balancer asks each second and needs two
 	// misses.
@@ -88,6 +86,8 @@
 	// doubts holds one doubt about the list of searchers.
 	doubts doubts
 	fleet  fleet
+	// copies gives copies of the store's collections to other instances.
+	copies replica.Server
 }
 
 // doubts holds at most one doubt.
@@ -113,6 +113,8 @@
 	Roster    *roster.Roster
 	Gatherers *gatherer.Client
 	Gatherer  *gatherer.Server
+	Replicas  *replica.Client
+	Followers *followers
 	Shares    *shares
 }
 
@@ -135,6 +137,8 @@
 		newGatherers,
 		newEngine,
 		newGatherer,
+		newReplicas,
+		newFollowers,
 		newInstance,
 	} {
 		if err := c.Provide(f); err != nil {
@@ -183,6 +187,10 @@
 func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds doubts) *Instance {
 	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), doubts: ds}
 	p.Roster.Changed = i.setFleet
+	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.Replicas, Collection: replica.Instances}
+	i.copies = replica.Server{Log: log, Collections: i.collections(), Callers: p.Replicas}
+	p.Followers.configuration.Sink = configurationSink{i}
+	p.Followers.registrations.Sink = registrationSink{i}
 
 	return i
 }
@@ -208,26 +216,29 @@
 		return err
 	}
 
-	handovers, err := net.Listen("tcp", i.settings.Instance.PeerAddress)
+	peers, err := net.Listen("tcp", i.settings.Instance.PeerAddress)
 	if err != nil {
 		return errors.Annotatef(err, "listen on %s", i.settings.Instance.PeerAddress)
 	}
 
+	sessions := mux.NewServer(i.log, i.servePeer)
+	metrics.NewGauge("primrose_peer_sessions", func() float64 { return float64(sessions.Sessions()) })
+
 	var wg sync.WaitGroup
 
-	wg.Go(func() { i.followConfiguration(background) })
+	wg.Go(func() { i.parts.Followers.configuration.Run(background) })
 	wg.Go(func() { i.parts.Roster.Run(background) })
-	wg.Go(func() { i.followRegistrations(background) })
+	wg.Go(func() { i.parts.Followers.registrations.Run(background) })
 	wg.Go(func() { i.watchSettings(background, hangup, reload) })
-	wg.Go(func() { i.serveOthers(requests, handovers) })
+	wg.Go(func() { i.servePeers(requests, sessions, peers) })
 
 	i.log.Info().Str("event", "started").Str("instance", i.settings.Instance.ID).
 		Str("caller_address", i.settings.CallerAddress).Str("failure_domain", i.settings.Instance.FailureDomain).Send()
 	<-ctx.Done()
 	i.stop(callers, endRequests) //nolint:contextcheck // ctx has ended; the stop has the grace time.
 	stop()
-	_ = handovers.Close()
-	i.parts.Gatherer.Close()
+	_ = peers.Close()
+	sessions.Close()
 	i.parts.Gatherers.Close() //nolint:contextcheck // An empty plan connects to nobody.
 	wg.Wait()
 
@@ -354,24 +365,6 @@
 	return nil
 }
 
-func (i *Instance) followConfiguration(ctx context.Context) {
-	f := follower.Follower[*domain.RouteTable]{
-		Log: i.log, Name: "configuration", Source: platform.Configurations{Store: i.parts.Store},
-		Sink: configurationSink{i}, Pause: pauseFor(i.settings.Bounds.ConfigurationDelay),
-	}
-	f.Run(ctx)
-}
-
-func (i *Instance) followRegistrations(ctx context.Context) {
-	f := follower.Follower[domain.Registration]{
-		Log: i.log, Name: "registrations", Source: platform.Registrations{Store: i.parts.Store},
-		Sink: registrationSink{i}, Pause: pauseFor(i.settings.Bounds.Drain), Doubt: i.doubts,
-	}
-	f.Run(ctx)
-}
-
-func pauseFor(bound time.Duration) time.Duration { return time.Duration(pauseShare * float64(bound)) }
-
 // changed takes note of a new view.
 func (i *Instance) changed() {
 	if i.parts.Directory.Ready() && i.health.NotReady() != "" {
@@ -387,88 +380,6 @@
 	i.parts.Table.Retain(i.parts.Directory.Usable)
 }
 
-// configurationSink takes configurations from the store.
-type configurationSink struct{ *Instance }
-
-// Replace implements follower.Sink.
-func (s configurationSink) Replace(items []*domain.RouteTable) {
-	for _, t := range items {
-		s.take(t)
-	}
-}
-
-// Apply implements follower.Sink. A configuration is never removed.
-func (s configurationSink) Apply(changes []follower.Change[*domain.RouteTable]) {
-	for _, c := range changes {
-		if !c.Removed {
-			s.take(c.Item)
-		}
-	}
-}
-
-// Returned implements follower.Sink.
-func (s configurationSink) Returned() {}
-
-func (s configurationSink) take(t *domain.RouteTable) {
-	took := s.parts.Directory.Configure(t)
-	s.log.Info().Str("event", "configuration").Uint64("version", t.Version).Int("routes", len(t.Routes)).
-		Int("pools", len(t.Pools)).Bool("in_force", took).Send()
-
-	if took {
-		s.changed()
-		s.replan()
-	}
-}
-
-// registrationSink takes the searchers' registrations from the store.
-type registrationSink struct{ *Instance }
-
-// Replace implements follower.Sink.
-func (s registrationSink) Replace(items []domain.Registration) {
-	changed := s.parts.Directory.ReplaceSearchers(items)
-	s.log.Info().Str("event", "searchers_listed").Int("searchers", len(items)).Bool("changed", changed).Send()
-	s.changed()
-}
-
-// Apply implements follower.Sink.
-func (s registrationSink) Apply(changes []follower.Change[domain.Registration]) {
-	list := make([]directory.SearcherChange, len(changes))
-	for i, c := range changes {
-		list[i] = directory.SearcherChange{ID: c.Name, Registration: c.Item, Removed: c.Removed}
-	}
-
-	for i, took := range s.parts.Directory.ApplySearchers(list) {
-		if took {
-			s.logSearcher(list[i])
-		}
-	}
-
-	s.changed()
-}
-
-func (s registrationSink) logSearcher(c directory.SearcherChange) {
-	ev := s.log.Info().Str("event", "searcher").Str("searcher", c.ID)
-
-	if c.Removed {
-		ev.Str("state", "removed").Send()
-
-		return
-	}
-
-	ev.Str("state", "registered").Str("pool", c.Registration.Pool).Str("address", c.Registration.Address).
-		Bool("draining", c.Registration.Draining).Uint64("sequence", c.Registration.Sequence).
-		Int64("started", c.Registration.Started).Send()
-}
-
-// Returned implements follower.Sink.
-func (s registrationSink) Returned() {
-	s.parts.Directory.StoreReturned()
-	time.AfterFunc(directory.RejoinTime, func() {
-		s.parts.Directory.Expire()
-		s.changed()
-	})
-}
-
 // watchSettings reloads the settings on a signal, and when they have changed
 // without one.
 func (i *Instance) watchSettings(ctx context.Context, hangup <-chan os.Signal, reload func() (hosting.Settings, error)) {
@@ -493,7 +404,7 @@
 		switch {
 		case err != nil:
 			i.log.Error().Str("event", "reload_refused").Str("cause", cause).Err(err).Send()
-		case s == current:
+		case reflect.DeepEqual(s, current):
 			if cause == "signal" {
 				i.log.Info().Str("event", "reload").Str("cause", cause).Bool("changed", false).Send()
 			}
@@ -507,6 +418,7 @@
 // apply takes changed settings. Addresses are bound once and need a restart.
 func (i *Instance) apply(from, to hosting.Settings, cause string) {
 	i.parts.Engine.SetExtraAttempts(to.Bounds.ExtraAttempts)
+	i.parts.Replicas.SetSeeds(to.Peers)
 	i.log.Info().Str("event", "reload").Str("cause", cause).Bool("changed", true).
 		Bool("restart_needed", from.CallerAddress != to.CallerAddress || from.HealthAddress != to.HealthAddress ||
 			from.StoreAddress != to.StoreAddress).Send()
--- /dev/null
+++ b/primrosed/internal/mux/mux.go
@@ -0,0 +1,177 @@
+// Package mux serves and opens the yamux sessions between hosted instances. Each
+// stream carries one exchange, whose first frame says what the peer wants.
+package mux
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/frame"
+)
+
+const (
+	// WriteTimeout bounds a write and the answer to a ping. The longest way between
+	// failure domains takes 10 ms there and back; the rest is for a busy processor.
+	WriteTimeout = 250 * time.Millisecond
+	// StreamCloseTimeout is how long a half-closed stream keeps its state.
+	StreamCloseTimeout = 5 * time.Second
+	// firstFrameTimeout bounds the arrival of the first frame on a new stream.
+	firstFrameTimeout = 2 * time.Second
+	// maxBacklog bounds the streams that wait to be accepted.
+	maxBacklog = 1024
+)
+
+// DialFunc opens a connection to an IP address and port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Handler serves one stream, whose first frame has been read. The stream is closed
+// after it returns.
+type Handler func(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream)
+
+// Server takes the sessions of other instances. It is safe for concurrent use.
+type Server struct {
+	log    zerolog.Logger
+	handle Handler
+
+	sessions sync.WaitGroup
+
+	mu     sync.Mutex // Guards what follows.
+	open   map[*yamux.Session]bool
+	closed bool
+}
+
+// NewServer returns a server that passes each stream to handle.
+func NewServer(log zerolog.Logger, handle Handler) *Server {
+	return &Server{log: log, handle: handle, open: make(map[*yamux.Session]bool)}
+}
+
+// Serve takes connections of a listener until it is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return err
+		}
+
+		s.Take(ctx, nc)
+	}
+}
+
+// Take serves one connection in the background until it ends or Close is called.
+func (s *Server) Take(ctx context.Context, nc net.Conn) {
+	s.sessions.Go(func() { s.serveConn(ctx, nc) })
+}
+
+// Sessions returns how many sessions are open.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.open)
+}
+
+// Close ends all sessions; the listener must be closed before.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+
+	for _, session := range open {
+		_ = session.Close()
+	}
+
+	s.sessions.Wait()
+}
+
+func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
+	session, err := yamux.Server(nc, config())
+	if err != nil {
+		_ = nc.Close()
+
+		return
+	}
+
+	s.mu.Lock()
+	s.open[session] = true
+	closed := s.closed
+	s.mu.Unlock()
+
+	if closed {
+		_ = session.Close()
+	}
+
+	defer func() {
+		_ = session.Close()
+
+		s.mu.Lock()
+		delete(s.open, session)
+		s.mu.Unlock()
+	}()
+
+	var streams sync.WaitGroup
+	defer streams.Wait()
+
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+
+		streams.Go(func() { s.serveStream(ctx, nc.RemoteAddr().String(), stream) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, peer string, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+
+	_ = stream.SetReadDeadline(time.Now().Add(firstFrameTimeout)) // A closed stream fails below.
+
+	f, err := frame.Read(stream, peer, frame.MaxRelay)
+	if err != nil {
+		s.log.Warn().Str("event", "peer_frame_unreadable").Str("peer", peer).Err(err).Send()
+
+		return
+	}
+
+	s.handle(ctx, peer, f, stream)
+}
+
+// Dial opens a session with the instance at the address.
+func Dial(ctx context.Context, dial DialFunc, address string) (*yamux.Session, error) {
+	nc, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+
+	s, err := yamux.Client(nc, config())
+	if err != nil {
+		return nil, errors.Join(err, nc.Close())
+	}
+
+	return s, nil
+}
+
+func config() *yamux.Config {
+	c := yamux.DefaultConfig()
+	// Users of a session ping it while they wait for an answer; an idle one that is
+	// silent is found by the next exchange.
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = WriteTimeout
+	c.StreamOpenTimeout = 0
+	c.StreamCloseTimeout = StreamCloseTimeout
+	c.AcceptBacklog = maxBacklog
+	c.LogOutput = io.Discard
+
+	return c
+}
--- /dev/null
+++ b/primrosed/internal/replica/client.go
@@ -0,0 +1,180 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/primrosed/internal/mux"
+)
+
+// Client asks other instances for copies. It is safe for concurrent use.
+type Client struct {
+	log  zerolog.Logger
+	self string
+	dial mux.DialFunc
+
+	mu sync.Mutex // Guards what follows.
+	// seeds stand in the settings, listed in the list of instances; callers have
+	// asked this instance, the latest last.
+	seeds, listed, callers []string
+}
+
+// NewClient returns a client of the instance with the peer address self.
+func NewClient(log zerolog.Logger, self string, dial mux.DialFunc, seeds []string) *Client {
+	return &Client{log: log, self: self, dial: dial, seeds: seeds}
+}
+
+// SetSeeds replaces the peer addresses that the settings name.
+func (c *Client) SetSeeds(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.seeds = addresses
+}
+
+// SetInstances replaces the peer addresses of the listed instances.
+func (c *Client) SetInstances(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.listed = addresses
+}
+
+// met remembers an instance that asked: an instance that has just started may know
+// of no other.
+func (c *Client) met(address string) {
+	if domain.CheckAddress("peer_address", address) != nil {
+		return
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.callers = slices.DeleteFunc(c.callers, func(a string) bool { return a == address })
+	c.callers = append(c.callers, address)
+	c.callers = c.callers[max(len(c.callers)-maxCallers, 0):]
+}
+
+// choose returns the instances to ask, in random order.
+func (c *Client) choose() []string {
+	c.mu.Lock()
+	all := slices.Concat(c.seeds, c.listed, c.callers)
+	c.mu.Unlock()
+
+	slices.Sort(all)
+	all = slices.DeleteFunc(slices.Compact(all), func(a string) bool { return a == c.self })
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+
+	return all[:min(len(all), maxAsked)]
+}
+
+// newest asks some instances at once and returns the newest copy that is newer
+// than the revision, or nil.
+func (c *Client) newest(ctx context.Context, collection string, revision uint64) *pb.CopyAnswer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex // Guards best.
+		best *pb.CopyAnswer
+	)
+
+	for _, address := range c.choose() {
+		wg.Go(func() {
+			asked.Inc()
+
+			a, err := c.ask(ctx, address, collection, revision)
+			if err != nil {
+				failed.Inc()
+				c.log.Info().Str("event", "copy_failed").Str("collection", collection).Str("peer", address).
+					Uint64("revision", revision).Err(err).Send()
+
+				return
+			}
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			if a.GetRevision() > max(best.GetRevision(), revision) {
+				best = a
+			}
+		})
+	}
+
+	wg.Wait()
+
+	return best
+}
+
+// ask carries out one exchange.
+func (c *Client) ask(ctx context.Context, address, collection string, revision uint64) (*pb.CopyAnswer, error) {
+	session, err := mux.Dial(ctx, c.dial, address)
+	if err != nil {
+		return nil, err
+	}
+
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+
+	defer func() {
+		if stop() {
+			_ = session.Close()
+		}
+	}()
+
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+
+	request := &pb.CopyRequest{Collection: collection, Revision: revision, PeerAddress: c.self}
+	if err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_CopyRequest{CopyRequest: request}}, frame.MaxControl); err != nil {
+		return nil, err
+	}
+
+	f, err := frame.Read(stream, address, frame.MaxRelay)
+	if err != nil {
+		return nil, err
+	}
+
+	if f.GetCopyAnswer() == nil {
+		return nil, &frame.Error{Peer: address, Reason: "answer to a request for a copy"}
+	}
+
+	return f.GetCopyAnswer(), nil
+}
+
+// Peers are the other instances as holders of one collection.
+type Peers[T any] struct {
+	Client     *Client
+	Collection string
+}
+
+// Newer returns the newest copy of some instances if it is newer than the revision,
+// or revision 0.
+func (p Peers[T]) Newer(ctx context.Context, revision uint64) (items []T, at uint64) {
+	begin := time.Now()
+
+	a := p.Client.newest(ctx, p.Collection, revision)
+	if a == nil {
+		return nil, 0
+	}
+
+	if err := json.Unmarshal(a.GetItems(), &items); err != nil {
+		p.Client.log.Error().Str("event", "copy_refused").Str("collection", p.Collection).
+			Uint64("revision", a.GetRevision()).Int64("took_ms", time.Since(begin).Milliseconds()).Err(err).Send()
+
+		return nil, 0
+	}
+
+	return items, a.GetRevision()
+}
--- /dev/null
+++ b/primrosed/internal/replica/replica.go
@@ -0,0 +1,42 @@
+// Package replica exchanges copies of the store's collections between hosted
+// instances: the configuration, the searchers' registrations and the list of
+// instances. The exchange is one CopyRequest and its CopyAnswer on a yamux stream.
+//
+// It answers outages of the store: an instance that starts meanwhile, or that the
+// store turns away, learns from the others what they know. Nothing is sent while
+// the store answers. Each copy states the store's revision, and only a newer one
+// is taken, so that no instance goes back. What is newest wins and no instance is
+// the origin of anything: an operator's change is still acknowledged by the store
+// alone.
+package replica
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Names of the collections.
+const (
+	Configuration = "configuration"
+	Registrations = "registrations"
+	Instances     = "instances"
+)
+
+const (
+	// askTimeout bounds one exchange. A copy of a thousand registrations takes
+	// 60 ms on the slowest link known (20 Mbit/s), a new connection to another
+	// failure domain 30 ms, and peers may be busy.
+	askTimeout = 400 * time.Millisecond
+	// maxAsked bounds the instances that are asked at a time. The newest copy of
+	// three is rarely old, and three rarely fail together.
+	maxAsked = 3
+	// maxCallers bounds how many instances that asked for copies are remembered.
+	maxCallers = 8
+)
+
+var (
+	given  = metrics.NewCounter(`primrose_copies_given_total`)
+	asked  = metrics.NewCounter(`primrose_copies_asked_total`)
+	failed = metrics.NewCounter(`primrose_copies_failed_total`)
+)
--- /dev/null
+++ b/primrosed/internal/replica/replica_test.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/mux"
+)
+
+// network joins instances by pipes, by their peer address.
+type network struct {
+	mu sync.Mutex // Guards the maps.
+	// instances take connections; a silent one reads and never answers.
+	instances map[string]*mux.Server
+	silent    map[string]bool
+	dialled   map[string]int
+}
+
+func newNetwork(t *testing.T) *network {
+	t.Helper()
+
+	n := &network{instances: make(map[string]*mux.Server), silent: make(map[string]bool), dialled: make(map[string]int)}
+	t.Cleanup(func() {
+		for _, s := range n.instances {
+			s.Close()
+		}
+
+		time.Sleep(mux.StreamCloseTimeout) // Half-closed streams have timers.
+	})
+
+	return n
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.dialled[address]++
+
+	s, ok := n.instances[address]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+
+	near, far := net.Pipe()
+
+	if n.silent[address] {
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+	} else {
+		s.Take(context.WithoutCancel(ctx), far)
+	}
+
+	return near, nil
+}
+
+// add starts an instance that gives the collections, and returns its client.
+func (n *network) add(address string, collections map[string]Collection, seeds ...string) *Client {
+	c := NewClient(zerolog.New(io.Discard), address, n.dial, seeds)
+	s := &Server{Log: zerolog.New(io.Discard), Collections: collections, Callers: c}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.instances[address] = mux.NewServer(zerolog.New(io.Discard), func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+		s.Handle(peer, f.GetCopyRequest(), stream)
+	})
+
+	return c
+}
+
+func registrations(revision uint64, ids ...string) map[string]Collection {
+	list := make([]domain.Registration, len(ids))
+	for i, id := range ids {
+		list[i] = domain.Registration{ID: id, Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8, Draining: i > 0}
+	}
+
+	return map[string]Collection{Registrations: func() (any, uint64) { return list, revision }}
+}
+
+// inBubble runs f in virtual time. yamux keeps timers in a pool, which must not
+// hand those of one bubble to another; two collections empty it.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+const (
+	first  = "127.0.0.1:1"
+	second = "127.0.0.1:2"
+	third  = "127.0.0.1:3"
+	self   = "127.0.0.1:9"
+)
+
+// Guards against the copy of an instance that was cut off earlier winning over a
+// newer one, against waiting without end for one that is silent, and against
+// registrations that change on the way.
+func TestNewestCopyWins(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		n := newNetwork(t)
+		n.add(first, registrations(20, "a"))
+		n.add(second, registrations(30, "b", "c"))
+		n.add(third, registrations(40, "d"))
+		n.silent[third] = true
+
+		begin := time.Now()
+		items, at := Peers[domain.Registration]{n.add(self, nil, first, second, third, self), Registrations}.Newer(t.Context(), 10)
+		require.LessOrEqual(t, time.Since(begin), askTimeout)
+		require.Equal(t, uint64(30), at)
+		require.Equal(t, []domain.Registration{
+			{ID: "b", Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8},
+			{ID: "c", Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8, Draining: true},
+		}, items)
+		require.Zero(t, n.dialled[self])
+	})
+}
+
+// Guards against an instance that goes back to an older copy.
+func TestOlderCopiesAreNotTaken(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		n := newNetwork(t)
+		n.add(first, registrations(20, "a"))
+		n.add(second, nil)
+
+		peers := Peers[domain.Registration]{n.add(self, nil, first, second), Registrations}
+		_, at := peers.Newer(t.Context(), 20)
+		require.Zero(t, at)
+
+		_, at = peers.Newer(t.Context(), 19)
+		require.Equal(t, uint64(20), at)
+	})
+}
+
+// Guards against a copy that is used although an item of it can't be: the decoder
+// checks what other instances send.
+func TestBadCopiesAreRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		n := newNetwork(t)
+		n.add(first, map[string]Collection{Registrations: func() (any, uint64) {
+			return []domain.Registration{{ID: "a", Pool: "p", Address: "somewhere", Slots: 1}}, 20
+		}})
+
+		items, at := Peers[domain.Registration]{n.add(self, nil, first), Registrations}.Newer(t.Context(), 0)
+		require.Zero(t, at)
+		require.Nil(t, items)
+	})
+}
+
+// Guards against instances that all seeds name being restarted together and never
+// learning anything: they ask back the ones that asked them.
+func TestCallersAreAskedBack(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		n := newNetwork(t)
+		seed := Peers[domain.Registration]{n.add(first, nil, first, second), Registrations}
+		n.add(second, nil, first, second)
+
+		_, at := seed.Newer(t.Context(), 0)
+		require.Zero(t, at)
+
+		old := Peers[domain.Registration]{n.add(third, registrations(40, "d"), first), Registrations}
+		_, at = old.Newer(t.Context(), 40)
+		require.Zero(t, at)
+
+		_, at = seed.Newer(t.Context(), 0)
+		require.Equal(t, uint64(40), at)
+	})
+}
+
+// Guards against a call to every instance of a large fleet for each copy.
+func TestFewInstancesAreAsked(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		n := newNetwork(t)
+
+		var all []string
+		for _, a := range []string{first, second, third, "127.0.0.1:4", "127.0.0.1:5", "127.0.0.1:6"} {
+			all = append(all, a)
+			n.add(a, registrations(20, "a"))
+		}
+
+		c := n.add(self, nil)
+		c.SetInstances(all)
+
+		_, at := Peers[domain.Registration]{c, Registrations}.Newer(t.Context(), 0)
+		require.Equal(t, uint64(20), at)
+		require.Len(t, n.dialled, maxAsked)
+	})
+}
--- /dev/null
+++ b/primrosed/internal/replica/server.go
@@ -0,0 +1,65 @@
+package replica
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/rs/zerolog"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/primrosed/internal/frame"
+)
+
+// Collection returns what this instance can give of a collection: a slice of items
+// and the store's revision that they are at least as new as, or revision 0.
+type Collection func() (items any, revision uint64)
+
+// Server gives copies to other instances.
+type Server struct {
+	Log zerolog.Logger
+	// Collections are what can be asked for, by name.
+	Collections map[string]Collection
+	// Callers learns of the instances that ask; nil if nobody wants to know.
+	Callers *Client
+}
+
+// Handle answers one request.
+func (s *Server) Handle(peer string, r *pb.CopyRequest, stream io.Writer) {
+	if s.Callers != nil {
+		s.Callers.met(r.GetPeerAddress())
+	}
+
+	a, err := s.answer(r)
+	if err == nil {
+		err = frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_CopyAnswer{CopyAnswer: a}}, frame.MaxRelay)
+	}
+
+	if err != nil {
+		s.Log.Warn().Str("event", "copy_not_given").Str("collection", r.GetCollection()).Str("peer", peer).Err(err).Send()
+
+		return
+	}
+
+	if a.GetRevision() > 0 {
+		given.Inc()
+		s.Log.Info().Str("event", "copy_given").Str("collection", r.GetCollection()).Str("peer", peer).
+			Uint64("revision", a.GetRevision()).Uint64("peer_revision", r.GetRevision()).Int("bytes", len(a.GetItems())).Send()
+	}
+}
+
+// answer returns a newer copy, or an empty answer if there is none here.
+func (s *Server) answer(r *pb.CopyRequest) (*pb.CopyAnswer, error) {
+	get, ok := s.Collections[r.GetCollection()]
+	if !ok {
+		return &pb.CopyAnswer{}, nil
+	}
+
+	items, revision := get()
+	if revision <= r.GetRevision() {
+		return &pb.CopyAnswer{}, nil
+	}
+
+	data, err := json.Marshal(items)
+
+	return &pb.CopyAnswer{Revision: revision, Items: data}, err
+}
