http1, hosted: close connections after use where a searcher has too few

Change: an instance whose part of a searcher's connections is less than one keeps none; a request that waits gets the connection, otherwise it is closed.

Tests: TestScarceConnectionsAreClosedAfterUse, TestConnectionsAreDivided (both failed before).

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -18,6 +18,15 @@
 	idleDefault = 10 * time.Second
 )
 
+// Limit says how a Pool uses its peer's connections.
+type Limit struct {
+	// Open is how many connections may be open; at least 1 may.
+	Open int
+	// Scarce says that the peer accepts fewer connections than there are instances
+	// which use it. A connection is closed then as soon as no request waits for it.
+	Scarce bool
+}
+
 // Pool holds the connections to one peer address. Its zero value is empty; use
 // NewPool. It is safe for concurrent use.
 type Pool struct {
@@ -28,26 +37,47 @@
 	idle []*Conn
 	// open counts the connections, those being opened included.
 	open   int
-	limit  int
+	limit  Limit
 	closed bool
 	// waiting are the requests that wait for a connection, in order. A waiter
 	// gets an idle connection, or nil as leave to open one.
 	waiting []chan *Conn
 }
 
-// NewPool returns a pool of at most limit connections to address.
-func NewPool(address string, limit int, dial DialFunc) *Pool {
-	return &Pool{address: address, dial: dial, limit: max(limit, 1)}
+// NewPool returns a pool of connections to address.
+func NewPool(address string, limit Limit, dial DialFunc) *Pool {
+	return &Pool{address: address, dial: dial, limit: limit}
 }
 
-// SetLimit changes how many connections may be open.
-func (p *Pool) SetLimit(limit int) {
+// SetLimit changes the limit. Connections that are idle are closed if they are
+// scarce from now on.
+func (p *Pool) SetLimit(limit Limit) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.limit = limit
+
+	var unused []*Conn
+	if limit.Scarce {
+		unused = p.takeIdle()
+	}
+	p.mu.Unlock()
+
+	for _, c := range unused {
+		c.Close()
+	}
+}
+
+// takeIdle takes the idle connections out of the pool; the lock is held.
+func (p *Pool) takeIdle() []*Conn {
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
 
-	p.limit = max(limit, 1)
+	return idle
 }
 
+// mayOpen reports whether another connection may be opened; the lock is held.
+func (p *Pool) mayOpen() bool { return p.open < max(p.limit.Open, 1) }
+
 // Exchange is one request with what its sender wants of the connection.
 type Exchange struct {
 	// Prepare makes the request once there is a connection, so that a time left
@@ -85,9 +115,8 @@
 // Close closes the idle connections now and the others after their exchange.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = nil, true
-	p.open -= len(idle)
+	p.closed = true
+	idle := p.takeIdle()
 	p.mu.Unlock()
 
 	for _, c := range idle {
@@ -147,7 +176,7 @@
 		return c, nil
 	}
 
-	if p.open < p.limit {
+	if p.mayOpen() {
 		p.open++
 		p.mu.Unlock()
 
@@ -194,7 +223,7 @@
 	p.mu.Lock()
 
 	switch {
-	case !keep || p.closed:
+	case !keep || p.closed || p.limit.Scarce && len(p.waiting) == 0:
 		p.mu.Unlock()
 		c.Close()
 		p.drop()
@@ -216,7 +245,7 @@
 
 	p.open--
 
-	if len(p.waiting) > 0 && p.open < p.limit {
+	if len(p.waiting) > 0 && p.mayOpen() {
 		p.open++
 		p.hand(nil)
 	}
@@ -242,7 +271,7 @@
 
 // Pool returns the pool for the peer of that key at address, with its limit set.
 // A peer that has moved gets a new pool; the old one is closed.
-func (g *Group) Pool(key, address string, limit int) *Pool {
+func (g *Group) Pool(key, address string, limit Limit) *Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -63,7 +63,9 @@
 	return p.conns
 }
 
-func (p *peer) pool(limit int) *Pool { return NewPool(p.listener.Addr().String(), limit, DialTCP) }
+func (p *peer) pool(limit int) *Pool {
+	return NewPool(p.listener.Addr().String(), Limit{Open: limit}, DialTCP)
+}
 
 func get() Exchange {
 	return Exchange{Prepare: func() (*Request, error) {
@@ -233,7 +235,7 @@
 // connection could be opened.
 func TestNothingIsSentWithoutAConnection(t *testing.T) {
 	refused := errors.New("refused")
-	pool := NewPool("127.0.0.1:1", 1, func(context.Context, string) (net.Conn, error) { return nil, refused })
+	pool := NewPool("127.0.0.1:1", Limit{Open: 1}, func(context.Context, string) (net.Conn, error) { return nil, refused })
 
 	for range 2 {
 		_, err := pool.Do(t.Context(), get())
@@ -269,7 +271,7 @@
 			open, most int
 		)
 
-		pool := NewPool("peer", 2, func(context.Context, string) (net.Conn, error) {
+		pool := NewPool("peer", Limit{Open: 2}, func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 
 			mu.Lock()
@@ -389,10 +391,10 @@
 func TestGroupFollowsItsPeers(t *testing.T) {
 	var g Group
 
-	p := g.Pool("s", "127.0.0.1:1", 2)
-	require.Same(t, p, g.Pool("s", "127.0.0.1:1", 3))
-	require.Equal(t, 3, p.limit)
-	require.NotSame(t, p, g.Pool("s", "127.0.0.1:2", 3))
+	p := g.Pool("s", "127.0.0.1:1", Limit{Open: 2})
+	require.Same(t, p, g.Pool("s", "127.0.0.1:1", Limit{Open: 3}))
+	require.Equal(t, Limit{Open: 3}, p.limit)
+	require.NotSame(t, p, g.Pool("s", "127.0.0.1:2", Limit{Open: 3}))
 	require.True(t, p.closed)
 	g.Retain(func(string) bool { return false })
 	require.Empty(t, g.pools)
@@ -406,3 +408,42 @@
 		require.GreaterOrEqual(t, keepAliveTimeout(http.Header{"Keep-Alive": {v}}), time.Duration(0))
 	})
 }
+
+// Guards against connections that stay open unused where the instances outnumber
+// the connections that a peer accepts: each instance kept one, and the peer reset
+// the ones beyond its limit together with the requests on them.
+func TestScarceConnectionsAreClosedAfterUse(t *testing.T) {
+	p := newPeer(t, echo(okAnswer))
+	pool := NewPool(p.listener.Addr().String(), Limit{Open: 1, Scarce: true}, DialTCP)
+
+	for range 2 {
+		_, err := pool.Do(t.Context(), get())
+		require.NoError(t, err)
+		require.Empty(t, pool.idle)
+		require.Zero(t, pool.open)
+	}
+
+	require.Equal(t, 2, p.opened())
+
+	// A request that waits gets the connection.
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			_, err := pool.Do(t.Context(), get())
+			require.NoError(t, err)
+		})
+	}
+
+	wg.Wait()
+	require.Zero(t, pool.open)
+
+	pool.SetLimit(Limit{Open: 1})
+
+	_, err := pool.Do(t.Context(), get())
+	require.NoError(t, err)
+	require.Len(t, pool.idle, 1)
+
+	pool.SetLimit(Limit{Open: 1, Scarce: true})
+	require.Empty(t, pool.idle, "connections that were kept until now are closed")
+	require.Zero(t, pool.open)
+}
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -11,13 +11,19 @@
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 
+	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/gathering"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/primrosed/internal/mux"
 )
 
+// connectionShare is the part of a searcher's connections that the instances divide;
+// the rest is for connections that are being replaced.
+const connectionShare = 0.9
+
 // shares are the instance's parts of what all instances share.
 type shares struct {
 	current atomic.Pointer[serving.Shares]
@@ -34,6 +40,21 @@
 
 func (s *shares) get() serving.Shares { return *s.current.Load() }
 
+// connectionLimit returns this instance's part of a searcher's connections, or one if
+// their number isn't known. Where
+// that is less than one connection, those that it opens nevertheless aren't kept:
+// the searcher resets connections beyond its limit, and requests with them.
+func connectionLimit(sr *domain.Searcher, s serving.Shares) http1.Limit {
+	share := s.Direct
+	if sr.Gathered {
+		share = s.Gathered
+	}
+
+	part := connectionShare * share * float64(sr.Connections)
+
+	return http1.Limit{Open: max(int(part), 1), Scarce: sr.Connections > 0 && part < 1}
+}
+
 // fleet is what the plan of who gathers follows from.
 type fleet struct {
 	mu          sync.Mutex // Guards what follows; taken before the locks of the parts.
--- /dev/null
+++ b/primrosed/internal/hosted/gather_test.go
@@ -0,0 +1,29 @@
+package hosted
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/serving"
+)
+
+// Guards against more connections of all instances together than a searcher
+// accepts: 72 instances each kept one to searchers with 58 (adunni-search-grown).
+func TestConnectionsAreDivided(t *testing.T) {
+	shares := serving.Shares{Gathered: 1.0 / 20, Direct: 1.0 / 72}
+
+	for name, c := range map[string]struct {
+		searcher domain.Searcher
+		want     http1.Limit
+	}{
+		"a part of some":       {domain.Searcher{Connections: 94, Gathered: true}, http1.Limit{Open: 4}},
+		"one each":             {domain.Searcher{Connections: 94}, http1.Limit{Open: 1}},
+		"fewer than instances": {domain.Searcher{Connections: 58}, http1.Limit{Open: 1, Scarce: true}},
+		"no limit known":       {domain.Searcher{}, http1.Limit{Open: 1}},
+	} {
+		require.Equal(t, c.want, connectionLimit(&c.searcher, shares), name)
+	}
+}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -60,9 +60,6 @@
 	// longestWait is the HTTP server's own timeout for callers, which can't change
 	// while it runs. The configured timeouts are lower; http1.IdleTimer keeps them.
 	longestWait = time.Hour
-	// connectionShare is the part of a searcher's connections that the instances
-	// divide; the rest is for connections that are being replaced.
-	connectionShare = 0.9
 	// reportAge is how long a searcher's word on its queue counts. An instance
 	// hears from each a few times a second, since several instances share it.
 	reportAge        = 100 * time.Millisecond
@@ -151,14 +148,7 @@
 
 // newSearchers divides each searcher's connections among the instances.
 func newSearchers(g *http1.Group, sh *shares) *platform.Searchers {
-	return &platform.Searchers{Group: g, Limit: func(sr *domain.Searcher) int {
-		share := sh.get().Direct
-		if sr.Gathered {
-			share = sh.get().Gathered
-		}
-
-		return max(int(connectionShare*float64(sr.Connections)*share), 1)
-	}}
+	return &platform.Searchers{Group: g, Limit: func(sr *domain.Searcher) http1.Limit { return connectionLimit(sr, sh.get()) }}
 }
 
 func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
