all: the field's terms in place of figurative names

Change: signature, caller timeout, suspicion, remote penalty, saturated, what a searcher reports, "the caller closed its connection"; the log event store_watch_doubted is store_watch_restarted.

No behaviour changes; the tests' assertions are the same.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -43,7 +43,7 @@
 // Window counts the requests and extra attempts of one pool over a sliding
 // window, so that an instance's extra attempts stay within its own requests'
 // share and its part of the slack. Instances that all keep to it keep the limit
-// together without a meeting. The zero value allows no extra attempts until
+// together without coordination. The zero value allows no extra attempts until
 // SetLimit. It is safe for concurrent use.
 type Window struct {
 	mu    sync.Mutex // Guards what follows.
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -40,7 +40,7 @@
 	Repeatable bool `json:"repeatable"`
 	// Timeout is the longest time that a caller is kept waiting.
 	Timeout time.Duration `json:"timeout_ns"`
-	// LatencyObjective is the time within which an answer has its full worth;
+	// LatencyObjective is the time within which an answer earns full credit;
 	// zero means that there is none.
 	LatencyObjective time.Duration `json:"latency_objective_ns"`
 	// MaxAttempts bounds the searchers that one request may be sent to, for each
@@ -261,7 +261,7 @@
 	return nil
 }
 
-// Supersedes reports whether r is a later word of the searcher than o. A write
+// Supersedes reports whether r is a later registration of the searcher than o. A write
 // that the store carried out late may bring an earlier one back.
 func (r Registration) Supersedes(o Registration) bool {
 	if r.Started != o.Started {
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -66,7 +66,7 @@
 	Slots uint32 `json:"slots"`
 	// Connections is how many connections it accepts from all instances.
 	Connections uint32 `json:"connections"`
-	// Draining is the operator's word that it gets no new work.
+	// Draining is set by the operator: the searcher gets no new work.
 	Draining bool `json:"draining,omitempty"`
 	// Gathered says that queries over many shards reach it.
 	Gathered bool `json:"-"`
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -70,11 +70,11 @@
 	askEvery = time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 3 * time.Second
-	// A watch is begun again because of a doubt after minDoubt at the soonest, and
-	// after twice as long each time that nothing was missed, up to maxDoubt: each
+	// A watch is begun again because of a suspicion after minRestart at the soonest, and
+	// after twice as long each time that nothing was missed, up to maxRestart: each
 	// costs a call, and a pool may lack searchers for good.
-	minDoubt = 2 * time.Second
-	maxDoubt = 32 * time.Second
+	minRestart = 2 * time.Second
+	maxRestart = 32 * time.Second
 	// backlog is the number of changes from which a watch is taken for a piece of
 	// more: the store answers with some hundreds at most. No pause follows it.
 	backlog    = 100
@@ -93,10 +93,10 @@
 	// Pause is kept between two watches, so that changes in quick succession
 	// cost one call.
 	Pause time.Duration
-	// Doubt receives when something suggests that changes were missed; the watch
+	// Suspicions receives when something suggests that changes were missed; the watch
 	// is then begun again on another connection. Probes of the connection don't
-	// show a middle that acknowledges and forwards nothing. Nil is never in doubt.
-	Doubt <-chan struct{}
+	// show a middle that acknowledges and forwards nothing. Nil never suspects.
+	Suspicions <-chan struct{}
 
 	// Peers are asked for newer copies while the store doesn't answer. Nil has none.
 	Peers Peers[T]
@@ -107,8 +107,8 @@
 	askedAt time.Time
 	// changes is how many changes the last call brought.
 	changes int
-	// doubtAfter is how long a watch runs before a doubt ends it.
-	doubtAfter time.Duration
+	// restartAfter is how long a watch runs before a suspicion ends it.
+	restartAfter time.Duration
 }
 
 // Revision returns the store's revision up to which the sink has taken every
@@ -221,15 +221,15 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 
-	doubted := f.endOnDoubt(cancel)
+	restarted := f.endOnSuspicion(cancel)
 	revision := f.Revision()
 
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
-	if doubted() {
-		f.doubtAfter = min(2*max(f.doubtAfter, minDoubt), maxDoubt)
+	if restarted() {
+		f.restartAfter = min(2*max(f.restartAfter, minRestart), maxRestart)
 		f.changes = 0
 
-		f.Log.Info().Str("event", "store_watch_doubted").Str("collection", f.Name).Uint64("revision", revision).Send()
+		f.Log.Info().Str("event", "store_watch_restarted").Str("collection", f.Name).Uint64("revision", revision).Send()
 
 		return nil
 	}
@@ -242,7 +242,7 @@
 
 	f.changes = len(changes)
 	if f.changes > 0 {
-		f.doubtAfter = 0
+		f.restartAfter = 0
 		f.Sink.Apply(changes)
 	}
 
@@ -251,18 +251,18 @@
 	return nil
 }
 
-// endOnDoubt ends a watch when there is a doubt, though not before it has run for
-// doubtAfter. The function that it returns reports whether it did; it must be
+// endOnSuspicion ends a watch on a suspicion, though not before it has run for
+// restartAfter. The function that it returns reports whether it did; it must be
 // called after the watch.
-func (f *Follower[T]) endOnDoubt(cancel context.CancelFunc) func() bool {
-	if f.Doubt == nil {
+func (f *Follower[T]) endOnSuspicion(cancel context.CancelFunc) func() bool {
+	if f.Suspicions == nil {
 		return func() bool { return false }
 	}
 
 	ended, done := make(chan struct{}), make(chan bool, 1)
 
 	go func() {
-		t := time.NewTimer(max(f.doubtAfter, minDoubt))
+		t := time.NewTimer(max(f.restartAfter, minRestart))
 		defer t.Stop()
 
 		select {
@@ -274,7 +274,7 @@
 		}
 
 		select {
-		case <-f.Doubt:
+		case <-f.Suspicions:
 			cancel()
 
 			done <- true
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -229,14 +229,14 @@
 
 // Guards against a watch that hangs although changes were made, on a connection
 // whose middle acknowledges and forwards nothing (soak, seed 1004), and against
-// a call for each of many doubts.
-func TestFollowerWatchesAgainOnDoubt(t *testing.T) {
+// a call for each of many suspicions.
+func TestFollowerRestartsASuspectWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s, r := &script{events: make(chan Change[int])}, &record{}
-		doubts := make(chan struct{}, 1)
+		suspicions := make(chan struct{}, 1)
 		f := follow(s, r)
-		f.Doubt = doubts
+		f.Suspicions = suspicions
 
 		go f.Run(ctx)
 
@@ -244,7 +244,7 @@
 
 		for range 100 {
 			select {
-			case doubts <- struct{}{}:
+			case suspicions <- struct{}{}:
 			default:
 			}
 
@@ -252,7 +252,7 @@
 		}
 
 		require.Equal(t, []string{"list stale=true", "watch 7", "watch 7"}, s.seen(), "the second one runs for longer")
-		require.Equal(t, []string{"replace [1 2]"}, r.lines(), "a doubt is no outage")
+		require.Equal(t, []string{"replace [1 2]"}, r.lines(), "a suspicion is no outage")
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,5 +1,5 @@
 // Package roster keeps the list of entry instances, which divide what all of them
-// share without a meeting: the budgets of extra attempts and the connections
+// share without coordination: the budgets of extra attempts and the connections
 // that a searcher accepts. Each instance writes an entry at its start and reads
 // the list now and then; a stale list is enough. Nothing is concluded from it on
 // whether an instance lives.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,7 +1,7 @@
 // Package routing chooses the searcher that gets a sub-query. A Table keeps
 // what the instance knows of each searcher: its own outstanding requests, the
 // load that the searcher reported in its answers, latencies, failures, and
-// hearsay (status endpoints, the platform's list).
+// indirect signs (status endpoints, the platform's list).
 package routing
 
 import (
@@ -31,7 +31,7 @@
 	Refused
 )
 
-// Load is the searcher's own word on its load, from an answer or its status.
+// Load is what a searcher reports of its load, in an answer or its status.
 type Load struct {
 	Running  uint32
 	Queued   uint32
@@ -52,9 +52,9 @@
 	Eligible func(searcher string) bool
 	// Nearby is the failure domain of this instance.
 	Nearby string
-	// Detour is added to the expected time of searchers elsewhere, as the price
+	// RemotePenalty is added to the expected time of searchers elsewhere, as the price
 	// of the bytes between failure domains.
-	Detour time.Duration
+	RemotePenalty time.Duration
 	// Extra marks a hedge, which hardly exceeds a searcher's limit.
 	Extra bool
 	// Sure keeps the request from finding out whether a searcher that is believed
@@ -378,7 +378,7 @@
 	t.usual[class].add(st.classes[class].last, usualWeight)
 }
 
-// Report takes a searcher's word on its load that came with a refusal.
+// Report takes the load that a searcher reported with a refusal.
 func (t *Table) Report(now time.Time, searcher string, load *Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -38,8 +38,8 @@
 	reportedAt time.Time
 	since      int
 
-	// overdue counts the requests given up as overdue since the last word from
-	// the searcher, at heardAt.
+	// overdue counts the requests given up as overdue since the
+	// searcher last answered, at heardAt.
 	overdue int
 	heardAt time.Time
 
@@ -58,8 +58,8 @@
 	probing   bool
 	probeSent time.Time
 
-	// draining is the searcher's own word in an answer or refusal, last given
-	// at drainingAt.
+	// draining is what the searcher itself said in an answer or refusal, last at
+	// drainingAt.
 	draining   bool
 	drainingAt time.Time
 	cold       bool
@@ -116,7 +116,7 @@
 	// its shard has no other; one broken connection doesn't lose a shard.
 	knownDead = 3
 	// A searcher is treated as dead when overdueRequests in a row were given up
-	// after overdueFactor times its usual latency, with no word in between.
+	// after overdueFactor times its usual latency, with no answer in between.
 	overdueRequests = 2
 	overdueFactor   = 2
 	// staleAfter is the age of the last answer from which a searcher is assumed
@@ -130,12 +130,12 @@
 	failingMemory = 3 * time.Second
 	// maxFailing bounds the share that an expected time is divided by.
 	maxFailing = 0.9
-	// drainMemory is how long a searcher's own word that it drains outweighs a
+	// drainMemory is how long what a searcher itself said of draining outweighs a
 	// status that says otherwise, since a status may lag.
 	drainMemory = 10 * time.Second
 )
 
-// newState returns what is assumed of a searcher never met.
+// newState returns what is assumed of an unknown searcher.
 func newState(reportAge time.Duration) *state {
 	return &state{service: initialService, reportAge: reportAge}
 }
@@ -173,13 +173,13 @@
 	c.add(sample, classWeight)
 }
 
-// farOf returns the expected distance, with the detour for a searcher elsewhere.
+// farOf returns the expected distance, with the remotePenalty for a searcher elsewhere.
 func (s *state) farOf(sr *domain.Searcher, r *Request) time.Duration {
 	if sr.FailureDomain == r.Nearby {
 		return 0
 	}
 
-	return remoteDistance + r.Detour
+	return remoteDistance + r.RemotePenalty
 }
 
 // expected returns the expected time to the answer of a request sent now.
@@ -275,7 +275,7 @@
 
 // overtaken learns from a request that was given up: it would have taken longer
 // than elapsed. Without it a slow searcher whose requests are all overtaken by
-// their hedges would never be known as slow. The lesson holds for a few of the
+// their hedges would never be known as slow. The estimate holds for a few of the
 // usual times between answers, so that a short pause is forgotten soon by an
 // instance that hears from the searcher often.
 func (s *state) overtaken(now time.Time, class string, elapsed time.Duration) {
@@ -294,7 +294,7 @@
 	s.slowUntil = now.Add(min(max(overtakenGaps*s.gap, minOvertakenTime), maxOvertakenTime))
 }
 
-// alive takes any word from the searcher.
+// alive notes that the searcher answered in any way.
 func (s *state) alive(now time.Time) {
 	if s.failures >= knownDead {
 		s.limit.Warm()
--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -147,7 +147,7 @@
 		return
 	}
 
-	if a, refusal := q.send(now, shard, Retry, patience*q.left(now), s); a == nil {
+	if a, refusal := q.send(now, shard, Retry, overrunFactor*q.left(now), s); a == nil {
 		q.budget.Return(shard)
 		q.lose(sh, q.lost(sh, refusal))
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -91,7 +91,7 @@
 	Nearby string
 	// Eligible reports whether a searcher holds the snapshot of a shard.
 	Eligible func(shard uint32, searcher string) bool
-	// Objective is when an answer loses most of its worth: the query then ends
+	// Objective is when an answer loses most of its credit: the query then ends
 	// as soon as the rules accept its coverage. Zero means that there is none.
 	Objective time.Time
 	// EndEarly ends the query as soon as no acceptable coverage is possible any
@@ -100,18 +100,18 @@
 	// RetryShed allows one attempt more for each that was shed, at searchers that
 	// the shard has been sent to already: a shed attempt didn't run.
 	RetryShed bool
-	// Crowded is the expected time from which a shard with a standing queue
-	// counts as crowded. If the shards that aren't, and whose budgets aren't short,
+	// Saturated is the expected time from which a shard with a standing queue
+	// counts as saturated. If the shards that aren't, and whose budgets aren't short,
 	// don't suffice for an answer, nothing is sent at all: the query would lengthen
 	// every queue and be late, or use up what others need. Zero sets no bound.
-	Crowded time.Duration
+	Saturated time.Duration
 }
 
 const (
-	// patience is how many times the expected latency may exceed the time left
+	// overrunFactor is how many times the expected latency may exceed the time left
 	// before a first attempt or a retry is pointless: a request often ends well
 	// before its expected time.
-	patience = 2
+	overrunFactor = 2
 	// lackingShare is the part of the shards that an answer may lack which is
 	// planned for shards that run out of extra attempts; the rest is for slow ones.
 	lackingShare = 0.5
@@ -185,7 +185,7 @@
 func (q *Query) Start(now time.Time) Step {
 	s := Step{Send: make([]Attempt, 0, len(q.shards))}
 
-	crowded := 0
+	saturated := 0
 	lacking := lackingShare * (1 - q.leastCoverage())
 	q.open = len(q.shards)
 	q.budget.Fill(len(q.shards), q.params.Service.Rules.ExtraLoadPermille)
@@ -193,19 +193,19 @@
 	for i := range q.shards {
 		sh := &q.shards[i]
 
-		a, refusal := q.send(now, uint32(i), First, patience*q.left(now), &s)
+		a, refusal := q.send(now, uint32(i), First, overrunFactor*q.left(now), &s)
 
 		switch {
 		case a == nil:
 			q.lose(sh, refusal)
-		case q.params.Crowded > 0 && a.Standing && a.Expected > q.params.Crowded:
-			crowded++
+		case q.params.Saturated > 0 && a.Standing && a.Expected > q.params.Saturated:
+			saturated++
 		case q.params.EndEarly && len(q.shards) > 1 && q.budget.Short(uint32(i), lacking):
-			crowded++
+			saturated++
 		}
 	}
 
-	if q.params.EndEarly && !q.acceptable(q.open-crowded) {
+	if q.params.EndEarly && !q.acceptable(q.open-saturated) {
 		q.withdraw(now, &s)
 	}
 
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -44,16 +44,16 @@
 }
 
 func newExecution(e *Engine, v *directory.View, entry *directory.Entry, t *directory.Target, r *Request) *execution {
-	patience := entry.Route.Timeout
-	if r.Patience > 0 {
-		patience = min(patience, r.Patience)
+	timeout := entry.Route.Timeout
+	if r.CallerTimeout > 0 {
+		timeout = min(timeout, r.CallerTimeout)
 	}
 
 	margin := e.margin(r)
 
 	return &execution{
 		engine: e, view: v, entry: entry, target: t, req: r, margin: margin,
-		deadline: r.Received.Add(max(patience-margin, patience/2)),
+		deadline: r.Received.Add(max(timeout-margin, timeout/2)),
 		done:     make(chan struct{}),
 		replies:  make([]*Reply, len(t.Pools)),
 	}
@@ -70,7 +70,7 @@
 	}
 
 	if live < len(shards) {
-		x.engine.doubt()
+		x.engine.suspectStale()
 	}
 
 	if x.accepts(live) {
@@ -113,7 +113,7 @@
 // run sends the attempts and waits for the outcome.
 func (x *execution) run(ctx context.Context) (*Response, error) {
 	if ctx.Err() != nil {
-		return nil, domain.Errorf(domain.FateNotRun, domain.CodeCancelled, "serve", "the caller left")
+		return nil, domain.Errorf(domain.FateNotRun, domain.CodeCancelled, "serve", "the caller closed its connection")
 	}
 
 	x.ctx, x.cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
@@ -126,7 +126,7 @@
 	case <-ctx.Done():
 		x.abandon() //nolint:contextcheck // Attempts end with x.ctx.
 
-		return nil, domain.Errorf(x.fate(), domain.CodeCancelled, "serve", "the caller left")
+		return nil, domain.Errorf(x.fate(), domain.CodeCancelled, "serve", "the caller closed its connection")
 	}
 
 	return x.outcome()
@@ -146,7 +146,7 @@
 
 	if route.Gathered() && route.LatencyObjective > 0 {
 		p.Objective = x.req.Received.Add(max(route.LatencyObjective-x.margin, route.LatencyObjective/2))
-		p.Crowded = time.Duration(crowdedShare * float64(route.LatencyObjective))
+		p.Saturated = time.Duration(saturatedShare * float64(route.LatencyObjective))
 	}
 
 	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target, route.Gathered()))
@@ -226,7 +226,7 @@
 	now := time.Now()
 
 	if err == nil {
-		if reply.Success() && (reply.Proof != "" || !x.entry.Route.Gathered()) {
+		if reply.Success() && (reply.Signature != "" || !x.entry.Route.Gathered()) {
 			if x.replies[a.Shard] == nil && !x.ended {
 				x.replies[a.Shard] = reply
 			}
@@ -255,7 +255,7 @@
 	}
 
 	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
-		x.engine.doubt()
+		x.engine.suspectStale()
 		x.engine.log.Warn().Str("event", "searcher_denied").Str("searcher", a.Searcher.ID).
 			Str("address", a.Searcher.Address).Str("reason", "another searcher answers at its address").Send()
 	}
@@ -341,10 +341,10 @@
 }
 
 // retryAfter returns when a refused caller should come back: when the queues that
-// made shards crowded are gone, spread over as long again so that callers don't
+// made shards saturated are gone, spread over as long again so that callers don't
 // all return at once.
 func (x *execution) retryAfter() time.Duration {
-	queue := time.Duration(crowdedShare * float64(x.entry.Route.LatencyObjective))
+	queue := time.Duration(saturatedShare * float64(x.entry.Route.LatencyObjective))
 	if len(x.attempts) > 0 || queue <= 0 {
 		return retryFloor
 	}
@@ -354,7 +354,7 @@
 
 // gathered merges the answers of the shards.
 func (x *execution) gathered() *Response {
-	out := &Response{Status: 200, Gathered: true, Proofs: make([]string, 0, len(x.replies))}
+	out := &Response{Status: 200, Gathered: true, Signatures: make([]string, 0, len(x.replies))}
 	parts := make([][]byte, 0, len(x.replies))
 
 	for _, r := range x.replies {
@@ -364,7 +364,7 @@
 			continue
 		}
 
-		out.Proofs = append(out.Proofs, r.Proof)
+		out.Signatures = append(out.Signatures, r.Signature)
 		parts = append(parts, r.Body)
 	}
 
@@ -398,7 +398,7 @@
 
 // Choose implements scatter.Router.
 func (r classRouter) Choose(now time.Time, req routing.Request) (routing.Choice, bool) {
-	req.Class, req.Detour = r.class, detour
+	req.Class, req.RemotePenalty = r.class, remotePenalty
 
 	return r.table.Choose(now, req)
 }
--- a/internal/serving/fake_test.go
+++ b/internal/serving/fake_test.go
@@ -133,7 +133,7 @@
 		return nil, nil, domain.Errorf(domain.FateUnknown, domain.CodeCancelled, "send attempt", "cancelled")
 	}
 
-	r := &Reply{Proof: c.Searcher.ID + "/" + c.Request.ID, Load: m.load(s)}
+	r := &Reply{Signature: c.Searcher.ID + "/" + c.Request.ID, Load: m.load(s)}
 	r.Status, r.Body = http.StatusOK, fmt.Appendf(nil, "%-16s", c.Searcher.ID)
 
 	return r, r.Load, nil
@@ -303,10 +303,10 @@
 	return r
 }
 
-func request(route, id string, work, patience time.Duration) *Request {
+func request(route, id string, work, timeout time.Duration) *Request {
 	return &Request{
 		ID: id, Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x", Method: http.MethodGet,
-		Header: http.Header{"Work": {work.String()}}, Received: time.Now(), Patience: patience,
+		Header: http.Header{"Work": {work.String()}}, Received: time.Now(), CallerTimeout: timeout,
 	}
 }
 
@@ -320,7 +320,7 @@
 }
 
 // offer sends requests of one route at a rate, to each engine in turn.
-func (s *system) offer(t *testing.T, wg *sync.WaitGroup, route string, rate float64, work, patience, length time.Duration, out *tally) {
+func (s *system) offer(t *testing.T, wg *sync.WaitGroup, route string, rate float64, work, timeout, length time.Duration, out *tally) {
 	t.Helper()
 
 	r := s.dir.View().Table.Routes[slices.IndexFunc(s.dir.View().Table.Routes, func(r domain.Route) bool { return r.Name == route })]
@@ -332,7 +332,7 @@
 		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
 			time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 
-			req := request(route, fmt.Sprintf("%s-%d", route, i), work, patience)
+			req := request(route, fmt.Sprintf("%s-%d", route, i), work, timeout)
 			e := s.engines[i%len(s.engines)]
 
 			wg.Go(func() {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -40,8 +40,8 @@
 	Body   []byte
 	// Received is when the request arrived.
 	Received time.Time
-	// Patience is how long the caller waits; zero if it doesn't say.
-	Patience time.Duration
+	// CallerTimeout is how long the caller waits; zero if it doesn't say.
+	CallerTimeout time.Duration
 	// HandedOverBy is the instance that took the request from its caller, if it
 	// isn't this one.
 	HandedOverBy string
@@ -55,10 +55,10 @@
 	Header http.Header
 	Body   []byte
 	// Gathered says that Body was merged from the shards' answers, of which
-	// Proofs are the proofs and Missing is how many lack.
-	Gathered bool
-	Proofs   []string
-	Missing  int
+	// Signatures are the signatures and Missing is how many lack.
+	Gathered   bool
+	Signatures []string
+	Missing    int
 }
 
 // Call is one attempt.
@@ -72,9 +72,9 @@
 // Reply is the complete answer of a searcher that ran the request.
 type Reply struct {
 	Response
-	// Proof is the searcher's proof of the answer; empty if it gave none.
-	Proof string
-	// Load is the searcher's word on its load, or nil.
+	// Signature is the searcher's signature of the answer; empty if it gave none.
+	Signature string
+	// Load is what the searcher reports of its load, or nil.
 	Load *routing.Load
 }
 
@@ -109,10 +109,10 @@
 	ExtraAttempts budget.Limit
 	// LogRoutes writes a line for each placement of a request.
 	LogRoutes bool
-	// Doubt is called when a request suggests that the list of searchers is out
+	// SuspectStale is called when a request suggests that the list of searchers is out
 	// of date: a pool has none, or another searcher answers at an address. It must
 	// not block. Nil is allowed.
-	Doubt func()
+	SuspectStale func()
 }
 
 const (
@@ -131,13 +131,13 @@
 	// second attempt, and the pools' budgets allow extra attempts for one request
 	// in five.
 	hedgeQuantile = 0.75
-	// crowdedShare is the part of the objective from which a shard with a standing
-	// queue counts as crowded; the rest is for queues that grow between two words
+	// saturatedShare is the part of the objective from which a shard with a standing
+	// queue counts as saturated; the rest is for queues that grow between two reports
 	// of a searcher, and for hedges.
-	crowdedShare = 0.6
-	// detour is how much longer a request may be expected to take nearby than in
+	saturatedShare = 0.6
+	// remotePenalty is how much longer a request may be expected to take nearby than in
 	// another failure domain, since bytes between them are paid for.
-	detour = 6 * time.Millisecond
+	remotePenalty = 6 * time.Millisecond
 	// retryFloor is the shortest time after which a refused caller is told to
 	// return.
 	retryFloor = 50 * time.Millisecond
@@ -229,7 +229,7 @@
 
 	if x.entry.Route.Fingerprint() != fingerprint || !x.entry.Route.Gathered() {
 		return nil, domain.Errorf(domain.FateNotRun, domain.CodeConflict, "match route",
-			"version %d says something else of route %s", x.view.Table.Version, x.entry.Route.Name)
+			"version %d defines route %s differently", x.view.Table.Version, x.entry.Route.Name)
 	}
 
 	return x.serve, nil
@@ -256,10 +256,10 @@
 	return x, x.admit()
 }
 
-// doubt tells that the list of searchers seems out of date.
-func (e *Engine) doubt() {
-	if e.settings.Doubt != nil {
-		e.settings.Doubt()
+// suspectStale reports that the list of searchers seems out of date.
+func (e *Engine) suspectStale() {
+	if e.settings.SuspectStale != nil {
+		e.settings.SuspectStale()
 	}
 }
 
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -37,7 +37,7 @@
 		resp, err := s.engines[0].Serve(t.Context(), request("list", "r", 20*time.Millisecond, 3*time.Second))
 		require.NoError(t, err)
 		require.Equal(t, 1, resp.Missing)
-		require.Len(t, resp.Proofs, 19)
+		require.Len(t, resp.Signatures, 19)
 		require.LessOrEqual(t, time.Since(begin), 200*time.Millisecond)
 		require.GreaterOrEqual(t, time.Since(begin), 180*time.Millisecond, "the shard had its time")
 	})
@@ -180,7 +180,7 @@
 		s := newSystem(t, 1, 1, 1, 2, singleRoute(false))
 		for _, sv := range s.model.servers {
 			sv.respond = func(Call) (*Reply, *routing.Load, error) {
-				r := &Reply{Proof: "p"}
+				r := &Reply{Signature: "p"}
 				r.Status, r.Body, r.Header = http.StatusInternalServerError, []byte("broken"), http.Header{"A": {"b"}}
 
 				return r, nil, nil
@@ -272,7 +272,7 @@
 
 			old := 0
 
-			for _, p := range resp.Proofs {
+			for _, p := range resp.Signatures {
 				if p < searcherID(3, 0) {
 					old++
 				}
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -227,10 +227,10 @@
 		Int64("for_ms", p.backoff.Milliseconds()).Err(cause).Send()
 }
 
-// doubt follows a query that had no answer: the peer gets no offers for a while,
+// suspect follows a query that had no answer: the peer gets no offers for a while,
 // and a ping tells whether its session is lost. Other queries are at work there,
 // and a busy processor or one broken stream doesn't concern them.
-func (c *Client) doubt(p *peer, s *yamux.Session, step string, cause error) {
+func (c *Client) suspect(p *peer, s *yamux.Session, step string, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -382,7 +382,7 @@
 	}
 
 	if err != nil {
-		c.doubt(p, s, "offer", err)
+		c.suspect(p, s, "offer", err)
 
 		return err
 	}
@@ -425,7 +425,7 @@
 	if ctx.Err() != nil {
 		code = domain.CodeCancelled
 	} else {
-		c.doubt(p, s, step, cause)
+		c.suspect(p, s, step, cause)
 	}
 
 	return domain.Errorf(domain.FateUnknown, code, step, "no answer").WithPeer(p.instance.ID).WithCause(cause)
@@ -447,6 +447,6 @@
 	}
 
 	return &serving.Response{
-		Status: 200, Gathered: true, Proofs: a.GetProofs(), Missing: int(a.GetMissing()), Body: a.GetBody(),
+		Status: 200, Gathered: true, Signatures: a.GetSignatures(), Missing: int(a.GetMissing()), Body: a.GetBody(),
 	}, nil
 }
--- a/primrosed/internal/gatherer/gatherer.go
+++ b/primrosed/internal/gatherer/gatherer.go
@@ -55,7 +55,7 @@
 	o := &pb.HandoverOffer{
 		InstanceId: instance, Sender: sender, RequestId: r.ID, Host: r.Host, Path: r.Path, Target: r.Target, Method: r.Method,
 		Headers: make([]*pb.HandoverHeader, 0, len(r.Header)), Body: r.Body, RouteFingerprint: fingerprint,
-		ElapsedUs: uint64(max(time.Since(r.Received), 0).Microseconds()), PatienceUs: uint64(max(r.Patience, 0).Microseconds()),
+		ElapsedUs: uint64(max(time.Since(r.Received), 0).Microseconds()), CallerTimeoutUs: uint64(max(r.CallerTimeout, 0).Microseconds()),
 		MarginUs: uint64(max(r.Margin, 0).Microseconds()),
 	}
 
@@ -71,7 +71,7 @@
 	r := &serving.Request{
 		ID: o.GetRequestId(), Host: o.GetHost(), Path: o.GetPath(), Target: o.GetTarget(), Method: o.GetMethod(),
 		Header: make(http.Header, len(o.GetHeaders())), Body: o.GetBody(), HandedOverBy: o.GetSender(),
-		Received: time.Now().Add(-microseconds(o.GetElapsedUs())), Patience: microseconds(o.GetPatienceUs()),
+		Received: time.Now().Add(-microseconds(o.GetElapsedUs())), CallerTimeout: microseconds(o.GetCallerTimeoutUs()),
 		Margin: microseconds(o.GetMarginUs()),
 	}
 
--- a/primrosed/internal/gatherer/gatherer_test.go
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -87,7 +87,7 @@
 }
 
 func answerOK(_ context.Context, r *serving.Request) (*serving.Response, error) {
-	return &serving.Response{Gathered: true, Body: []byte("records of " + r.ID), Proofs: []string{"p1", "p2"}, Missing: 1}, nil
+	return &serving.Response{Gathered: true, Body: []byte("records of " + r.ID), Signatures: []string{"p1", "p2"}, Missing: 1}, nil
 }
 
 // inBubble runs f in virtual time. yamux keeps timers in a pool, which must not
@@ -132,7 +132,7 @@
 func testRequest() *serving.Request {
 	return &serving.Request{
 		ID: "r-1", Host: "h", Path: "/a/b", Target: "/a/b?c=%2f", Method: http.MethodGet, Body: []byte("body"),
-		Header: http.Header{"X-Odd": {"1", "2"}}, Received: time.Now(), Patience: 3 * time.Second,
+		Header: http.Header{"X-Odd": {"1", "2"}}, Received: time.Now(), CallerTimeout: 3 * time.Second,
 		Margin: 14 * time.Millisecond,
 	}
 }
@@ -149,7 +149,7 @@
 		require.True(t, begun)
 		require.Equal(t, "g", by)
 		require.Equal(t, &serving.Response{
-			Status: 200, Gathered: true, Body: []byte("records of r-1"), Proofs: []string{"p1", "p2"}, Missing: 1,
+			Status: 200, Gathered: true, Body: []byte("records of r-1"), Signatures: []string{"p1", "p2"}, Missing: 1,
 		}, resp)
 
 		got := *p.engine.begun[0]
--- a/primrosed/internal/gatherer/server.go
+++ b/primrosed/internal/gatherer/server.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		a.Refusal = refusal.ToProto(err)
 	} else {
-		a.Body, a.Proofs, a.Missing = resp.Body, resp.Proofs, uint32(resp.Missing)
+		a.Body, a.Signatures, a.Missing = resp.Body, resp.Signatures, uint32(resp.Missing)
 	}
 
 	if err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_HandoverAnswer{HandoverAnswer: a}}, frame.MaxRelay); err != nil {
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -27,7 +27,7 @@
 }
 
 // newFollowers returns followers without sinks.
-func newFollowers(log zerolog.Logger, s hosting.Settings, st *platform.Store, c *replica.Client, ds doubts) *followers {
+func newFollowers(log zerolog.Logger, s hosting.Settings, st *platform.Store, c *replica.Client, ds suspicions) *followers {
 	return &followers{
 		configuration: follower.Follower[*domain.RouteTable]{
 			Log: log, Name: replica.Configuration, Source: platform.Configurations{Store: st},
@@ -35,7 +35,7 @@
 		},
 		registrations: follower.Follower[domain.Registration]{
 			Log: log, Name: replica.Registrations, Source: platform.Registrations{Store: st},
-			Pause: pauseFor(s.Bounds.Drain), Doubt: ds,
+			Pause: pauseFor(s.Bounds.Drain), Suspicions: ds,
 			Peers: replica.Peers[domain.Registration]{Client: c, Collection: replica.Registrations},
 		},
 	}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -60,7 +60,7 @@
 	// longestWait is the HTTP server's own timeout for callers, which can't change
 	// while it runs. The configured timeouts are lower; http1.IdleTimer keeps them.
 	longestWait = time.Hour
-	// reportAge is how long a searcher's word on its queue counts. An instance
+	// reportAge is how long a reported queue length counts. An instance
 	// hears from each a few times a second, since several instances share it.
 	reportAge        = 100 * time.Millisecond
 	settingsInterval = 2 * time.Second
@@ -80,18 +80,18 @@
 	health   balancer.Health
 	// stopping is closed when a planned stop begins.
 	stopping chan struct{}
-	// doubts holds one doubt about the list of searchers.
-	doubts doubts
-	fleet  fleet
+	// suspicions holds one suspicion that the list of searchers is out of date.
+	suspicions suspicions
+	fleet      fleet
 	// copies gives copies of the store's collections to other instances.
 	copies replica.Server
 }
 
-// doubts holds at most one doubt.
-type doubts chan struct{}
+// suspicions holds at most one suspicion that the list of searchers is out of date.
+type suspicions chan struct{}
 
-// raise adds a doubt unless there is one.
-func (d doubts) raise() {
+// raise adds a suspicion unless there is one.
+func (d suspicions) raise() {
 	select {
 	case d <- struct{}{}:
 	default:
@@ -127,7 +127,7 @@
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
 		},
-		func() doubts { return make(doubts, 1) },
+		func() suspicions { return make(suspicions, 1) },
 		newShares,
 		newRoster,
 		newSearchers,
@@ -167,15 +167,15 @@
 }
 
 func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sr *platform.Searchers, t *routing.Table,
-	g *gatherer.Client, ds doubts,
+	g *gatherer.Client, ds suspicions,
 ) *serving.Engine {
 	return serving.New(log, serving.Settings{
-		Instance: s.Instance, Cores: s.Cores, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true, Doubt: ds.raise, Gatherers: g,
+		Instance: s.Instance, Cores: s.Cores, ExtraAttempts: s.Bounds.ExtraAttempts, LogRoutes: true, SuspectStale: ds.raise, Gatherers: g,
 	}, d, sr, t)
 }
 
-func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds doubts) *Instance {
-	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), doubts: ds}
+func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds suspicions) *Instance {
+	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), suspicions: ds}
 	p.Roster.Changed = i.setFleet
 	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.Replicas, Collection: replica.Instances}
 	i.copies = replica.Server{Log: log, Collections: i.collections(), Callers: p.Replicas}
