roster: instances that don't renew their entry lose their part

Cause: an entry stayed in the store for good.

Change: an instance renews its entry every 2 minutes; one that hasn't for 6 has no part any more, and after 30 the first instance of the list removes the entry. Ages go by when a reader saw the entry change, not by the time of day, and leave out the time in which the store gave no list.

Ruled out: removal of the own entry on SIGTERM (a restart would write twice, and a killed instance never does), the store's times (entries carry none).

--- /dev/null
+++ b/internal/roster/liveness.go
@@ -0,0 +1,71 @@
+package roster
+
+import "time"
+
+const (
+	// heartbeatEvery is how often an instance writes its entry anew: 440 instances
+	// make 4 writes a second, a hundredth of the store's rate.
+	heartbeatEvery = 2 * time.Minute
+	// expireAfter is the age of the last heartbeat from which an instance has no part
+	// any more in what all divide: three heartbeats, so that one lost call costs
+	// nothing.
+	expireAfter = 3 * heartbeatEvery
+	// removeAfter is the age from which its entry is removed from the store. Machines
+	// are replaced by the hundred each day, under new names.
+	removeAfter = 15 * heartbeatEvery
+	// maxGap is the longest time between two lists that counts towards an age. During
+	// an outage of the store nobody can write a heartbeat.
+	maxGap = 2 * refreshEvery
+)
+
+// liveness tells which instances still write their entries. It goes by when this
+// process saw an entry change, not by the time of day, which may jump. Its zero
+// value has seen nothing.
+type liveness struct {
+	seen map[string]observation
+	// at is when the last list was observed.
+	at time.Time
+}
+
+// observation is the last change of an entry.
+type observation struct {
+	started   int64
+	heartbeat uint64
+	at        time.Time
+}
+
+// observe takes a list and returns the entries of live instances, and the ids of
+// those whose entries are to be removed. An entry that is new to this process
+// counts as changed now.
+func (l *liveness) observe(now time.Time, self string, entries []Entry) (live []Entry, removable []string) {
+	var outage time.Duration
+	if gap := now.Sub(l.at); !l.at.IsZero() && gap > maxGap {
+		outage = gap
+	}
+
+	l.at = now
+	seen := make(map[string]observation, len(entries))
+
+	for _, e := range entries {
+		o, ok := l.seen[e.ID]
+		o.at = o.at.Add(outage)
+
+		if !ok || o.started != e.Started || o.heartbeat != e.Heartbeat {
+			o = observation{started: e.Started, heartbeat: e.Heartbeat, at: now}
+		}
+
+		seen[e.ID] = o
+		age := now.Sub(o.at)
+
+		switch {
+		case e.ID == self || age < expireAfter:
+			live = append(live, e)
+		case age >= removeAfter:
+			removable = append(removable, e.ID)
+		}
+	}
+
+	l.seen = seen
+
+	return live, removable
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,14 +1,17 @@
 // Package roster keeps the list of entry instances, which divide what all of them
 // share without coordination: the budgets of extra attempts and the connections
-// that a searcher accepts. Each instance writes an entry at its start and reads
-// the list now and then; a stale list is enough. Nothing is concluded from it on
-// whether an instance lives.
+// that a searcher accepts. Each instance writes an entry at its start, renews it
+// every few minutes, and reads the list now and then; a stale list is enough. An
+// instance that hasn't renewed its entry for long has no part any more, and the
+// entry is removed in the end. Whether a peer answers right now is for those to
+// find out who call it.
 package roster
 
 import (
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -43,6 +46,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Started is the start of the process in Unix milliseconds.
 	Started int64 `json:"started_unix_ms"`
+	// Heartbeat counts the times that the process renewed the entry.
+	Heartbeat uint64 `json:"heartbeat"`
 	// PeerAddress takes what other instances hand over or ask for; empty if it takes
 	// nothing.
 	PeerAddress string `json:"peer_address"`
@@ -82,9 +87,11 @@
 	return nil
 }
 
-// same reports whether both entries say the same, apart from the start.
+// same reports whether both entries say the same, apart from the start and the
+// heartbeat.
 func (e Entry) same(o Entry) bool {
 	e.Started, o.Started = 0, 0
+	e.Heartbeat, o.Heartbeat = 0, 0
 
 	return e == o
 }
@@ -96,6 +103,8 @@
 	// ReplaceInstance replaces the entry of that id.
 	ReplaceInstance(ctx context.Context, e Entry) error
 	ListInstances(ctx context.Context) ([]Entry, error)
+	// RemoveInstance removes the entry of that id, if there is one.
+	RemoveInstance(ctx context.Context, id string) error
 }
 
 // Peers are other instances that know a list.
@@ -112,6 +121,9 @@
 	self  Entry
 	// tried says that a round has been begun.
 	tried bool
+	// heartbeatAt is when the next heartbeat is due.
+	heartbeatAt time.Time
+	liveness    liveness
 	// known is the last list that differed from the one before.
 	known atomic.Pointer[[]Entry]
 	// Changed is called with a new list, which it must not change; it must be set
@@ -142,6 +154,8 @@
 // Run registers the instance and keeps the count until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	registered, failing := false, false
+	// Instances that start together don't write together.
+	r.heartbeatAt = time.Now().Add(heartbeatEvery/2 + rand.N(heartbeatEvery/2))
 
 	for ctx.Err() == nil {
 		changed, err := r.round(ctx, &registered)
@@ -198,6 +212,10 @@
 		*registered = true
 	}
 
+	if err := r.heartbeat(ctx, registered); err != nil {
+		return false, err
+	}
+
 	entries, err := r.store.ListInstances(ctx)
 	if err != nil {
 		return false, err
@@ -212,7 +230,51 @@
 		entries[i] = r.self
 	}
 
-	return r.take(entries), nil
+	live, removable := r.liveness.observe(time.Now(), r.self.ID, entries)
+	changed := r.take(live)
+	r.remove(ctx, removable)
+
+	return changed, nil
+}
+
+// heartbeat renews the entry if that is due. One that another instance removed is
+// created again.
+func (r *Roster) heartbeat(ctx context.Context, registered *bool) error {
+	if time.Now().Before(r.heartbeatAt) {
+		return nil
+	}
+
+	r.self.Heartbeat++
+
+	err := r.store.ReplaceInstance(ctx, r.self)
+
+	var e *domain.Error
+	if errors.As(err, &e) && e.Code == domain.CodeNotFound {
+		*registered = false
+	}
+
+	if err != nil {
+		return err
+	}
+
+	r.heartbeatAt = time.Now().Add(heartbeatEvery)
+
+	return nil
+}
+
+// remove removes entries of instances that are gone. The first instance of the list
+// does it for all. One that can't be removed now is tried again with the next list.
+func (r *Roster) remove(ctx context.Context, ids []string) {
+	if live := r.Entries(); len(live) == 0 || live[0].ID != r.self.ID {
+		return
+	}
+
+	for _, id := range ids {
+		err := r.store.RemoveInstance(ctx, id)
+
+		r.log.Info().Str("event", "roster_entry_removed").Str("instance", id).
+			Int64("silent_for_ms", removeAfter.Milliseconds()).AnErr("error", err).Send()
+	}
 }
 
 // copyFromPeers takes the list of another instance if none is known.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
 )
 
 // fakeStore holds entries and fails while it is down.
@@ -21,6 +23,7 @@
 	down     bool
 	lists    int
 	replaced []Entry
+	removed  []string
 }
 
 var errDown = errors.New("down")
@@ -46,15 +49,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	if s.down {
+		return errDown
+	}
+
 	s.replaced = append(s.replaced, e)
 
 	for i := range s.entries {
 		if s.entries[i].ID == e.ID {
 			s.entries[i] = e
+
+			return nil
 		}
 	}
 
-	return nil
+	return domain.Errorf(domain.FateUnknown, domain.CodeNotFound, "replace instance", "no such object")
 }
 
 // ListInstances implements Store.
@@ -71,6 +80,17 @@
 	return slices.Clone(s.entries), nil
 }
 
+// RemoveInstance implements Store.
+func (s *fakeStore) RemoveInstance(_ context.Context, id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.entries = slices.DeleteFunc(s.entries, func(e Entry) bool { return e.ID == id })
+	s.removed = append(s.removed, id)
+
+	return nil
+}
+
 func (s *fakeStore) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,3 +230,58 @@
 		require.Len(t, lists(), 2)
 	})
 }
+
+// Guards against an instance that is gone for good and keeps its part of the budgets
+// and connections, and against entries that pile up in the store: machines are
+// replaced by the hundred each day, under new names.
+func TestInstancesThatAreGoneLoseTheirPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{entries: []Entry{{ID: "gone", Started: 1}}}
+		first := start(t, s, Entry{ID: "a"})
+		start(t, s, Entry{ID: "b"})
+
+		time.Sleep(expireAfter - time.Second)
+		require.Len(t, last(first()), 3, "its heartbeat may only be late")
+
+		time.Sleep(time.Second + refreshEvery)
+		require.Equal(t, []string{"a", "b"}, ids(last(first())))
+
+		time.Sleep(removeAfter)
+		require.Equal(t, []string{"gone"}, s.removed, "one instance removes it, once")
+		require.Len(t, s.entries, 2)
+		require.Equal(t, []string{"a", "b"}, ids(last(first())), "those that renew their entries stay")
+	})
+}
+
+// Guards against a fleet that counts as gone after an outage in which nobody could
+// renew its entry, and against an instance that was removed wrongly and stays so.
+func TestOutagesAndRemovalsCostNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		lists := start(t, s, Entry{ID: "a"})
+		start(t, s, Entry{ID: "b"})
+
+		time.Sleep(time.Minute)
+		s.set(func() { s.down = true })
+		time.Sleep(2 * removeAfter)
+		s.set(func() { s.down = false })
+		time.Sleep(heartbeatEvery)
+		require.Equal(t, []string{"a", "b"}, ids(last(lists())))
+		require.Empty(t, s.removed)
+
+		s.set(func() { s.entries = s.entries[:1] })
+		time.Sleep(2 * heartbeatEvery)
+		require.Equal(t, []string{"a", "b"}, ids(last(lists())))
+	})
+}
+
+func last(lists [][]Entry) []Entry { return lists[len(lists)-1] }
+
+func ids(entries []Entry) []string {
+	out := make([]string, len(entries))
+	for i, e := range entries {
+		out[i] = e.ID
+	}
+
+	return out
+}
