--- a/primrosed/internal/hosted/command.go
+++ b/primrosed/internal/hosted/command.go
@@ -35,7 +35,7 @@
 		RunE: func(*cobra.Command, []string) error { return run(c, load, stdout) },
 	}
 	cmd.PersistentFlags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port that serves /metrics")
-	cmd.PersistentFlags().IntVar(&peerPort, "peer-port", defaultPeerPort, "port that takes queries from other instances")
+	cmd.PersistentFlags().IntVar(&peerPort, "peer-port", defaultPeerPort, "port that other instances connect to")
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the platform's settings file without starting", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -40,10 +40,10 @@
 
 func (s *shares) get() serving.Shares { return *s.current.Load() }
 
-// connectionLimit returns this instance's part of a searcher's connections, or one if
-// their number isn't known. Where
-// that is less than one connection, those that it opens nevertheless aren't kept:
-// the searcher resets connections beyond its limit, and requests with them.
+// connectionLimit returns this instance's part of a searcher's connections, or one
+// if their number isn't known. Where that is less than one connection, those that
+// it opens nevertheless aren't kept: the searcher resets connections beyond its
+// limit, and requests with them.
 func connectionLimit(sr *domain.Searcher, s serving.Shares) http1.Limit {
 	share := s.Direct
 	if sr.Gathered {
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -80,9 +80,7 @@
 	health   balancer.Health
 	// stopping is closed when a planned stop begins.
 	stopping chan struct{}
-	// suspicions holds one suspicion that the list of searchers is out of date.
-	suspicions suspicions
-	fleet      fleet
+	fleet    fleet
 	// copies gives copies of the store's collections to other instances.
 	copies replica.Server
 }
@@ -174,8 +172,8 @@
 	}, d, sr, t)
 }
 
-func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts, ds suspicions) *Instance {
-	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), suspicions: ds}
+func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts) *Instance {
+	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{})}
 	p.Roster.Changed = i.setFleet
 	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.Replicas, Collection: replica.Instances}
 	i.copies = replica.Server{Log: log, Collections: i.collections(), Callers: p.Replicas}
