--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -162,8 +161,6 @@
 // Newer returns the newest copy of some instances if it is newer than the revision,
 // or revision 0.
 func (p Peers[T]) Newer(ctx context.Context, revision uint64) (items []T, at uint64) {
-	begin := time.Now()
-
 	a := p.Client.newest(ctx, p.Collection, revision)
 	if a == nil {
 		return nil, 0
@@ -171,7 +168,7 @@
 
 	if err := json.Unmarshal(a.GetItems(), &items); err != nil {
 		p.Client.log.Error().Str("event", "copy_refused").Str("collection", p.Collection).
-			Uint64("revision", a.GetRevision()).Int64("took_ms", time.Since(begin).Milliseconds()).Err(err).Send()
+			Uint64("revision", a.GetRevision()).Err(err).Send()
 
 		return nil, 0
 	}
