serving, hosted: an objective that can't be met doesn't decide alone

Cause, found on reading: the bound on queues followed from the shortest objective over the same shards whatever it was. A common kind of request with an objective of a millisecond would have turned every other kind away as soon as a queue stood anywhere.

Change: a query may always wait for a fifth of its own objective. The sessions with other instances have a file of their own in hosted (a move).

Test: TestObjectivesThatCannotBeMetDoNotDecideAlone.

--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -149,7 +149,7 @@
 
 	if route.Gathered() && route.LatencyObjective > 0 {
 		p.Objective = x.req.Received.Add(max(route.LatencyObjective-x.margin, route.LatencyObjective/2))
-		x.maxWait = time.Duration(maxWaitShare * float64(x.engine.usage.shortestObjective(time.Now(), route)))
+		x.maxWait = x.engine.usage.maxWait(time.Now(), route)
 		p.MaxWait = x.maxWait
 	}
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -131,10 +131,6 @@
 	// second attempt, and the pools' budgets allow extra attempts for one request
 	// in five.
 	hedgeQuantile = 0.75
-	// maxWaitShare is the part of the shortest objective that a query may be expected
-	// to wait at a shard with a standing queue; the rest is for its service time, and
-	// for queues that grow between two reports.
-	maxWaitShare = 0.8
 	// remotePenalty is how much longer a request may be expected to take nearby than in
 	// another failure domain, since bytes between them are paid for.
 	remotePenalty = 6 * time.Millisecond
--- a/internal/serving/usage.go
+++ b/internal/serving/usage.go
@@ -17,6 +17,13 @@
 	// countedUsage is the part of the requests over the same shards from which a kind
 	// of request counts; rarer ones don't decide for the others.
 	countedUsage = 0.05
+	// maxWaitShare is the part of the shortest objective that a query may be expected
+	// to wait at a shard with a standing queue; the rest is for its service time, and
+	// for queues that grow between two reports.
+	maxWaitShare = 0.8
+	// ownWaitShare is the part of its own objective that a query may always wait, so
+	// that an objective which can't be met doesn't turn the other kinds away.
+	ownWaitShare = 0.2
 )
 
 // usage knows which kinds of requests over many shards have come lately.
@@ -45,6 +52,14 @@
 	return u.weight * math.Exp(-float64(now.Sub(u.at))/float64(usageMemory))
 }
 
+// maxWait counts a request of the route and returns how long it may be expected to
+// wait at a shard with a standing queue.
+func (u *usage) maxWait(now time.Time, route *domain.Route) time.Duration {
+	shortest := u.shortestObjective(now, route)
+
+	return time.Duration(max(maxWaitShare*float64(shortest), ownWaitShare*float64(route.LatencyObjective)))
+}
+
 // shortestObjective counts a request of the route and returns the shortest latency
 // objective of the routes that lately sent requests to the same shards, this one
 // included.
--- a/internal/serving/usage_test.go
+++ b/internal/serving/usage_test.go
@@ -38,3 +38,16 @@
 		require.Len(t, u.routes, 1, "routes that aren't used are forgotten")
 	})
 }
+
+// Guards against a kind of request with an objective that no searcher can meet, and
+// that turns all others away as soon as a queue stands anywhere.
+func TestObjectivesThatCannotBeMetDoNotDecideAlone(t *testing.T) {
+	list := gatheredRoute("list", 20, 200*time.Millisecond, 3*time.Second, 0.89)
+	hasty := gatheredRoute("hasty", 20, time.Millisecond, time.Second, 0.75)
+
+	var u usage
+
+	require.Equal(t, 160*time.Millisecond, u.maxWait(time.Now(), &list))
+	u.maxWait(time.Now(), &hasty)
+	require.Equal(t, 40*time.Millisecond, u.maxWait(time.Now(), &list))
+}
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -10,7 +10,6 @@
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/follower"
 	"primrosespring.example/internal/hosting"
-	"primrosespring.example/internal/http1"
 	"primrosespring.example/platform"
 	"primrosespring.example/primrosed/internal/replica"
 )
@@ -63,41 +62,6 @@
 	return out, at
 }
 
-// newReplicas asks the instances that the settings name until a list is known.
-func newReplicas(log zerolog.Logger, s hosting.Settings) *replica.Client {
-	return replica.NewClient(log, s.Instance.PeerAddress, http1.DialTCP, s.Peers)
-}
-
-// collections returns what this instance gives to others. A revision is read before the
-// items, which may be newer: taking a change twice does no harm.
-func (i *Instance) collections() map[string]replica.Collection {
-	return map[string]replica.Collection{
-		replica.Configuration: func() (any, uint64) {
-			at := i.parts.Followers.configuration.Revision()
-
-			return i.parts.Directory.Configurations(), at
-		},
-		replica.Registrations: func() (any, uint64) {
-			at := i.parts.Followers.registrations.Revision()
-
-			list, settled := i.parts.Directory.Registrations()
-			if !settled {
-				return nil, 0
-			}
-
-			return list, at
-		},
-		replica.Instances: func() (any, uint64) {
-			list := i.parts.Roster.Entries()
-			if list == nil {
-				return nil, 0
-			}
-
-			return list, 1
-		},
-	}
-}
-
 // configurationSink takes configurations from the store.
 type configurationSink struct{ *Instance }
 
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -1,23 +1,15 @@
 package hosted
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"reflect"
 	"sync"
 	"sync/atomic"
 
-	"github.com/hashicorp/yamux"
-	"github.com/juju/errors"
-
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/gathering"
-	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/serving"
-	"primrosespring.example/primrosed/internal/mux"
 )
 
 // connectionShare is the part of a searcher's connections that the instances divide;
@@ -118,22 +110,3 @@
 	i.parts.Engine.SetShares(s)
 	i.parts.Gatherers.SetPlan(p)
 }
-
-// servePeers takes the sessions of other instances until the listener is closed.
-func (i *Instance) servePeers(ctx context.Context, s *mux.Server, l net.Listener) {
-	if err := s.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
-		i.log.Error().Str("event", "serve_failed").Str("address", l.Addr().String()).Err(err).Send()
-	}
-}
-
-// servePeer serves one exchange with another instance.
-func (i *Instance) servePeer(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
-	switch b := first.GetBody().(type) {
-	case *pb.PeerFrame_HandoverOffer:
-		i.parts.Gatherer.Handle(ctx, peer, b.HandoverOffer, stream)
-	case *pb.PeerFrame_CopyRequest:
-		i.copies.Handle(peer, b.CopyRequest, stream)
-	default:
-		i.log.Warn().Str("event", "peer_frame_unexpected").Str("peer", peer).Str("type", fmt.Sprintf("%T", b)).Send()
-	}
-}
--- /dev/null
+++ b/primrosed/internal/hosted/peers.go
@@ -0,0 +1,71 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/hosting"
+	"primrosespring.example/internal/http1"
+	"primrosespring.example/primrosed/internal/mux"
+	"primrosespring.example/primrosed/internal/replica"
+)
+
+// newReplicas asks the instances that the settings name until a list is known.
+func newReplicas(log zerolog.Logger, s hosting.Settings) *replica.Client {
+	return replica.NewClient(log, s.Instance.PeerAddress, http1.DialTCP, s.Peers)
+}
+
+// collections returns what this instance gives to others. A revision is read before the
+// items, which may be newer: taking a change twice does no harm.
+func (i *Instance) collections() map[string]replica.Collection {
+	return map[string]replica.Collection{
+		replica.Configuration: func() (any, uint64) {
+			at := i.parts.Followers.configuration.Revision()
+
+			return i.parts.Directory.Configurations(), at
+		},
+		replica.Registrations: func() (any, uint64) {
+			at := i.parts.Followers.registrations.Revision()
+
+			list, settled := i.parts.Directory.Registrations()
+			if !settled {
+				return nil, 0
+			}
+
+			return list, at
+		},
+		replica.Instances: func() (any, uint64) {
+			list := i.parts.Roster.Entries()
+			if list == nil {
+				return nil, 0
+			}
+
+			return list, 1
+		},
+	}
+}
+
+// servePeers takes the sessions of other instances until the listener is closed.
+func (i *Instance) servePeers(ctx context.Context, s *mux.Server, l net.Listener) {
+	if err := s.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
+		i.log.Error().Str("event", "serve_failed").Str("address", l.Addr().String()).Err(err).Send()
+	}
+}
+
+// servePeer serves one exchange with another instance.
+func (i *Instance) servePeer(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
+	switch b := first.GetBody().(type) {
+	case *pb.PeerFrame_HandoverOffer:
+		i.parts.Gatherer.Handle(ctx, peer, b.HandoverOffer, stream)
+	case *pb.PeerFrame_CopyRequest:
+		i.copies.Handle(peer, b.CopyRequest, stream)
+	default:
+		i.log.Warn().Str("event", "peer_frame_unexpected").Str("peer", peer).Str("type", fmt.Sprintf("%T", b)).Send()
+	}
+}
