directory: drop the use of searchers whose registrations are lost together

The removed searchers were kept first as ones that may register again after the store's return; when that time ended, the view was made anew with them as ones to use on, and nothing was due to end that.

Ruled out: copies of other instances (the last was taken at 10.6 s, at revision 2287, before the removal), a late watch (the removal was read 0.8 s after it).

Test: TestPoolsThatLeaveAroundTheStoresReturnAreNotUsedOn; with the decision in force (a directory with a time to linger) it fails on the pool being empty.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -52,8 +52,8 @@
 	return &v.Entries[i], true
 }
 
-// Directory holds the current View. Its zero value has no configuration and uses no
-// removed searcher. It is safe for concurrent use.
+// Directory holds the current View. Its zero value has no configuration. It is
+// safe for concurrent use.
 type Directory struct {
 	view atomic.Pointer[View]
 
@@ -63,15 +63,6 @@
 	changes  uint64
 	// listed says that a whole list of registrations has been taken.
 	listed bool
-	// lingering says that the view uses searchers that were removed.
-	lingering bool
-}
-
-// New returns a directory without a configuration. Where most searchers of a pool are
-// removed at the same time, they are used for linger longer: the store may have lost
-// their registrations, and they register again.
-func New(linger time.Duration) *Directory {
-	return &Directory{registry: registry{linger: linger}}
 }
 
 // View returns the current view, or nil without a configuration.
@@ -202,15 +193,6 @@
 	d.registry.returnedAt = time.Now()
 }
 
-// Lingering reports whether removed searchers are used, and for how long at most.
-// Expire is due then.
-func (d *Directory) Lingering() (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	return d.registry.linger, d.lingering
-}
-
 // Expire drops the searchers that haven't registered again by now.
 func (d *Directory) Expire() {
 	d.update(func(now time.Time) bool {
@@ -254,8 +236,7 @@
 		return
 	}
 
-	pools, lingering := d.registry.pools(now)
-	d.lingering = lingering
+	pools := d.registry.pools(now)
 	v := &View{
 		Table: d.table, RegistryChange: d.changes, Entries: make([]Entry, len(d.table.Routes)),
 		Searchers: make(map[string]*domain.Searcher),
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -29,17 +29,9 @@
 	denied bool
 }
 
-// lingerMajority is the part of a pool's searchers from which removals at the same
-// time are taken for a fault of the store. Searchers are replaced a few at a time,
-// and a searcher that is removed without notice serves on for a while.
-const lingerMajority = 0.5
-
 // registry holds the registrations. The Directory's lock guards it.
 type registry struct {
 	members map[string]*member
-	// linger is how long a removed searcher may still be used if most of its pool was
-	// removed at the same time.
-	linger time.Duration
 	// returnedAt is when the store last came back after an outage.
 	returnedAt time.Time
 }
@@ -120,32 +112,13 @@
 		now.Before(r.returnedAt.Add(RejoinTime))
 }
 
-// lingers reports whether the searcher was removed so lately that it serves on if it
-// is alive.
-func (r *registry) lingers(now time.Time, m *member) bool {
-	return !m.denied && !m.registration.Draining && !m.removedAt.IsZero() && now.Before(m.removedAt.Add(r.linger))
-}
-
-// pools returns the usable searchers of each pool, sorted by id, and whether removed
-// ones are among them only because most of their pool was removed lately.
-func (r *registry) pools(now time.Time) (out map[string][]domain.Registration, lingering bool) {
-	out = make(map[string][]domain.Registration)
-	removed := make(map[string][]domain.Registration)
+// pools returns the usable searchers of each pool, sorted by id.
+func (r *registry) pools(now time.Time) map[string][]domain.Registration {
+	out := make(map[string][]domain.Registration)
 
 	for _, m := range r.members {
-		pool := m.registration.Pool
-
-		switch {
-		case r.usable(now, m):
-			out[pool] = append(out[pool], m.registration)
-		case r.lingers(now, m):
-			removed[pool] = append(removed[pool], m.registration)
-		}
-	}
-
-	for pool, list := range removed {
-		if n := len(list); float64(n) > lingerMajority*float64(n+len(out[pool])) {
-			out[pool], lingering = append(out[pool], list...), true
+		if r.usable(now, m) {
+			out[m.registration.Pool] = append(out[m.registration.Pool], m.registration)
 		}
 	}
 
@@ -153,7 +126,7 @@
 		slices.SortFunc(list, func(a, b domain.Registration) int { return strings.Compare(a.ID, b.ID) })
 	}
 
-	return out, lingering
+	return out
 }
 
 // standing returns the registrations that haven't been removed, draining ones
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -19,11 +19,6 @@
 // Twice that and the store's answer stay well within the bounds.
 const pauseShare = 0.3
 
-// lingerShare is the part of the drain time for which removed searchers are used if
-// most of their pool was removed at the same time. With the pause between watches it
-// stays within the time that a searcher serves on after its removal.
-const lingerShare = 0.4
-
 // followers keep copies of the collections that others write.
 type followers struct {
 	configuration follower.Follower[*domain.RouteTable]
@@ -102,27 +97,7 @@
 func (s registrationSink) Replace(items []domain.Registration) {
 	changed := s.parts.Directory.ReplaceSearchers(items)
 	s.log.Info().Str("event", "searchers_listed").Int("searchers", len(items)).Bool("changed", changed).Send()
-	s.registrationsChanged()
-}
-
-// registrationsChanged takes note of a new view. Removed searchers that it uses are
-// dropped later unless they register again.
-func (s registrationSink) registrationsChanged() {
 	s.changed()
-
-	if linger, ok := s.parts.Directory.Lingering(); ok {
-		s.log.Warn().Str("event", "searchers_linger").Int64("for_ms", linger.Milliseconds()).
-			Str("reason", "most searchers of a pool were removed at the same time").Send()
-		s.expireAfter(linger)
-	}
-}
-
-// expireAfter drops removed searchers after a while.
-func (s registrationSink) expireAfter(d time.Duration) {
-	time.AfterFunc(d, func() {
-		s.parts.Directory.Expire()
-		s.changed()
-	})
 }
 
 // Apply implements follower.Sink.
@@ -138,7 +113,7 @@
 		}
 	}
 
-	s.registrationsChanged()
+	s.changed()
 }
 
 func (s registrationSink) logSearcher(c directory.SearcherChange) {
@@ -158,5 +133,8 @@
 // Returned implements follower.Sink.
 func (s registrationSink) Returned() {
 	s.parts.Directory.StoreReturned()
-	s.expireAfter(directory.RejoinTime)
+	time.AfterFunc(directory.RejoinTime, func() {
+		s.parts.Directory.Expire()
+		s.changed()
+	})
 }
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -119,9 +119,7 @@
 		func() hosting.Settings { return s },
 		func() *logline.Writer { return logline.New(logOut) },
 		func(w *logline.Writer) zerolog.Logger { return w.Logger() },
-		func(s hosting.Settings) *directory.Directory {
-			return directory.New(time.Duration(lingerShare * float64(s.Bounds.Drain)))
-		},
+		func() *directory.Directory { return &directory.Directory{} },
 		func() *routing.Table { return &routing.Table{Random: rand.Uint64, ReportAge: reportAge} },
 		func() *http1.Group { return &http1.Group{} },
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
