http1: bound heads, interim responses and bodies of peers

Cause: a peer in trouble may send bytes without end. Change: 32 KiB and 10 interim responses for a head; bodies grow as they arrive, within 1 MiB for an answer of a shard, 8 MiB for others, and a fifth of the memory limit for all that are being read. Ruled out: frames between instances (a bound and growth by 256 KiB before).

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -21,9 +22,16 @@
 const (
 	// readBufferBytes holds a response header and a small body.
 	readBufferBytes = 2 << 10
-	// maxBodyBytes bounds the body of a response; the store pages its lists at
-	// about 1 MB.
-	maxBodyBytes = 8 << 20
+	// maxHeadBytes bounds the status line and headers of a response, together with
+	// those of its interim responses; maxInterim bounds the number of the latter.
+	maxHeadBytes = 32 << 10
+	maxInterim   = 10
+	// defaultMaxBodyBytes bounds the body of a response where Limit.MaxBodyBytes
+	// doesn't; the store pages its lists at about 1 MB.
+	defaultMaxBodyBytes = 8 << 20
+	// initialBodyBytes is the size of the first buffer for a body. It grows as the
+	// body arrives, since the stated length says nothing about what will.
+	initialBodyBytes = 4 << 10
 	// The kernel closes a connection whose peer acknowledges nothing for
 	// ackTimeout, and sends keep-alive probes every keepAliveInterval while it is
 	// idle. The timeout is below the 3 s within which a change or a searcher's
@@ -41,8 +49,12 @@
 	// ErrDirty means that the peer closed an idle connection or sent bytes that
 	// belong to no request.
 	ErrDirty = errors.New("connection closed or unexpected data received")
-	// ErrTooLarge means that the body of a response exceeds the limit.
+	// ErrTooLarge means that the body of a response exceeds the limit of its pool, or
+	// the bodies that are being read exceed that of the process.
 	ErrTooLarge = errors.New("response body too large")
+	// ErrHeadTooLarge means that the headers of a response exceed the limit, or that
+	// too many interim responses preceded it.
+	ErrHeadTooLarge = errors.New("response headers too large")
 )
 
 // Request is one request as it goes on the wire.
@@ -61,6 +73,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// FirstOnConn is set if no other exchange preceded this one on its connection, so
+	// that the response can't be the late copy of an earlier one.
+	FirstOnConn bool
 }
 
 // SendError is the failure of an exchange.
@@ -80,6 +95,14 @@
 type Conn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// head limits what reader reads from conn.
+	head *headLimiter
+	// maxBodyBytes bounds the body of a response, and bodies what all bodies that are
+	// being read may take.
+	maxBodyBytes int64
+	bodies       *BodyBudget
+	// used is set once a request was sent.
+	used bool
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 	// peerIdleTimeout is the idle timeout that the peer stated last; zero if it
@@ -108,8 +131,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func newConn(nc net.Conn) *Conn {
-	return &Conn{conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleSince: time.Now()}
+// newConn returns a connection whose responses have bodies of maxBodyBytes at most, or
+// defaultMaxBodyBytes if that is zero; b bounds them too and may be nil.
+func newConn(nc net.Conn, maxBodyBytes int64, b *BodyBudget) *Conn {
+	head := &headLimiter{reader: nc}
+
+	return &Conn{
+		conn: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head,
+		maxBodyBytes: cmp.Or(maxBodyBytes, defaultMaxBodyBytes), bodies: b, idleSince: time.Now(),
+	}
 }
 
 // Close closes the connection.
@@ -173,20 +203,15 @@
 		return nil, false, &SendError{Sent: n > 0, Err: err}
 	}
 
-	hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // readBody closes it.
+	first := !c.used
+	c.used = true
+
+	hr, err := c.readHead(r.Method) //nolint:bodyclose // See readBody.
 	if err != nil {
 		return nil, false, &SendError{Sent: true, Err: err}
 	}
 
-	for hr.StatusCode >= 100 && hr.StatusCode < 200 {
-		// An interim response has no body.
-		hr, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // readBody closes it.
-		if err != nil {
-			return nil, false, &SendError{Sent: true, Err: err}
-		}
-	}
-
-	body, err := readBody(hr)
+	body, err := c.readBody(hr)
 	if err != nil {
 		return nil, false, &SendError{Sent: true, Err: err}
 	}
@@ -194,29 +219,69 @@
 	keep := !hr.Close && c.reader.Buffered() == 0
 	c.peerIdleTimeout = keepAliveTimeout(hr.Header)
 
-	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, keep, nil
+	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, FirstOnConn: first}, keep, nil
 }
 
-func readBody(hr *http.Response) ([]byte, error) {
-	defer func() { _ = hr.Body.Close() }()
+// readHead reads the head of the final response and skips interim ones.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
 
-	if n := hr.ContentLength; n >= 0 {
-		if n > maxBodyBytes {
-			return nil, ErrTooLarge
-		}
+	for range maxInterim + 1 {
+		hr, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			if c.head.exceeded {
+				err = ErrHeadTooLarge
+			}
 
-		body := make([]byte, n)
-		_, err := io.ReadFull(hr.Body, body)
+			return nil, err
+		}
 
-		return body, err
+		if hr.StatusCode < 100 || hr.StatusCode >= 200 {
+			return hr, nil
+		}
 	}
 
-	body, err := io.ReadAll(io.LimitReader(hr.Body, maxBodyBytes+1))
-	if len(body) > maxBodyBytes {
+	return nil, ErrHeadTooLarge
+}
+
+// readBody reads the whole body. Its buffer grows with what arrives. It doesn't close
+// hr.Body, which holds no resources: Close would read the rest of a body without end.
+func (c *Conn) readBody(hr *http.Response) (body []byte, err error) {
+	if hr.ContentLength > c.maxBodyBytes {
 		return nil, ErrTooLarge
 	}
 
-	return body, err
+	// One more byte than allowed tells a body at the limit from a larger one.
+	largest := c.maxBodyBytes + 1
+	if hr.ContentLength >= 0 {
+		largest = hr.ContentLength
+	}
+
+	defer func() { c.bodies.release(int64(cap(body))) }()
+
+	for {
+		if len(body) == cap(body) && int64(len(body)) < largest {
+			size := min(max(2*int64(len(body)), initialBodyBytes), largest)
+			if !c.bodies.reserve(size - int64(cap(body))) {
+				return body, ErrTooLarge
+			}
+
+			body = append(make([]byte, 0, size), body...)[:len(body)]
+		}
+
+		n, err := hr.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+
+		switch {
+		case int64(len(body)) > c.maxBodyBytes:
+			return body, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		}
+	}
 }
 
 func (r *Request) encode() []byte {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -26,6 +26,8 @@
 	// CloseIdle closes a connection as soon as no request waits for it. It is for
 	// peers that accept fewer connections than there are instances using them.
 	CloseIdle bool
+	// MaxBodyBytes bounds the body of a response; zero stands for 8 MiB.
+	MaxBodyBytes int64
 }
 
 // Pool holds the connections to one peer address. Create it with NewPool. It
@@ -33,6 +35,7 @@
 type Pool struct {
 	address string
 	dial    DialFunc
+	bodies  *BodyBudget
 
 	mu   sync.Mutex // Guards the fields below.
 	idle []*Conn
@@ -152,10 +155,17 @@
 			return nil, err
 		}
 
-		return newConn(nc), nil
+		return newConn(nc, p.maxBodyBytes(), p.bodies), nil
 	}
 }
 
+func (p *Pool) maxBodyBytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.limit.MaxBodyBytes
+}
+
 func (c *Conn) maxIdle() time.Duration {
 	if c.peerIdleTimeout == 0 {
 		return defaultMaxIdle
@@ -264,6 +274,9 @@
 	// Dial opens connections; nil stands for DialTCP. It must be set before
 	// first use.
 	Dial DialFunc
+	// Bodies bounds the bodies that are being read from all peers; nil sets no bound.
+	// It must be set before first use.
+	Bodies *BodyBudget
 
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*Pool
@@ -296,6 +309,7 @@
 	}
 
 	p = NewPool(address, limit, dial)
+	p.bodies = g.Bodies
 	g.pools[key] = p
 
 	return p
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -44,6 +44,13 @@
 	// memoryShare is the share of the memory limit that is set as the runtime's soft
 	// limit.
 	memoryShare = 0.7
+	// bodyMemoryShare is the share of the memory limit for searchers' answers that are
+	// being read; minBodyMemory applies where the limit is lower or unknown.
+	bodyMemoryShare = 0.2
+	minBodyMemory   = 16 << 20
+	// maxPartBytes bounds the answer of one shard, to 65,536 records: a query reads the
+	// answers of hundreds of shards.
+	maxPartBytes = 1 << 20
 	// balancerDelay is how long an instance goes on accepting connections after it
 	// reports that it isn't ready: the balancer checks every second and acts on the
 	// second failure.
@@ -123,7 +130,9 @@
 		func(w *logline.Writer) zerolog.Logger { return w.Logger() },
 		func() *directory.Directory { return &directory.Directory{} },
 		func() *routing.Table { return &routing.Table{Random: rand.Uint64, MaxReportAge: maxReportAge} },
-		func() *http1.Group { return &http1.Group{} },
+		func(s hosting.Settings) *http1.Group {
+			return &http1.Group{Bodies: &http1.BodyBudget{Max: max(int64(bodyMemoryShare*float64(s.MemoryBytes)), minBodyMemory)}}
+		},
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
 		},
@@ -149,7 +158,14 @@
 // newSearcherClient returns a client that keeps to this instance's share of each searcher's
 // connections.
 func newSearcherClient(g *http1.Group, sh *shares) *platform.SearcherClient {
-	return &platform.SearcherClient{Group: g, Limit: func(sr *domain.Searcher) http1.Limit { return connectionLimit(sr, sh.get()) }}
+	return &platform.SearcherClient{Group: g, Limit: func(sr *domain.Searcher) http1.Limit {
+		l := connectionLimit(sr, sh.get())
+		if sr.Gathered {
+			l.MaxBodyBytes = maxPartBytes
+		}
+
+		return l
+	}}
 }
 
 func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
