contain: keep a panic on one message from ending the process

Cause: no goroutine but net/http's recovers. A panic in an attempt, in a stream of another instance or on an entry of the store ended the instance with every request in it (TestPanicsConcernOneAttempt: the test process ended). Code that changes shared state isn't contained, since a restarted process reads it from the store. Ruled out: one recover in each goroutine (a query would go on in a state that can't be trusted).

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -102,15 +102,19 @@
 		return nil, &SendError{Err: err}
 	}
 
+	// Set last, so that a panic closes the connection and doesn't leak its slot.
+	reusable := false
+	defer func() { p.release(c, reusable) }()
+
 	r, err := x.Prepare()
 	if err != nil {
-		p.release(c, true)
+		reusable = true
 
 		return nil, &SendError{Err: err}
 	}
 
 	resp, keep, err := c.Exchange(ctx, r)
-	p.release(c, keep && (x.Matches == nil || x.Matches(resp)))
+	reusable = keep && (x.Matches == nil || x.Matches(resp))
 
 	return resp, err
 }
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"primrosespring.example/internal/contain"
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/routing"
@@ -218,7 +219,16 @@
 
 // runAttempt sends one attempt and handles its result.
 func (x *execution) runAttempt(ctx context.Context, a scatter.Attempt) {
-	reply, load, err := x.engine.client.Do(ctx, Call{Searcher: a.Searcher, Request: x.req, Deadline: x.deadline})
+	var (
+		reply *Reply
+		load  *routing.Load
+	)
+
+	err := contain.Call(x.engine.log, "send attempt", a.Searcher.ID, func() (err error) {
+		reply, load, err = x.engine.client.Do(ctx, Call{Searcher: a.Searcher, Request: x.req, Deadline: x.deadline})
+
+		return err
+	})
 
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -432,3 +432,31 @@
 		require.LessOrEqual(t, time.Since(begin), 300*time.Millisecond)
 	})
 }
+
+// Guards against an answer that makes its decoder panic and so ends the process with
+// every request in it.
+func TestPanicsConcernOneAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 11, 1, 1, 2, domain.Route{
+			Name: "one", Host: "h", PathPrefix: "/one/", Repeatable: true, Timeout: time.Second, MaxAttempts: 2, Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+		}, domain.Route{
+			Name: "once", Host: "h", PathPrefix: "/once/", Timeout: time.Second, MaxAttempts: 2, Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+		})
+
+		setRespond := func(i int, respond func(Call) (*Reply, *routing.Load, error)) {
+			s.model.servers[searcherID(0, i)].respond = respond
+		}
+		setRespond(0, func(Call) (*Reply, *routing.Load, error) { panic("malformed answer") })
+
+		for range 4 {
+			_, err := s.engines[0].Serve(t.Context(), request("one", "a", time.Millisecond, time.Second))
+			require.NoError(t, err, "the other searcher answers")
+		}
+
+		setRespond(1, s.model.servers[searcherID(0, 0)].respond)
+		time.Sleep(10 * time.Second)
+
+		_, err := s.engines[0].Serve(t.Context(), request("once", "b", time.Millisecond, time.Second))
+		requireFate(t, domain.FateUnknown, err)
+	})
+}
--- a/primrosed/internal/mux/mux.go
+++ b/primrosed/internal/mux/mux.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/contain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/primrosed/internal/frame"
@@ -138,14 +139,19 @@
 
 	_ = stream.SetReadDeadline(time.Now().Add(firstFrameTimeout)) // A closed stream fails below.
 
-	f, err := frame.Read(stream, peer, frame.MaxRelayBytes)
-	if err != nil {
-		s.log.Warn().Str("event", "peer_frame_unreadable").Str("peer", peer).Err(err).Send()
+	// A panic ends this stream, which the sender sees; it is logged there.
+	_ = contain.Call(s.log, "serve stream", peer, func() error {
+		f, err := frame.Read(stream, peer, frame.MaxRelayBytes)
+		if err != nil {
+			s.log.Warn().Str("event", "peer_frame_unreadable").Str("peer", peer).Err(err).Send()
 
-		return
-	}
+			return nil
+		}
+
+		s.handle(ctx, peer, f, stream)
 
-	s.handle(ctx, peer, f, stream)
+		return nil
+	})
 }
 
 // Dial opens a session with the instance at the address.
--- a/primrosed/internal/query/execution.go
+++ b/primrosed/internal/query/execution.go
@@ -7,6 +7,7 @@
 
 	"primrosespring.example/internal/admission"
 	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/contain"
 	"primrosespring.example/internal/coverage"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -131,9 +132,15 @@
 }
 
 func (x *execution) runAttempt(ctx context.Context, a scatter.Attempt) {
-	resp, err := x.runner.searchers.Run(ctx, a.Searcher, &pb.RunRequest{
-		Service: x.svc.Name, QueryId: x.id, Attempt: a.ID, Shard: a.Shard, Query: x.req.GetQuery(),
-		Snapshot: &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
+	var resp *pb.RunResponse
+
+	err := contain.Call(x.runner.log, "send attempt", a.Searcher.ID, func() (err error) {
+		resp, err = x.runner.searchers.Run(ctx, a.Searcher, &pb.RunRequest{
+			Service: x.svc.Name, QueryId: x.id, Attempt: a.ID, Shard: a.Shard, Query: x.req.GetQuery(),
+			Snapshot: &pb.Snapshot{IndexVersion: x.snap.IndexVersion, PartitionMapVersion: x.snap.PartitionMapVersion},
+		})
+
+		return err
 	})
 	x.results <- attemptResult{attempt: a.ID, shard: a.Shard, searcher: a.Searcher.ID, resp: resp, err: err}
 }
