scatter: wait for another searcher rather than hedge at the stuck one

Traced on a scratch copy: at a searcher of 5 ms the hedge is due after 6 ms; the other one, in another failure domain, was refused as expected to take 32 ms against 12 ms that the stuck attempt was expected to need still; after 10 ms the hedge went to the same, paused searcher, cancelled the first attempt and used up the attempts of the shard. Change: with an objective, a hedge goes to the same searcher only if no other one was merely too slow for now.

--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -120,9 +120,15 @@
 }
 
 // mayHedgeSameSearcher reports whether a hedge may go to the searcher of the last
-// attempt. An attempt that is late is more often queued there than in service, and the
-// hedge would start again at the end of the queue.
-func (q *Query) mayHedgeSameSearcher(now time.Time, sh *shardState) bool {
+// attempt, since the others were refused for the given reason. An attempt that is late
+// is more often queued there than in service, and the hedge would start again at the end
+// of the queue. With a latency objective, the hedge waits for another searcher that is
+// only too slow for now: the attempt may be stuck, and few are allowed.
+func (q *Query) mayHedgeSameSearcher(now time.Time, sh *shardState, refusal domain.Code) bool {
+	if !q.params.Objective.IsZero() && refusal == domain.CodeDeadline {
+		return false
+	}
+
 	last := &q.attempts[sh.attemptIDs[sh.sent-1]]
 
 	return float64(now.Sub(last.sent)) >= sameSearcherFactor*float64(q.hedger.Delay(last.estimate, true))
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -413,10 +413,17 @@
 	sh := &q.shards[shard]
 	q.eligibleShard = shard
 
-	c, ok := q.router.Choose(now, routing.Request{
+	r := routing.Request{
 		Shard: &q.params.Service.PartitionMap.Shards[shard], Avoid: sh.searchers[:sh.sent], LocalDomain: q.params.LocalDomain,
-		Eligible: q.eligible, Hedge: reason == Hedge, NoProbe: reason == Retry, MaxExpected: maxLatency, ExcludeLast: reason == Hedge && !q.mayHedgeSameSearcher(now, sh),
-	})
+		Eligible: q.eligible, Hedge: reason == Hedge, NoProbe: reason == Retry, MaxExpected: maxLatency, ExcludeLast: reason == Hedge,
+	}
+
+	c, ok := q.router.Choose(now, r)
+	if !ok && r.ExcludeLast && q.mayHedgeSameSearcher(now, sh, c.Refusal) {
+		r.ExcludeLast = false
+		c, ok = q.router.Choose(now, r)
+	}
+
 	if !ok {
 		return nil, c.Refusal
 	}
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -317,3 +317,68 @@
 		})
 	}
 }
+
+// classRouter keeps statistics by class, as requests with an objective need.
+type classRouter struct{ *routing.Table }
+
+// Choose implements Router.
+func (r classRouter) Choose(now time.Time, req routing.Request) (routing.Choice, bool) {
+	req.Class, req.RemotePenalty = "short", 6*time.Millisecond
+
+	return r.Table.Choose(now, req)
+}
+
+// Release implements Router.
+func (r classRouter) Release(now time.Time, searcher string, o routing.Outcome, latency time.Duration, load *routing.Load) {
+	r.ReleaseClass(now, searcher, "short", o, latency, load)
+}
+
+// Guards against a hedge that goes to the searcher of the stuck attempt, which uses up the
+// attempts of the shard: the other searcher, in another failure domain, is expected to
+// take longer than the stuck attempt has taken so far. In deployment ikigega-search,
+// quiet-1, most of the parts that urgent requests lacked were lost to it.
+func TestStuckAttemptsAreHedgedElsewhere(t *testing.T) {
+	svc := testService(1, 2, domain.Rules{TimeoutMS: 1000, MaxAttempts: 2, Hedging: true, MinCoveragePermille: 1000})
+	searchers := svc.PartitionMap.Shards[0].Searchers
+	searchers[0].FailureDomain, searchers[1].FailureDomain = "a", "b"
+
+	r, h := classRouter{&routing.Table{}}, &hedging.Delayer{Quantile: 0.75}
+	now := start
+
+	newQuery := func() *Query {
+		return New(Params{
+			Service: svc, Deadline: now.Add(time.Second), Objective: now.Add(80 * time.Millisecond), LocalDomain: "a",
+			Eligible: func(uint32, string) bool { return true },
+		}, r, h, levelBudget{level: 1})
+	}
+
+	for range 8 {
+		_, ok := r.Choose(now, routing.Request{Shard: &domain.Shard{Searchers: searchers[1:]}, LocalDomain: "a"})
+		require.True(t, ok)
+		r.Release(now, searchers[1].ID, routing.Answered, 20*time.Millisecond, &routing.Load{})
+	}
+
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		latency := time.Duration(4+i%4) * time.Millisecond
+		q := newQuery()
+
+		s := q.Start(now)
+		now = now.Add(latency)
+		q.Answered(now, s.Send[0].ID, &routing.Load{})
+	}
+
+	now = now.Add(10 * time.Millisecond)
+	q := newQuery()
+	s := q.Start(now)
+	require.Equal(t, "a", s.Send[0].Searcher.FailureDomain)
+
+	for len(s.Send) == 0 || s.Send[0].Reason == First {
+		now = s.Wake
+		s = q.Advance(now)
+		require.False(t, s.Done)
+	}
+
+	require.Equal(t, "b", s.Send[0].Searcher.FailureDomain)
+	require.Empty(t, s.Cancel, "the first attempt goes on")
+}
