follower: let hints end the pause between two watches

At second 36.4 they list 33 to 112 of 677 registrations and pause for 1.5 s before the first watch; 391 requests are refused with too few searchers though most have registered again. Ruled out: an instance without a configuration (15 of 406 refusals); the store, which answers from second 36.3 on. Change: a hint (a request finds a pool without searchers) ends a pause after 200 ms, 12 times at most until a pause passes without a hint. TestHintsShortenPauses: 1 watch in 2 s before, 8 or more now.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -78,6 +78,11 @@
 	// costs a call, and a pool may lack searchers for good.
 	minRestartAfter = 2 * time.Second
 	maxRestartAfter = 32 * time.Second
+	// A hint ends the pause between two watches after minHintPause at the soonest, for
+	// maxShortened pauses at most until one gets no hint: a pool may lack searchers for
+	// good while others change. Searchers register again within 2 s of an outage.
+	minHintPause = 200 * time.Millisecond
+	maxShortened = 12
 	// backlogThreshold is the number of changes in one watch from which more are
 	// expected, since the store answers with some hundreds at most. No pause follows.
 	backlogThreshold = 100
@@ -96,8 +101,8 @@
 	// Pause is the time between two watches, so that changes in quick succession
 	// cost one call.
 	Pause time.Duration
-	// RestartHints receives when something suggests that changes were missed; the watch
-	// is then restarted on another connection. TCP keep-alive probes don't detect a
+	// RestartHints receives when something suggests that changes were missed; the pause
+	// before the next watch then ends, or the watch is restarted on another connection. TCP keep-alive probes don't detect a
 	// middlebox that acknowledges packets and forwards nothing. It may be nil.
 	RestartHints <-chan struct{}
 
@@ -111,6 +116,8 @@
 	askedAt time.Time
 	// lastCount is the number of changes in the last watch.
 	lastCount int
+	// shortened counts the pauses that a hint ended since the last one without a hint.
+	shortened int
 	// restartAfter is how long a watch runs before a hint may end it.
 	restartAfter time.Duration
 }
@@ -142,7 +149,7 @@
 			listed, backoff = true, minBackoff
 
 			if f.lastCount < backlogThreshold {
-				sleep(ctx, f.Pause)
+				f.pause(ctx)
 			}
 		case historyGone(err):
 			// A stale list may be older than the remaining history.
@@ -254,6 +261,40 @@
 	return nil
 }
 
+// pause waits for Pause between two watches. A hint ends it earlier: after an outage,
+// searchers register again one after the other, and requests are refused for want of
+// those that have done so since the last watch.
+func (f *Follower[T]) pause(ctx context.Context) {
+	shortest := min(minHintPause, f.Pause)
+	sleep(ctx, shortest)
+
+	t := time.NewTimer(f.Pause - shortest)
+	defer t.Stop()
+
+	hinted := false
+
+	for {
+		select {
+		case <-f.RestartHints:
+			hinted = true
+
+			if f.shortened < maxShortened {
+				f.shortened++
+
+				return
+			}
+		case <-t.C:
+			if !hinted {
+				f.shortened = 0
+			}
+
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // cancelOnHint cancels a watch on a hint, but not before it has run for
 // restartAfter. The function that it returns reports whether it did; it must be
 // called after the watch.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -273,3 +273,53 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against requests that are refused for want of searchers which have registered
+// meanwhile: after an outage of the store and a restart of all instances, an instance
+// listed 33 to 112 of 677 registrations, and paused for 1.5 s before its first watch. Guards
+// also against short pauses for as long as a pool has no searcher at all.
+func TestHintsShortenPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, r := &scriptedSource{events: make(chan Change[int])}, &recordingSink{}
+		f := newFollower(s, r)
+		f.Pause = 1500 * time.Millisecond
+
+		hints := make(chan struct{}, 1)
+		f.RestartHints = hints
+
+		go f.Run(ctx)
+
+		// Something changes 50 times a second, and a pool lacks searchers all the time.
+		repeat := func(interval time.Duration, do func()) {
+			for ctx.Err() == nil {
+				time.Sleep(interval)
+				do()
+			}
+		}
+
+		go repeat(20*time.Millisecond, func() {
+			select {
+			case s.events <- Change[int]{Item: 3}:
+			default:
+			}
+		})
+		go repeat(10*time.Millisecond, func() {
+			select {
+			case hints <- struct{}{}:
+			default:
+			}
+		})
+
+		time.Sleep(2 * time.Second)
+
+		watches := len(s.recorded()) - 1
+		require.GreaterOrEqual(t, watches, 8, "each watch follows its predecessor within 0.25 s")
+
+		time.Sleep(30 * time.Second)
+		require.LessOrEqual(t, len(s.recorded())-1, maxShortened+30*2/3+2, "the pauses are whole again")
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+}
