--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -102,8 +102,9 @@
 	// cost one call.
 	Pause time.Duration
 	// RestartHints receives when something suggests that changes were missed; the pause
-	// before the next watch then ends, or the watch is restarted on another connection. TCP keep-alive probes don't detect a
-	// middlebox that acknowledges packets and forwards nothing. It may be nil.
+	// before the next watch then ends, or the watch is restarted on another connection.
+	// TCP keep-alive probes don't detect a middlebox that acknowledges packets and
+	// forwards nothing. It may be nil.
 	RestartHints <-chan struct{}
 
 	// Peers are asked for newer copies while the store doesn't answer; nil if there
