http1, routing: read the change once more

Cause: the reading of the whole change. The peer of the endless responses repeated the test package's own one, and a refused searcher's code needed its reason. The assertions are unchanged; with the bounds on heads undone the test is ended by its time limit. Conclusion: no change of behaviour.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -35,39 +35,21 @@
 func newEndlessPeer(tb testing.TB, head, repeat string) (address string, closed <-chan struct{}) {
 	tb.Helper()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(tb, err)
-	tb.Cleanup(func() { _ = l.Close() })
-
 	ended := make(chan struct{}, 1)
+	p := newPeer(tb, func(_ int, r *bufio.Reader, c net.Conn) {
+		defer func() { ended <- struct{}{} }()
 
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				defer func() {
-					_ = c.Close()
-
-					ended <- struct{}{}
-				}()
-
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
 
-				_, err := io.WriteString(c, head)
-				for err == nil {
-					_, err = io.WriteString(c, repeat)
-				}
-			}()
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			_, err = io.WriteString(c, repeat)
 		}
-	}()
+	})
 
-	return l.Addr().String(), ended
+	return p.listener.Addr().String(), ended
 }
 
 // Guards against a peer in trouble that sends bytes without end, in a head or a body,
@@ -117,6 +99,8 @@
 	go func() {
 		next <- "HTTP/1.1 200 OK\r\nContent-Length: 6000\r\n\r\n" + strings.Repeat("b", 6000)
 		next <- "HTTP/1.1 200 OK\r\nContent-Length: 6000000\r\n\r\n" + strings.Repeat("b", 60000)
+
+		close(next)
 	}()
 
 	resp, err := pool.Do(t.Context(), getExchange())
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -24,12 +24,12 @@
 
 // newPeer starts a peer whose n-th connection is served by serve; it is closed at
 // the end of the test.
-func newPeer(t *testing.T, serve func(n int, r *bufio.Reader, c net.Conn)) *peer {
-	t.Helper()
+func newPeer(tb testing.TB, serve func(n int, r *bufio.Reader, c net.Conn)) *peer {
+	tb.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
+	require.NoError(tb, err)
+	tb.Cleanup(func() { _ = l.Close() })
 
 	p := &peer{listener: l}
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -260,6 +260,7 @@
 func (t *Table) evaluate(now time.Time, r *Request, sr *domain.Searcher, st *state) (candidate, domain.Code) {
 	switch {
 	case r.ExcludeLast && r.Avoid[len(r.Avoid)-1] == sr.ID:
+		// The least transient code, so that the refusal tells about the other searchers.
 		return candidate{}, domain.CodeNoLiveSearcher
 	case sr.Draining || st.isDraining():
 		return candidate{}, domain.CodeSearcherDraining
