follower, hosted: serve how old each collection may be

Change: gauges of the revision and the age of the configuration and of the searchers' registrations, and of the version in force.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -111,8 +110,8 @@
 	// are none.
 	Peers Peers[T]
 
-	// revision is the store's revision up to which the sink has every change.
-	revision atomic.Uint64
+	// progress is how far the sink has the store's changes.
+	progress progress
 	// askedAt is when the peers were last asked.
 	askedAt time.Time
 	// lastCount is the number of changes in the last watch.
@@ -125,7 +124,10 @@
 
 // Revision returns the store's revision up to which the sink has every change, or
 // 0 before the first list. The sink may be ahead of it.
-func (f *Follower[T]) Revision() uint64 { return f.revision.Load() }
+func (f *Follower[T]) Revision() uint64 { return f.Position().Revision }
+
+// Position returns how far the collection has been followed.
+func (f *Follower[T]) Position() Position { return f.progress.position() }
 
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
@@ -219,7 +221,7 @@
 // replace passes a whole collection to the sink.
 func (f *Follower[T]) replace(items []T, revision uint64) {
 	f.Sink.Replace(items)
-	f.revision.Store(revision)
+	f.progress.replaced(revision)
 }
 
 func (f *Follower[T]) watch(ctx context.Context, lostAt *time.Time) error {
@@ -234,6 +236,7 @@
 
 	restarted := f.cancelOnHint(cancel)
 	revision := f.Revision()
+	sent := time.Now()
 
 	changes, next, err := f.Source.Watch(ctx, revision, wait)
 	if restarted() {
@@ -257,11 +260,23 @@
 		f.Sink.Apply(changes)
 	}
 
-	f.revision.Store(max(next, revision))
+	f.progress.answered(next, answeredAt(sent, wait, len(changes)))
 
 	return nil
 }
 
+// answeredAt returns when the store answered a watch. An answer without changes was due
+// after the wait and may have been held up on its way; one with changes is taken to have
+// arrived without delay.
+func answeredAt(sent time.Time, wait time.Duration, changes int) time.Time {
+	now := time.Now()
+	if due := sent.Add(wait); changes == 0 && due.Before(now) {
+		return due
+	}
+
+	return now
+}
+
 // pause waits for Pause between two watches. A hint ends it earlier: after an outage,
 // searchers register again one after the other, and requests are refused for want of
 // those that have done so since the last watch.
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/directory"
@@ -40,6 +42,29 @@
 	}
 }
 
+// registerCollectionMetrics registers gauges that tell an instance that lacks a change
+// from one that has it, and a collection without changes from one whose watch is lost.
+func (i *Instance) registerCollectionMetrics() {
+	f := i.parts.Followers
+
+	for name, position := range map[string]func() follower.Position{
+		replica.Configuration: f.configuration.Position, replica.Registrations: f.registrations.Position,
+	} {
+		label := fmt.Sprintf("{collection=%q}", name)
+		metrics.NewGauge("primrose_collection_revision"+label, func() float64 { return float64(position().Revision) })
+		metrics.NewGauge("primrose_collection_age_seconds"+label, func() float64 { return position().Age.Seconds() })
+	}
+
+	metrics.NewGauge("primrose_configuration_version", func() float64 {
+		v := i.parts.Directory.View()
+		if v == nil {
+			return 0
+		}
+
+		return float64(v.Table.Version)
+	})
+}
+
 func pauseFor(bound time.Duration) time.Duration { return time.Duration(pauseShare * float64(bound)) }
 
 // configurationPeers reads the configuration from other instances.
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -230,6 +230,7 @@
 
 	sessions := mux.NewServer(i.log, i.servePeer)
 	metrics.NewGauge("primrose_peer_sessions", func() float64 { return float64(sessions.Sessions()) })
+	i.registerCollectionMetrics()
 
 	var wg sync.WaitGroup
 
