follower, replica: confirm collections that no watch has answered

Cause: a watch that is sent into a silence is never answered. Its connection stays sound, and a quiet collection looks the same, so that it ended after 28 s only. Change: each collection has an age, the time since the store showed that the instance has every change. Instances ask one another for their positions; those that are asked end their watches after 0.55 of the bound, and any instance whose state nobody confirms for 0.8 of the bound reads the store itself. The same holds for the searchers' registrations and thus for drains. Why it works: the limit holds at each instance by its own clock and its own call, whichever way answers stop. Other instances only save calls.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,6 +3,11 @@
 // store no longer has the history. During outages it retries with a growing
 // backoff and keeps its copy.
 //
+// An answer that doesn't come is no sign by itself: a watch waits until something
+// changes. Therefore a few instances of a fleet end their watches soon and read the
+// store often, and the others ask them how far they are (Position). An instance whose
+// state nobody confirms reads the store itself.
+//
 // An instance that gets no answer from the store takes newer copies from other
 // instances. A copy states the store's revision, so that the watch continues from
 // there when the store recovers.
@@ -22,6 +27,8 @@
 // Change is one change of a collection.
 type Change[T any] struct {
 	Name string
+	// Revision is the store's revision of the change; 0 if it isn't known.
+	Revision uint64
 	// Item is set unless the item was removed.
 	Item    T
 	Removed bool
@@ -56,9 +63,6 @@
 }
 
 const (
-	// watchWait is the longest time that one watch waits. Each watch is a priced
-	// call; TCP keep-alive probes detect a dead connection sooner.
-	watchWait = 25 * time.Second
 	// listTimeout bounds one list. The store answers in milliseconds, and takes some
 	// tens of times longer when it is slow.
 	listTimeout = 3 * time.Second
@@ -69,9 +73,6 @@
 	// askInterval is the least time between two calls to the peers. Changes must reach
 	// every instance within 3 to 5 s.
 	askInterval = time.Second
-	// watchGrace is how much longer than its wait a watch may take before it times
-	// out.
-	watchGrace = 3 * time.Second
 	// A hint restarts a watch after minRestartAfter at the soonest, and after twice as
 	// long each time that no change was missed, up to maxRestartAfter: each restart
 	// costs a call, and a pool may lack searchers for good.
@@ -89,6 +90,9 @@
 	// maxBackoff bounds the time until a recovered store is noticed. Searchers have
 	// registered again within 2 s of the recovery.
 	maxBackoff = 800 * time.Millisecond
+	// silentBackoff replaces it while no instance that was asked gets answers either: the
+	// first of them that does ends it.
+	silentBackoff = 2 * time.Second
 )
 
 // Follower follows one collection.
@@ -97,6 +101,11 @@
 	Name   string
 	Source Source[T]
 	Sink   Sink[T]
+	// Bound is the time within which every change must be known. A watch without an answer
+	// doesn't show whether nothing changed or the store lost the call, so that no state may
+	// stay unconfirmed for longer: other instances confirm it (Confirm), or this one reads
+	// the store itself. With 0, nothing is confirmed and watches wait for long.
+	Bound time.Duration
 	// Pause is the time between two watches, so that changes in quick succession
 	// cost one call.
 	Pause time.Duration
@@ -116,6 +125,10 @@
 	askedAt time.Time
 	// lastCount is the number of changes in the last watch.
 	lastCount int
+	// skipPause ends the next pause at once.
+	skipPause bool
+	// outdated says that the collection's age has passed Bound in this outage.
+	outdated bool
 	// shortened counts the pauses that a hint ended since the last one without a hint.
 	shortened int
 	// restartAfter is how long a watch runs before a hint may end it.
@@ -168,8 +181,9 @@
 				listed = true
 			}
 
-			sleep(ctx, backoff/2+rand.N(backoff/2+1))
-			backoff = min(2*backoff, maxBackoff)
+			f.checkAge()
+			f.waitBackoff(ctx, backoff/2+rand.N(backoff/2+1))
+			backoff = min(2*backoff, f.maxBackoff())
 		}
 	}
 }
@@ -189,7 +203,8 @@
 	}
 
 	f.storeRecovered(lostAt)
-	f.replace(items, revision)
+	f.Sink.Replace(items)
+	f.progress.listed(revision)
 	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
 		Uint64("revision", revision).Bool("stale", stale).Send()
 
@@ -211,76 +226,65 @@
 		return false
 	}
 
-	f.replace(items, revision)
+	f.Sink.Replace(items)
+	f.progress.copied(revision)
 	f.Log.Info().Str("event", "copy_taken").Str("collection", f.Name).Int("items", len(items)).
 		Uint64("revision", revision).Uint64("before", before).Send()
 
 	return true
 }
 
-// replace passes a whole collection to the sink.
-func (f *Follower[T]) replace(items []T, revision uint64) {
-	f.Sink.Replace(items)
-	f.progress.replaced(revision)
-}
-
-func (f *Follower[T]) watch(ctx context.Context, lostAt *time.Time) error {
-	wait := watchWait
-	if !lostAt.IsZero() {
-		// A short first watch after an outage detects the recovery soon.
-		wait = minBackoff
+// maxBackoff returns the longest time between two calls in an outage.
+func (f *Follower[T]) maxBackoff() time.Duration {
+	if f.Bound == 0 || f.progress.relied() || f.progress.heard(f.Bound) {
+		return maxBackoff
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
-	defer cancel()
-
-	restarted := f.cancelOnHint(cancel)
-	revision := f.Revision()
-	sent := time.Now()
-
-	changes, next, err := f.Source.Watch(ctx, revision, wait)
-	if restarted() {
-		f.restartAfter = min(2*max(f.restartAfter, minRestartAfter), maxRestartAfter)
-		f.lastCount = 0
+	return silentBackoff
+}
 
-		f.Log.Info().Str("event", "store_watch_restarted").Str("collection", f.Name).Uint64("revision", revision).Send()
+// waitBackoff waits between two calls in an outage. If the store answered nobody that was
+// asked when the wait began, the first sign that it does ends it.
+func (f *Follower[T]) waitBackoff(ctx context.Context, d time.Duration) {
+	var news <-chan struct{}
 
-		return nil
+	if recent := share(askShare, f.Bound); f.Bound > 0 && !f.progress.heard(2*recent) {
+		news = f.progress.notifications()
 	}
 
-	if err != nil {
-		return err
-	}
-
-	f.storeRecovered(lostAt)
+	t := time.NewTimer(d)
+	defer t.Stop()
 
-	f.lastCount = len(changes)
-	if f.lastCount > 0 {
-		f.restartAfter = 0
-		f.Sink.Apply(changes)
+	select {
+	case <-news:
+	case <-t.C:
+	case <-ctx.Done():
 	}
-
-	f.progress.answered(next, answeredAt(sent, wait, len(changes)))
-
-	return nil
 }
 
-// answeredAt returns when the store answered a watch. An answer without changes was due
-// after the wait and may have been held up on its way; one with changes is taken to have
-// arrived without delay.
-func answeredAt(sent time.Time, wait time.Duration, changes int) time.Time {
-	now := time.Now()
-	if due := sent.Add(wait); changes == 0 && due.Before(now) {
-		return due
+// checkAge logs once in an outage that the collection is older than Bound.
+func (f *Follower[T]) checkAge() {
+	p := f.Position()
+	if f.outdated || f.Bound == 0 || p.Revision == 0 || p.Age < f.Bound {
+		return
 	}
 
-	return now
+	f.outdated = true
+
+	f.Log.Warn().Str("event", "collection_outdated").Str("collection", f.Name).Uint64("revision", p.Revision).
+		Int64("age_ms", p.Age.Milliseconds()).Int64("bound_ms", f.Bound.Milliseconds()).Send()
 }
 
 // pause waits for Pause between two watches. A hint ends it earlier: after an outage,
 // searchers register again one after the other, and requests are refused for want of
 // those that have done so since the last watch.
 func (f *Follower[T]) pause(ctx context.Context) {
+	if f.skipPause {
+		f.skipPause = false
+
+		return
+	}
+
 	shortest := min(minHintPause, f.Pause)
 	sleep(ctx, shortest)
 
@@ -311,45 +315,6 @@
 	}
 }
 
-// cancelOnHint cancels a watch on a hint, but not before it has run for
-// restartAfter. The function that it returns reports whether it did; it must be
-// called after the watch.
-func (f *Follower[T]) cancelOnHint(cancel context.CancelFunc) func() bool {
-	if f.RestartHints == nil {
-		return func() bool { return false }
-	}
-
-	ended, done := make(chan struct{}), make(chan bool, 1)
-
-	go func() {
-		t := time.NewTimer(max(f.restartAfter, minRestartAfter))
-		defer t.Stop()
-
-		select {
-		case <-t.C:
-		case <-ended:
-			done <- false
-
-			return
-		}
-
-		select {
-		case <-f.RestartHints:
-			cancel()
-
-			done <- true
-		case <-ended:
-			done <- false
-		}
-	}()
-
-	return func() bool {
-		close(ended)
-
-		return <-done
-	}
-}
-
 func (f *Follower[T]) storeRecovered(lostAt *time.Time) {
 	if lostAt.IsZero() {
 		return
@@ -359,7 +324,7 @@
 		Int64("lost_for_ms", time.Since(*lostAt).Milliseconds()).Send()
 	f.Sink.StoreRecovered()
 
-	*lostAt = time.Time{}
+	*lostAt, f.outdated = time.Time{}, false
 }
 
 func historyGone(err error) bool {
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -5,22 +5,36 @@
 	"time"
 )
 
+// unknownAge is the age of a collection that the store has never stated to be complete.
+const unknownAge = 24 * time.Hour
+
 // Position says how far an instance has followed a collection of the store.
 type Position struct {
 	// Revision is the store's revision up to which every change is known; 0 before the
 	// first list.
 	Revision uint64
+	// Changed is the revision of the last change known. It is up to Revision where that
+	// of the change itself isn't known.
+	Changed uint64
 	// Age is how long ago the store was last known to have no later change. An instance
-	// that started from a stale list or a copy counts from then.
+	// that started from a list counts from then, though the list may be stale.
 	Age time.Duration
 }
 
-// progress is the state behind a Position. It is safe for concurrent use.
+// progress is the state behind a Position, and what other instances say of theirs. It is
+// safe for concurrent use.
 type progress struct {
-	mu       sync.Mutex // Guards the fields below.
-	revision uint64
+	mu                sync.Mutex // Guards the fields below.
+	revision, changed uint64
 	// currentAt is when the collection was last known to be complete.
 	currentAt time.Time
+	// heardAt is when another instance last stated a position that the store had given it
+	// shortly before, or when the collection was listed.
+	heardAt time.Time
+	// reliedUntil is until when other instances rely on this one.
+	reliedUntil time.Time
+	// news receives when a field changes that may end a watch or a backoff.
+	news chan struct{}
 }
 
 // position returns the current position.
@@ -28,33 +42,119 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	return Position{Revision: p.revision, Changed: p.changed, Age: p.age()}
+}
+
+// age returns the age of the collection; the caller holds mu.
+func (p *progress) age() time.Duration {
 	if p.currentAt.IsZero() {
-		return Position{Revision: p.revision}
+		return unknownAge
 	}
 
-	return Position{Revision: p.revision, Age: elapsed(p.currentAt)}
+	return elapsed(p.currentAt)
+}
+
+// listed records a list of that revision.
+func (p *progress) listed(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.revision, p.changed = revision, revision
+	p.currentAt = time.Now()
+	p.heardAt = p.currentAt
 }
 
-// replaced records that the whole collection was replaced by one of that revision.
-func (p *progress) replaced(revision uint64) {
+// copied records a copy of that revision from another instance.
+func (p *progress) copied(revision uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.revision, p.currentAt = revision, time.Now()
+	p.revision, p.changed = revision, revision
 }
 
-// answered records the answer to a watch, which the store gave at the time at.
-func (p *progress) answered(next uint64, at time.Time) {
+// answered records the answer to a watch, which the store gave at the time at. changed
+// is the revision of its last change, or 0 if it had none.
+func (p *progress) answered(next, changed uint64, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.revision = max(p.revision, next)
+	p.revision, p.changed = max(p.revision, next), max(p.changed, changed)
 
 	if at.After(p.currentAt) {
 		p.currentAt = at
 	}
 }
 
+// confirm compares the position of another instance, received at the time at or later.
+// The collection is as current as the other's if no change is missing. It reports false
+// for a position that is too old to say that.
+func (p *progress) confirm(o Position, at time.Time, maxAge time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if o.Age > maxAge {
+		return false
+	}
+
+	p.heardAt = time.Now()
+
+	if at = at.Add(-o.Age); o.Changed <= p.revision && at.After(p.currentAt) {
+		p.currentAt = at
+	}
+
+	p.notify()
+
+	return true
+}
+
+// rely records that another instance relies on this one until then.
+func (p *progress) rely(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if time.Now().After(p.reliedUntil) {
+		p.notify()
+	}
+
+	p.reliedUntil = until
+}
+
+// notify sends to news; the caller holds mu.
+func (p *progress) notify() {
+	select {
+	case p.news <- struct{}{}:
+	default:
+	}
+}
+
+// notifications returns the channel news.
+func (p *progress) notifications() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.news == nil {
+		p.news = make(chan struct{}, 1)
+	}
+
+	return p.news
+}
+
+// heard reports whether the store answered another instance within about d.
+func (p *progress) heard(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return !p.heardAt.IsZero() && elapsed(p.heardAt) <= d
+}
+
+// relied reports whether another instance relies on this one.
+func (p *progress) relied() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return time.Now().Before(p.reliedUntil)
+}
+
 // elapsed returns the time since t, including time in which the machine was suspended:
 // the monotonic clock stands still then.
 func elapsed(t time.Time) time.Duration {
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -32,11 +32,11 @@
 	return &followers{
 		configuration: follower.Follower[*domain.RouteTable]{
 			Log: log, Name: replica.Configuration, Source: platform.Configurations{Store: st},
-			Pause: pauseFor(s.Bounds.ConfigurationDelay), Peers: configurationPeers{c},
+			Bound: s.Bounds.ConfigurationDelay, Pause: pauseFor(s.Bounds.ConfigurationDelay), Peers: configurationPeers{c},
 		},
 		registrations: follower.Follower[domain.Registration]{
 			Log: log, Name: replica.Registrations, Source: platform.Registrations{Store: st},
-			Pause: pauseFor(s.Bounds.Drain), RestartHints: hints,
+			Bound: s.Bounds.Drain, Pause: pauseFor(s.Bounds.Drain), RestartHints: hints,
 			Peers: replica.Peers[domain.Registration]{Client: c, Collection: replica.Registrations},
 		},
 	}
--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -8,6 +8,7 @@
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/gathering"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/placement"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/serving"
 )
@@ -59,10 +60,12 @@
 func (i *Instance) setInstances(entries []roster.Entry) {
 	list := make([]gathering.Instance, len(entries))
 	addresses := make([]string, 0, len(entries))
+	peers := make([]domain.Instance, 0, len(entries))
 
 	for j, e := range entries {
 		if e.PeerAddress != "" {
 			addresses = append(addresses, e.PeerAddress)
+			peers = append(peers, domain.Instance{ID: e.ID, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain})
 		}
 
 		list[j] = gathering.Instance{
@@ -71,6 +74,7 @@
 	}
 
 	i.parts.ReplicaClient.SetInstances(addresses)
+	i.parts.Positions.SetReaders(placement.NewSet(peers).Readers(i.settings.Instance.ID))
 
 	i.fleet.mu.Lock()
 	i.fleet.instances = list
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -119,6 +119,7 @@
 	GathererServer *gatherer.Server
 	ReplicaClient  *replica.Client
 	Followers      *followers
+	Positions      *replica.Positions
 	Shares         *shares
 }
 
@@ -145,6 +146,7 @@
 		newGathererServer,
 		newReplicaClient,
 		newFollowers,
+		newPositions,
 		newInstance,
 	} {
 		if err := c.Provide(f); err != nil {
@@ -237,6 +239,7 @@
 	wg.Go(func() { i.parts.Followers.configuration.Run(background) })
 	wg.Go(func() { i.parts.Roster.Run(background) })
 	wg.Go(func() { i.parts.Followers.registrations.Run(background) })
+	wg.Go(func() { i.parts.Positions.Run(background) })
 	wg.Go(func() { i.watchSettings(background, hangup, reload) })
 	wg.Go(func() { i.servePeers(requests, sessions, peers) })
 
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/http1"
@@ -21,6 +22,17 @@
 	return replica.NewClient(log, s.Instance.PeerAddress, http1.DialTCP, s.Peers)
 }
 
+// newPositions returns the exchange of positions in the collections that are followed.
+func newPositions(log zerolog.Logger, s hosting.Settings, f *followers) *replica.Positions {
+	return &replica.Positions{
+		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP,
+		Interval: follower.AskInterval(min(f.configuration.Bound, f.registrations.Bound)),
+		Followed: map[string]replica.Followed{
+			replica.Configuration: &f.configuration, replica.Registrations: &f.registrations,
+		},
+	}
+}
+
 // collections returns what this instance serves to others. A revision is read before
 // the items, which may be newer: applying a change twice does no harm.
 func (i *Instance) collections() map[string]replica.ReadFunc {
@@ -65,6 +77,8 @@
 		i.parts.GathererServer.Handle(ctx, peer, b.HandoverOffer, stream)
 	case *pb.PeerFrame_CopyRequest:
 		i.replicaServer.Handle(peer, b.CopyRequest, stream)
+	case *pb.PeerFrame_PositionRequest:
+		i.parts.Positions.Handle(peer, stream)
 	default:
 		i.log.Warn().Str("event", "peer_frame_unexpected").Str("peer", peer).Str("type", fmt.Sprintf("%T", b)).Send()
 	}
--- /dev/null
+++ b/primrosed/internal/replica/positions.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/http1"
+	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/primrosed/internal/mux"
+)
+
+const (
+	// askTimeout bounds one exchange. The longest round trip between failure domains
+	// takes 10 ms and a new session three of them; the rest allows for a busy CPU.
+	askTimeout = 300 * time.Millisecond
+	// avoidTime is how long a reader that didn't answer isn't asked again. Processes
+	// are restarted within a second or two.
+	avoidTime = 2 * time.Second
+)
+
+var (
+	positionsAsked  = metrics.NewCounter(`primrose_positions_asked_total`)
+	positionsFailed = metrics.NewCounter(`primrose_positions_failed_total`)
+)
+
+// Followed is a collection whose position instances confirm to one another; see
+// follower.Follower.
+type Followed interface {
+	Confirm(p follower.Position, asked time.Time) bool
+	Rely() follower.Position
+}
+
+// Positions asks a reader at intervals how far it has followed the collections, and
+// answers the instances that ask this one. Readers come from package placement.
+type Positions struct {
+	Log zerolog.Logger
+	// Self is this instance's id.
+	Self string
+	Dial http1.DialFunc
+	// Interval is the time between two questions.
+	Interval time.Duration
+	// Followed holds the collections by name.
+	Followed map[string]Followed
+
+	readers atomic.Pointer[[]domain.Instance]
+	// The fields below belong to Run.
+	sessions map[string]*yamux.Session
+	avoided  map[string]time.Time
+	// reader is the id of the reader that answered last; empty if none did.
+	reader string
+}
+
+// SetReaders replaces the instances to ask, in their order.
+func (p *Positions) SetReaders(readers []domain.Instance) { p.readers.Store(&readers) }
+
+// Run asks until ctx ends. Without an Interval it doesn't ask.
+func (p *Positions) Run(ctx context.Context) {
+	if p.Interval <= 0 {
+		return
+	}
+
+	p.sessions, p.avoided = make(map[string]*yamux.Session), make(map[string]time.Time)
+
+	defer func() {
+		for _, s := range p.sessions {
+			_ = s.Close()
+		}
+	}()
+
+	// Spreads the questions of instances that start together.
+	t := time.NewTimer(rand.N(max(p.Interval, 1)))
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+
+		if reader := p.round(ctx); reader != p.reader {
+			p.reader = reader
+			p.Log.Info().Str("event", "reader").Str("reader", reader).Send()
+		}
+
+		t.Reset(p.Interval)
+	}
+}
+
+// round asks the readers until one confirms every collection, and returns its id. It
+// returns an empty id if none does, or if this instance is the first that can.
+func (p *Positions) round(ctx context.Context) string {
+	readers := p.readers.Load()
+	if readers == nil {
+		return ""
+	}
+
+	for _, r := range *readers {
+		if r.ID == p.Self {
+			return ""
+		}
+
+		if time.Now().Before(p.avoided[r.ID]) {
+			continue
+		}
+
+		asked := time.Now()
+
+		answer, err := p.ask(ctx, r)
+		if err != nil {
+			p.avoid(ctx, r, err)
+
+			continue
+		}
+
+		if p.confirm(answer, asked) {
+			return r.ID
+		}
+	}
+
+	return ""
+}
+
+// avoid closes the session to a reader that didn't answer.
+func (p *Positions) avoid(ctx context.Context, r domain.Instance, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+
+	positionsFailed.Inc()
+
+	if s := p.sessions[r.PeerAddress]; s != nil {
+		_ = s.Close()
+
+		delete(p.sessions, r.PeerAddress)
+	}
+
+	p.avoided[r.ID] = time.Now().Add(avoidTime)
+	p.Log.Info().Str("event", "reader_avoided").Str("reader", r.ID).Int64("for_ms", avoidTime.Milliseconds()).Err(err).Send()
+}
+
+// confirm passes the positions on and reports whether every collection was confirmed.
+func (p *Positions) confirm(a *pb.PositionAnswer, asked time.Time) bool {
+	confirmed := 0
+
+	for _, c := range a.GetPositions() {
+		f, ok := p.Followed[c.GetCollection()]
+		if !ok {
+			continue
+		}
+
+		// An age that overflows is as good as none.
+		age := time.Duration(min(c.GetAgeMs(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
+		if f.Confirm(follower.Position{Changed: c.GetChangedRevision(), Age: age}, asked) {
+			confirmed++
+		}
+	}
+
+	return confirmed == len(p.Followed)
+}
+
+// ask sends one question over the session to a reader, which it opens if there is none.
+func (p *Positions) ask(ctx context.Context, r domain.Instance) (*pb.PositionAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	positionsAsked.Inc()
+
+	session := p.sessions[r.PeerAddress]
+	if session == nil || session.IsClosed() {
+		var err error
+		if session, err = mux.Dial(ctx, p.Dial, r.PeerAddress); err != nil {
+			return nil, err
+		}
+
+		p.sessions[r.PeerAddress] = session
+	}
+
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+
+	defer func() { _ = stream.Close() }()
+
+	deadline, _ := ctx.Deadline()
+	if err := stream.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+
+	request := &pb.PeerFrame{Body: &pb.PeerFrame_PositionRequest{PositionRequest: &pb.PositionRequest{}}}
+	if err := frame.Write(stream, request, frame.MaxControlBytes); err != nil {
+		return nil, err
+	}
+
+	f, err := frame.Read(stream, r.PeerAddress, frame.MaxControlBytes)
+	if err != nil {
+		return nil, err
+	}
+
+	if f.GetPositionAnswer() == nil {
+		return nil, &frame.Error{Peer: r.PeerAddress, Reason: "not an answer to a question for positions"}
+	}
+
+	return f.GetPositionAnswer(), nil
+}
+
+// Handle answers one question.
+func (p *Positions) Handle(peer string, stream io.Writer) {
+	a := &pb.PositionAnswer{}
+
+	for name, f := range p.Followed {
+		at := f.Rely()
+		a.Positions = append(a.Positions, &pb.CollectionPosition{
+			Collection: name, ChangedRevision: at.Changed, AgeMs: uint64(max(at.Age, 0).Milliseconds()),
+		})
+	}
+
+	err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_PositionAnswer{PositionAnswer: a}}, frame.MaxControlBytes)
+	if err != nil {
+		p.Log.Info().Str("event", "position_not_given").Str("peer", peer).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/primrosed/internal/replica/positions_test.go
@@ -0,0 +1,375 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/placement"
+	"primrosespring.example/primrosed/internal/mux"
+)
+
+const (
+	testBound = 3 * time.Second
+	// stableTime is how long a store must have answered for testBound to hold.
+	stableTime = 4 * time.Second
+)
+
+// silence is a time in which the store takes the calls of some instances and never
+// answers them.
+type silence struct {
+	begin, end time.Time
+	instances  []int
+}
+
+func (s silence) affects(instance int, from, to time.Time) bool {
+	return slices.Contains(s.instances, instance) && from.Before(s.end) && s.begin.Before(to)
+}
+
+// modelStore is a store with one collection; the value of an item is its revision.
+type modelStore struct {
+	silences []silence
+
+	mu      sync.Mutex // Guards the fields below.
+	changes []time.Time
+	changed chan struct{}
+	calls   int
+}
+
+func (s *modelStore) silent(instance int) bool {
+	now := time.Now()
+
+	return slices.ContainsFunc(s.silences, func(x silence) bool { return x.affects(instance, now, now.Add(1)) })
+}
+
+// change makes a change, at once or after a silence for everybody.
+func (s *modelStore) change(instances int) {
+	for slices.ContainsFunc(s.silences, func(x silence) bool {
+		return len(x.instances) == instances && x.affects(0, time.Now(), time.Now().Add(1))
+	}) {
+		time.Sleep(100 * time.Millisecond)
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.changes = append(s.changes, time.Now())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// modelView is one instance's view of the store and of the collection.
+type modelView struct {
+	store    *modelStore
+	instance int
+
+	mu sync.Mutex // Guards the fields below.
+	// knownAt is when the instance learned of each change, newest the last revision.
+	knownAt []time.Time
+	newest  int
+	t       *testing.T
+}
+
+// begin counts a call and reports the store's state, or false if the call is swallowed.
+func (v *modelView) begin(ctx context.Context) (revision int, changed chan struct{}, ok bool) {
+	v.store.mu.Lock()
+	revision, changed = len(v.store.changes), v.store.changed
+	v.store.mu.Unlock()
+
+	if v.store.silent(v.instance) {
+		<-ctx.Done()
+
+		return 0, nil, false
+	}
+
+	return revision, changed, true
+}
+
+func (v *modelView) List(ctx context.Context, _ bool) ([]int, uint64, error) {
+	revision, _, ok := v.begin(ctx)
+	if !ok {
+		return nil, 0, ctx.Err()
+	}
+
+	return []int{revision}, uint64(revision), nil
+}
+
+func (v *modelView) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Change[int], uint64, error) {
+	v.store.mu.Lock()
+	v.store.calls++
+	v.store.mu.Unlock()
+
+	end := time.After(wait)
+
+	for {
+		revision, changed, ok := v.begin(ctx)
+		if !ok {
+			return nil, 0, ctx.Err()
+		}
+
+		var changes []follower.Change[int]
+		for r := int(after) + 1; r <= revision; r++ {
+			changes = append(changes, follower.Change[int]{Revision: uint64(r), Item: r})
+		}
+
+		if len(changes) > 0 {
+			return changes, uint64(revision), nil
+		}
+
+		select {
+		case <-changed:
+		case <-end:
+			return nil, uint64(revision), nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (v *modelView) learn(revision int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	if revision < v.newest {
+		v.t.Errorf("instance %d goes back from %d to %d", v.instance, v.newest, revision)
+	}
+
+	for v.newest = revision; len(v.knownAt) < revision; {
+		v.knownAt = append(v.knownAt, time.Now())
+	}
+}
+
+func (v *modelView) Replace(items []int)                  { v.learn(slices.Max(items)) }
+func (v *modelView) Apply(changes []follower.Change[int]) { v.learn(changes[len(changes)-1].Item) }
+func (v *modelView) StoreRecovered()                      {}
+
+// modelInstance follows the store and confirms positions as a process does.
+type modelInstance struct {
+	view      *modelView
+	follower  *follower.Follower[int]
+	positions *Positions
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// startFleet starts n instances that are one another's readers.
+func startFleet(t *testing.T, network *network, s *modelStore, n int) []*modelInstance {
+	t.Helper()
+
+	fleet, peers := make([]*modelInstance, n), make([]domain.Instance, n)
+
+	for i := range fleet {
+		peers[i] = domain.Instance{ID: fmt.Sprintf("e-%d", i), PeerAddress: fmt.Sprintf("127.0.0.1:%d", i+1)}
+	}
+
+	for i := range fleet {
+		in := &modelInstance{view: &modelView{store: s, instance: i, t: t}}
+		copies := map[string]ReadFunc{Configuration: func() (any, uint64) {
+			at := in.follower.Revision()
+
+			return []int{int(at)}, at
+		}}
+		in.follower = &follower.Follower[int]{
+			Log: zerolog.Nop(), Name: Configuration, Source: in.view, Sink: in.view, Bound: testBound, Pause: 900 * time.Millisecond,
+			Peers: Peers[int]{Client: network.add(peers[i].PeerAddress, copies), Collection: Configuration},
+		}
+		in.positions = &Positions{
+			Log: zerolog.Nop(), Self: peers[i].ID, Dial: network.dial, Interval: follower.AskInterval(testBound),
+			Followed: map[string]Followed{Configuration: in.follower},
+		}
+		in.positions.SetReaders(placement.NewSet(peers).Readers(peers[i].ID))
+
+		server := Server{Log: zerolog.Nop(), Collections: copies}
+		network.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.New(io.Discard),
+			func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+				if f.GetPositionRequest() != nil {
+					in.positions.Handle(peer, stream)
+				} else {
+					server.Handle(peer, f.GetCopyRequest(), stream)
+				}
+			})
+		fleet[i] = in
+	}
+
+	for _, in := range fleet {
+		ctx, stop := context.WithCancel(t.Context())
+		in.stop = stop
+
+		in.done.Go(func() { in.follower.Run(ctx) })
+		in.done.Go(func() { in.positions.Run(ctx) })
+	}
+
+	return fleet
+}
+
+// kill ends an instance: it reads nothing and answers nobody.
+func (in *modelInstance) kill(network *network, address string) {
+	in.stop()
+	in.done.Wait()
+
+	network.mu.Lock()
+	server := network.instances[address]
+	delete(network.instances, address)
+	network.mu.Unlock()
+
+	if server != nil {
+		server.Close()
+	}
+}
+
+// dueAt returns when an instance must know a change: after testBound, once the store has
+// answered it for stableTime.
+func (s *modelStore) dueAt(instance int, change time.Time) time.Time {
+	due := change.Add(testBound)
+
+	for again := true; again; {
+		again = false
+
+		for _, x := range s.silences {
+			if x.affects(instance, due.Add(-stableTime), due) {
+				due, again = x.end.Add(stableTime), true
+			}
+		}
+	}
+
+	return due
+}
+
+// runModel plays a minute of changes and silences and checks that every instance that
+// lives knows each change in time. killed, unless negative, ends halfway.
+func runModel(t *testing.T, instances, killed int, silences func(begin time.Time) []silence, changes []time.Duration) {
+	t.Helper()
+
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		begin := time.Now()
+		s := &modelStore{silences: silences(begin), changed: make(chan struct{})}
+		n := newNetwork(t)
+		fleet := startFleet(t, n, s, instances)
+
+		for _, at := range changes {
+			time.Sleep(time.Until(begin.Add(at)))
+			s.change(instances)
+
+			if killed >= 0 && at > 20*time.Second {
+				fleet[killed].kill(n, fmt.Sprintf("127.0.0.1:%d", killed+1))
+			}
+		}
+
+		time.Sleep(time.Minute)
+
+		for i, in := range fleet {
+			in.stop()
+			in.done.Wait()
+
+			for r, at := range s.changes {
+				if i == killed {
+					continue
+				}
+
+				require.Greater(t, len(in.view.knownAt), r, "instance %d lacks change %d", i, r+1)
+				require.LessOrEqual(t, in.view.knownAt[r].Sub(begin), s.dueAt(i, at).Sub(begin), "instance %d, change %d", i, r+1)
+			}
+		}
+	})
+}
+
+// Guards against changes that aren't known in time after a watch was swallowed (CONFIG,
+// deployment adunni-search, inc1): by a silence for all or for one instance, long or over
+// before anybody noticed, and where the reader is killed or one instance is alone.
+func TestEveryChangeIsKnownInTime(t *testing.T) {
+	everybody := []int{0, 1, 2, 3, 4}
+	// The changes at 15 s and 20 s end all watches; those after them are swallowed.
+	changes := []time.Duration{15 * time.Second, 20 * time.Second, 22 * time.Second, 25 * time.Second, 31 * time.Second}
+
+	for _, c := range []struct {
+		name      string
+		instances int
+		killed    int
+		length    time.Duration
+		silent    []int
+	}{
+		{"short silence for all", 5, -1, 300 * time.Millisecond, everybody},
+		{"silence for all", 5, -1, 1500 * time.Millisecond, everybody},
+		{"long silence for all", 5, -1, 8 * time.Second, everybody},
+		{"one instance", 5, -1, 1500 * time.Millisecond, []int{2}},
+		{"every reader", 5, -1, 1500 * time.Millisecond, []int{0, 1, 2}},
+		{"reader killed", 5, 0, 1500 * time.Millisecond, everybody},
+		{"alone", 1, -1, 1500 * time.Millisecond, []int{0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runModel(t, c.instances, c.killed, func(begin time.Time) []silence {
+				at := begin.Add(20*time.Second + 800*time.Millisecond)
+
+				return []silence{{begin: at, end: at.Add(c.length), instances: c.silent}}
+			}, changes)
+		})
+	}
+}
+
+// Guards against changes that are missed, or known too late, after silences that overlap.
+func TestEveryChangeIsKnownInTimeAfterRandomSilences(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			const instances = 5
+
+			rng := rand.New(rand.NewPCG(seed, 1))
+			changes := make([]time.Duration, 30)
+
+			for i := range changes {
+				changes[i] = time.Duration(rng.IntN(40_000)) * time.Millisecond
+			}
+
+			slices.Sort(changes)
+			runModel(t, instances, int(seed%instances), func(begin time.Time) []silence {
+				out := make([]silence, 5)
+
+				for i := range out {
+					at := begin.Add(time.Duration(rng.IntN(35_000)) * time.Millisecond)
+					out[i] = silence{begin: at, end: at.Add(time.Duration(200+rng.IntN(6000)) * time.Millisecond)}
+
+					for in := range instances {
+						if i%2 == 0 || rng.IntN(2) == 0 {
+							out[i].instances = append(out[i].instances, in)
+						}
+					}
+				}
+
+				return out
+			}, changes)
+		})
+	}
+}
+
+// Guards against a call for each instance in each Bound while nothing changes.
+func TestFewInstancesReadTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		s := &modelStore{changed: make(chan struct{})}
+		fleet := startFleet(t, newNetwork(t), s, 9)
+
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		before := s.calls
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
+
+		for _, in := range fleet {
+			in.stop()
+			in.done.Wait()
+		}
+
+		require.LessOrEqual(t, s.calls-before, 8*2+60, "two long watches of each instance, and one reader's")
+	})
+}
