roster: read the list again soon while it lacks this instance

Cause: a stale list that is older than the start of the fleet is empty, which is no change of an empty list: five of eight instances knew no other for 10 s, and so read the store themselves all that time. Evidence: the test fails before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -193,7 +193,7 @@
 }
 
 // round registers the instance if that is due, reads the list, and reports
-// whether it has changed.
+// whether it has changed or lacks this instance.
 func (r *Roster) round(ctx context.Context, registered *bool) (bool, error) {
 	timeout := roundTimeout
 	if r.Peers != nil && !r.roundStarted {
@@ -231,11 +231,13 @@
 		entries[i] = r.self
 	}
 
+	// A stale list may lack the instances that started together with this one.
+	unsettled := !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == r.self.ID })
 	live, removable := r.liveness.observe(time.Now(), r.self.ID, entries)
 	changed := r.setEntries(live)
 	r.remove(ctx, removable)
 
-	return changed, nil
+	return changed || unsettled, nil
 }
 
 // heartbeat renews the entry if that is due. One that another instance removed is
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -18,12 +18,14 @@
 
 // fakeStore holds entries and fails while it is down.
 type fakeStore struct {
-	mu       sync.Mutex // Guards the fields below.
-	entries  []Entry
-	down     bool
-	lists    int
-	replaced []Entry
-	removed  []string
+	mu      sync.Mutex // Guards the fields below.
+	entries []Entry
+	down    bool
+	lists   int
+	// staleLists is the number of first lists that are from before all entries.
+	staleLists int
+	replaced   []Entry
+	removed    []string
 }
 
 var errDown = errors.New("down")
@@ -77,6 +79,10 @@
 
 	s.lists++
 
+	if s.lists <= s.staleLists {
+		return nil, nil
+	}
+
 	return slices.Clone(s.entries), nil
 }
 
@@ -157,6 +163,19 @@
 	})
 }
 
+// Guards against an instance that knows no other for 10 s after its start, since the
+// stale list was from before the fleet's start, and reads the store all that time itself.
+func TestListsWithoutThisInstanceAreReadAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{staleLists: 1, entries: []Entry{{ID: "a"}}}
+		lists := start(t, s, Entry{ID: "b"})
+
+		time.Sleep(settleInterval)
+		synctest.Wait()
+		require.Equal(t, [][]Entry{{{ID: "a"}, {ID: "b"}}}, lists())
+	})
+}
+
 // Guards against an outdated address, left by an earlier machine of the same name,
 // to which other instances hand over queries in vain.
 func TestEntriesOfEarlierMachinesAreReplaced(t *testing.T) {
