http1: show that a head that was cut off is no response

Evidence: each cut of a head, in each framing and after an interim response, is an error; the test fails if a cut head counts as whole. Conclusion: it can't happen here; no change of the code.

--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -136,6 +137,29 @@
 	}
 }
 
+// Guards against a response whose head was cut off being taken for one without a body:
+// a searcher stopped in the middle of its head and closed, and a head without its last
+// line feed counted as whole.
+func TestTruncatedHeadsAreFailures(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 0\r\n", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"} {
+		head := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n" + framing + "\r\n"
+
+		for n := range len(head) {
+			local, remote := net.Pipe()
+
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(remote))
+				_, _ = io.WriteString(remote, head[:n])
+				_ = remote.Close()
+			}()
+
+			_, keep, err := newConn(local, 0, nil).Exchange(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			require.Error(t, err, "%q", head[:n])
+			require.False(t, keep)
+		}
+	}
+}
+
 // Guards against losing a response that ends where its connection ends, and
 // against reusing that connection.
 func TestResponseMayEndWithConnection(t *testing.T) {
