serving: refuse requests that a planned stop might cut off

Cause: until the listener closed, every request was taken, whatever was left. Change: the engine knows the end. It refuses as not run what has less than four latency objectives left, and once the balancer has noticed, whatever has a longer timeout than the time that is left. The connection closes, and callers come back to another instance.

--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -65,8 +65,13 @@
 	}
 }
 
-// admit refuses a request if too few shards have a searcher for an acceptable answer.
+// admit refuses a request if a planned stop might cut it off, or if too few shards have a
+// searcher for an acceptable answer.
 func (x *execution) admit() error {
+	if err := x.refuseAtStop(); err != nil {
+		return err
+	}
+
 	live, shards := 0, x.target.Service.PartitionMap.Shards
 
 	for i := range shards {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -154,6 +154,8 @@
 	routing   *routing.Table
 	splitSeq  atomic.Uint64
 	usage     usage
+	// stop is set once a planned stop has begun.
+	stop atomic.Pointer[Stop]
 
 	mu       sync.Mutex // Guards the fields below and settings.ExtraAttempts.
 	delayers map[string]*hedging.Delayer
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -271,6 +271,8 @@
 	close(i.stopping)
 
 	shutdownTime := i.settings.Bounds.Grace - graceReserve
+	noticed := min(balancerDelay, i.settings.Bounds.Grace/2)
+	i.parts.Engine.SetStop(serving.Stop{End: began.Add(shutdownTime), Late: began.Add(noticed)})
 
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(shutdownTime))
 	defer cancel()
@@ -282,7 +284,7 @@
 
 	// Responses from now on close their connection, so that callers connect elsewhere.
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(min(balancerDelay, i.settings.Bounds.Grace/2))
+	time.Sleep(noticed)
 
 	err := errors.Trace(callers.Shutdown(ctx))
 	if failure := <-handovers; err == nil {
