serving, directory: give no work to searchers that say they leave

Cause: a searcher that leaves says so in all its answers, and nothing read it; it got requests until the store told that it drains, seconds later or, if it only loses its entry, not before. The directory keeps it for the incarnation, over later registrations, lists and copies; a successor under the same id isn't caught by it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -183,6 +183,21 @@
 	})
 }
 
+// MarkLeaving stops the use of a searcher's incarnation that says itself that it leaves,
+// whatever the store or another instance says of it. It reports whether that is a change.
+func (d *Directory) MarkLeaving(id string, incarnation int64) bool {
+	return d.update(func(time.Time) bool {
+		rec, ok := d.registry.records[id]
+		if !ok || rec.leaving || rec.registration.Started != incarnation {
+			return false
+		}
+
+		rec.leaving = true
+
+		return true
+	})
+}
+
 // StoreRecovered records that the store answers again after an outage. Registrations
 // that are removed within RegistrationGrace before or after this call are used until
 // RegistrationGrace after it; the caller calls Expire then.
@@ -298,6 +313,7 @@
 	for i, reg := range registrations {
 		sh.Searchers[i] = domain.Searcher{
 			ID: reg.ID, Address: reg.Address, FailureDomain: reg.FailureDomain, Slots: reg.Slots, Connections: p.Connections,
+			Incarnation: reg.Started,
 		}
 		v.Searchers[reg.ID] = &sh.Searchers[i]
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -211,3 +211,39 @@
 		require.False(t, d.Usable("a"))
 	})
 }
+
+// Guards against requests to a searcher that said itself that it leaves, while the store or
+// a copy calls it ready, and against denying its successor under the same id.
+func TestLeavingIncarnationsAreNotUsed(t *testing.T) {
+	newer := func(sequence uint64) domain.Registration {
+		return registration("s", func(r *domain.Registration) { r.Sequence = sequence })
+	}
+	successor := registration("s", func(r *domain.Registration) { r.Started, r.Sequence = 200, 1 })
+
+	for name, view := range map[string]func(d *Directory){
+		"at once":                   func(*Directory) {},
+		"a later registration":      func(d *Directory) { put(d, newer(9)) },
+		"a list or copy":            func(d *Directory) { d.ReplaceSearchers([]domain.Registration{newer(9)}) },
+		"removed, registered again": func(d *Directory) { remove(d, "s"); put(d, newer(9)) },
+		"removed in an outage":      func(d *Directory) { d.StoreRecovered(); remove(d, "s") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := configured()
+			put(d, registration("s", nil))
+			require.False(t, d.MarkLeaving("s", 99), "the sign of an earlier incarnation")
+			require.True(t, d.Usable("s"))
+			require.EqualValues(t, 100, searchers(d)[0].Incarnation)
+
+			require.True(t, d.MarkLeaving("s", 100))
+			require.False(t, d.MarkLeaving("s", 100))
+			view(d)
+			require.False(t, d.Usable("s"))
+			require.Empty(t, searchers(d))
+
+			put(d, successor)
+			require.True(t, d.Usable("s"))
+			require.False(t, d.MarkLeaving("s", 100), "a late answer of its predecessor")
+			require.True(t, d.Usable("s"))
+		})
+	}
+}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -27,6 +27,9 @@
 	removedAt time.Time
 	// denied says that another searcher answered at the registered address.
 	denied bool
+	// leaving says that the searcher itself said, in an answer, that it leaves. It holds
+	// for the registered incarnation.
+	leaving bool
 }
 
 // registry holds the registrations. The Directory's lock guards it.
@@ -61,6 +64,10 @@
 		rec.denied = false
 	}
 
+	if before.Started != reg.Started {
+		rec.leaving = false
+	}
+
 	before.Sequence = reg.Sequence
 
 	return !ok || removed || before != reg
@@ -100,7 +107,7 @@
 
 // usable reports whether the searcher may get new requests.
 func (r *registry) usable(now time.Time, rec *record) bool {
-	if rec.denied || rec.registration.Draining {
+	if rec.denied || rec.leaving || rec.registration.Draining {
 		return false
 	}
 
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -68,6 +68,8 @@
 	Connections uint32 `json:"connections"`
 	// Draining is set by the operator: the searcher gets no new work.
 	Draining bool `json:"draining,omitempty"`
+	// Incarnation identifies one start of the searcher's process; zero if it isn't known.
+	Incarnation int64 `json:"-"`
 	// Gathered is set if a gathered route sends requests to the searcher.
 	Gathered bool `json:"-"`
 }
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -140,6 +140,7 @@
 		func() restartHints { return make(restartHints, 1) },
 		newShares,
 		newRoster,
+		newSignKeeper,
 		newSearcherClient,
 		newGathererClient,
 		newEngine,
@@ -159,8 +160,8 @@
 
 // newSearcherClient returns a client that keeps to this instance's share of each searcher's
 // connections.
-func newSearcherClient(g *http1.Group, sh *shares) *platform.SearcherClient {
-	return &platform.SearcherClient{Group: g, Limit: func(sr *domain.Searcher) http1.Limit {
+func newSearcherClient(g *http1.Group, sh *shares, k *serving.SignKeeper) *platform.SearcherClient {
+	return &platform.SearcherClient{Group: g, Signs: k, Limit: func(sr *domain.Searcher) http1.Limit {
 		l := connectionLimit(sr, sh.get())
 		if sr.Gathered {
 			l.MaxBodyBytes = maxPartBytes
@@ -170,6 +171,10 @@
 	}}
 }
 
+func newSignKeeper(log zerolog.Logger, d *directory.Directory) *serving.SignKeeper {
+	return &serving.SignKeeper{Log: log, Directory: d}
+}
+
 func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
 	return roster.New(log, st, roster.Entry{
 		ID: s.Instance.ID, FailureDomain: s.Instance.FailureDomain, Started: time.Now().UnixMilli(),
