routing, serving: keep the pauses that searchers ask for

Cause: a searcher that turns a request away with 503 may say for how long it wants nothing from this instance; that was read as any other refusal, after which it is avoided for 5 to 500 ms and only if another one is left. Change: routing keeps a pause for the searcher's incarnation: no request, hedge or probe until its end. A later value only lengthens it, zero, negative and unreadable ones are none, an hour is the longest. It is prolonged at random by up to a tenth, and the searcher returns with a slow start. A request whose searchers all pause is refused at once as not run; the caller may return at the end of the first pause, at the latency objective at the latest. Evidence: TestPausedSearchersGetNoRequests, TestPauseProperty, TestSignsOfSearchers, TestRequestsAreRefusedWhileAllSearchersPause; each fails without its part. Left: requests that wait for a connection to a paused searcher aren't placed anew.

--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -44,13 +44,15 @@
 }
 
 // Retain removes the searchers for which keep returns false and that have no
-// outstanding request.
+// outstanding request and no pause.
 func (t *Table) Retain(keep func(searcher string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	now := time.Now()
+
 	for id, st := range t.searchers {
-		if st.outstanding == 0 && !keep(id) {
+		if st.outstanding == 0 && !now.Before(st.pausedUntil) && !keep(id) {
 			delete(t.searchers, id)
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -264,6 +264,8 @@
 		return candidate{}, domain.CodeNoLiveSearcher
 	case sr.Draining || st.isDraining():
 		return candidate{}, domain.CodeSearcherDraining
+	case st.paused(now, sr):
+		return candidate{}, domain.CodeOverloaded
 	case r.Eligible != nil && !r.Eligible(sr.ID):
 		return candidate{}, domain.CodeSnapshotGone
 	}
@@ -479,7 +481,7 @@
 		st := t.state(sr.ID)
 		load.degraded = load.degraded || st.failures > 0
 
-		if sr.Draining || st.isDraining() || st.failures >= maxFailures || !eligible(sh.Number, sr.ID) {
+		if sr.Draining || st.isDraining() || st.paused(now, sr) || st.failures >= maxFailures || !eligible(sh.Number, sr.ID) {
 			continue
 		}
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -64,6 +64,10 @@
 	drainingAt time.Time
 	cold       bool
 
+	// The searcher's incarnation pausedIncarnation wants no requests until pausedUntil.
+	pausedUntil       time.Time
+	pausedIncarnation int64
+
 	// The health signals: statusDraining and unhealthy are from the status
 	// endpoint, leaving from the platform's list. ignoreHealth disables them.
 	statusDraining bool
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -85,7 +85,7 @@
 	}
 
 	if x.accepts(live) {
-		return nil
+		return x.refuseIfPaused(live)
 	}
 
 	err := domain.Errorf(domain.FateNotRun, domain.CodeNoLiveSearcher, "admit", "%d of %d shards have a searcher", live, len(shards))
@@ -94,6 +94,37 @@
 	return err
 }
 
+// refuseIfPaused refuses a request if the pauses that searchers asked for leave too few
+// shards, of those live, for an acceptable answer. The caller may return when the first
+// pause ends, and at the latency objective at the latest: another instance may have none.
+func (x *execution) refuseIfPaused(live int) error {
+	var first time.Time
+
+	now, paused, shards := time.Now(), 0, x.target.Service.PartitionMap.Shards
+
+	for i := range shards {
+		until := x.engine.routing.PausedUntil(now, &shards[i])
+		if until.IsZero() {
+			continue
+		}
+
+		paused++
+
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+
+	if paused == 0 || x.accepts(live-paused) {
+		return nil
+	}
+
+	err := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "admit", "%d of %d shards want no requests", paused, len(shards))
+	err.RetryAfter = max(min(first.Sub(now), x.entry.Route.LatencyObjective), minRetryAfter)
+
+	return err
+}
+
 // accepts reports whether the route accepts an answer that includes that many shards.
 func (x *execution) accepts(included int) bool {
 	r, n := x.entry.Route, len(x.target.Pools)
--- a/internal/serving/signs.go
+++ b/internal/serving/signs.go
@@ -1,18 +1,27 @@
 package serving
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/routing"
 )
 
-var leavingSearchers = metrics.NewCounter(`primrose_searchers_leaving_total`)
+var (
+	leavingSearchers = metrics.NewCounter(`primrose_searchers_leaving_total`)
+	pausedSearchers  = metrics.NewCounter(`primrose_searcher_pauses_total`)
+)
 
 // Signs is what a searcher says of itself in an answer of any kind.
 type Signs struct {
 	// Leaving says that the searcher leaves and takes no new requests.
 	Leaving bool
+	// Pause is how long the searcher wants no request of this instance; zero if it
+	// asks for no pause.
+	Pause time.Duration
 }
 
 // SignKeeper acts on searchers' signs, also on those of answers that came too late for
@@ -20,6 +29,7 @@
 type SignKeeper struct {
 	Log       zerolog.Logger
 	Directory *directory.Directory
+	Routing   *routing.Table
 }
 
 // Observe takes the signs in the answer to an attempt.
@@ -32,4 +42,13 @@
 			Str("source", "answer").Str("request_id", c.Request.ID).Send()
 	}
 
+	if s.Pause <= 0 {
+		return
+	}
+
+	if until, changed := k.Routing.Pause(time.Now(), sr, s.Pause); changed {
+		pausedSearchers.Inc()
+		k.Log.Info().Str("event", "searcher_paused").Str("searcher", sr.ID).Int64("incarnation", sr.Incarnation).
+			Str("request_id", c.Request.ID).Int64("for_ms", time.Until(until).Milliseconds()).Send()
+	}
 }
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -171,8 +171,8 @@
 	}}
 }
 
-func newSignKeeper(log zerolog.Logger, d *directory.Directory) *serving.SignKeeper {
-	return &serving.SignKeeper{Log: log, Directory: d}
+func newSignKeeper(log zerolog.Logger, d *directory.Directory, t *routing.Table) *serving.SignKeeper {
+	return &serving.SignKeeper{Log: log, Directory: d, Routing: t}
 }
 
 func newRoster(log zerolog.Logger, s hosting.Settings, st *platform.Store) *roster.Roster {
