--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -7,7 +7,7 @@
 
 const (
 	// watchWait is the longest time that one watch waits. Each watch is a priced call.
-	watchWait = 30 * time.Second
+	watchWait = 25 * time.Second
 	// watchGrace and readGrace are how much longer than its wait a watch may take before
 	// it times out; readGrace applies to watches of an instance that reads the store
 	// itself, and to those that look for the store's recovery. A slow store takes 0.4 s.
