replica: close sessions to instances that are readers no more

Cause: the list of instances changes all the time; a session to each former reader stayed open. Evidence: the tests of the package, with the race detector.

--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -105,6 +107,8 @@
 		return ""
 	}
 
+	p.dropOthers(*readers)
+
 	for _, r := range *readers {
 		if r.ID == p.Self {
 			return ""
@@ -131,6 +135,21 @@
 	return ""
 }
 
+// dropOthers closes the sessions to instances that are readers no more.
+func (p *Positions) dropOthers(readers []domain.Instance) {
+	for address, s := range p.sessions {
+		if !slices.ContainsFunc(readers, func(r domain.Instance) bool { return r.PeerAddress == address }) {
+			_ = s.Close()
+
+			delete(p.sessions, address)
+		}
+	}
+
+	maps.DeleteFunc(p.avoided, func(id string, _ time.Time) bool {
+		return !slices.ContainsFunc(readers, func(r domain.Instance) bool { return r.ID == id })
+	})
+}
+
 // avoid closes the session to a reader that didn't answer.
 func (p *Positions) avoid(ctx context.Context, r domain.Instance, err error) {
 	if ctx.Err() != nil {
