follower: let stale lists confirm nothing to others

Cause: an instance that has just started counted its list as current, though a stale list may be seconds old, and confirmed to others that nothing had changed; an instance whose watch was lost would have believed it (found by reading). Change: the age that others are told counts from answers to watches and from lists that aren't stale. An instance's own limit starts anew with any list. Evidence: TestStaleListsConfirmNothing fails before (age 1 s, confirmed).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -204,7 +204,7 @@
 
 	f.storeRecovered(lostAt)
 	f.Sink.Replace(items)
-	f.progress.listed(revision)
+	f.progress.listed(revision, stale)
 	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
 		Uint64("revision", revision).Bool("stale", stale).Send()
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -323,3 +323,28 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against an instance that has just started and confirms the state of a stale list
+// to others, which may lack a change as well.
+func TestStaleListsConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &scriptedSource{events: make(chan Change[int], 1)}
+		f := newFollower(s, &recordingSink{})
+		f.Bound = 3 * time.Second
+
+		go f.Run(ctx)
+
+		time.Sleep(time.Second)
+
+		p := f.Rely()
+		require.Equal(t, Position{Revision: 7, Changed: 7, Age: unknownAge}, p)
+		require.False(t, f.Confirm(p, time.Now()))
+
+		s.events <- Change[int]{Revision: 8}
+		time.Sleep(time.Second)
+		require.Equal(t, Position{Revision: 8, Changed: 8, Age: time.Second}, f.Position())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -16,8 +16,7 @@
 	// Changed is the revision of the last change known. It is up to Revision where that
 	// of the change itself isn't known.
 	Changed uint64
-	// Age is how long ago the store was last known to have no later change. An instance
-	// that started from a list counts from then, though the list may be stale.
+	// Age is how long ago the store was last known to have no later change.
 	Age time.Duration
 }
 
@@ -26,14 +25,17 @@
 type progress struct {
 	mu                sync.Mutex // Guards the fields below.
 	revision, changed uint64
-	// currentAt is when the collection was last known to be complete.
+	// currentAt is when the collection was last known to be complete; zero if it never was.
 	currentAt time.Time
+	// listedAt is when the collection was last listed. A stale list isn't known to be
+	// complete, but the watch that follows it has its time to show what is missing.
+	listedAt time.Time
 	// heardAt is when another instance last stated a position that the store had given it
 	// shortly before, or when the collection was listed.
 	heardAt time.Time
 	// reliedUntil is until when other instances rely on this one.
 	reliedUntil time.Time
-	// news receives when a field changes that may end a watch or a backoff.
+	// news receives when a field changes that may end a backoff.
 	news chan struct{}
 }
 
@@ -42,26 +44,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return Position{Revision: p.revision, Changed: p.changed, Age: p.age()}
+	age := unknownAge
+	if !p.currentAt.IsZero() {
+		age = elapsed(p.currentAt)
+	}
+
+	return Position{Revision: p.revision, Changed: p.changed, Age: age}
 }
 
-// age returns the age of the collection; the caller holds mu.
-func (p *progress) age() time.Duration {
-	if p.currentAt.IsZero() {
-		return unknownAge
+// unconfirmed returns for how long nothing has shown that the collection is complete. A
+// list starts this time anew.
+func (p *progress) unconfirmed() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.currentAt.After(p.listedAt) {
+		return elapsed(p.currentAt)
 	}
 
-	return elapsed(p.currentAt)
+	return elapsed(p.listedAt)
 }
 
 // listed records a list of that revision.
-func (p *progress) listed(revision uint64) {
+func (p *progress) listed(revision uint64, stale bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.revision, p.changed = revision, revision
-	p.currentAt = time.Now()
-	p.heardAt = p.currentAt
+	p.listedAt = time.Now()
+	p.heardAt = p.listedAt
+
+	if !stale {
+		p.currentAt = p.listedAt
+	}
 }
 
 // copied records a copy of that revision from another instance.
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -69,43 +69,42 @@
 
 	maxAge := share(maxAgeShare, f.Bound)
 
-	return f.progress.relied() || !f.progress.heard(maxAge) || f.Position().Age >= maxAge
+	return f.progress.relied() || !f.progress.heard(maxAge) || f.progress.unconfirmed() >= maxAge
 }
 
-// nextWait returns how long the next watch waits, and after which further time it has
-// failed.
-func (f *Follower[T]) nextWait(lost bool) (wait, grace time.Duration) {
+// watchPlan says how long a watch waits, and after which further time it has failed.
+type watchPlan struct {
+	wait, grace time.Duration
+	// relies says that others confirm meanwhile that the store has nothing new.
+	relies bool
+}
+
+// planWatch returns the plan of the next watch.
+func (f *Follower[T]) planWatch(lost bool) watchPlan {
 	switch {
+	case lost && f.Bound == 0:
+		return watchPlan{wait: recoveryWait, grace: watchGrace}
 	case lost:
 		// A short first watch after an outage detects the recovery soon.
-		return recoveryWait, f.graceOf(readGrace)
+		return watchPlan{wait: recoveryWait, grace: readGrace}
 	case f.reads():
-		return max(share(readShare, f.Bound)-f.Position().Age, recoveryWait), readGrace
+		return watchPlan{wait: max(share(readShare, f.Bound)-f.progress.unconfirmed(), recoveryWait), grace: readGrace}
 	default:
-		return watchWait, watchGrace
+		return watchPlan{wait: watchWait, grace: watchGrace, relies: f.Bound > 0}
 	}
 }
 
-// graceOf returns the grace of a short watch, which is watchGrace without a Bound.
-func (f *Follower[T]) graceOf(grace time.Duration) time.Duration {
-	if f.Bound == 0 {
-		return watchGrace
-	}
-
-	return grace
-}
-
 func (f *Follower[T]) watch(ctx context.Context, lostAt *time.Time) error {
-	wait, grace := f.nextWait(!lostAt.IsZero())
+	p := f.planWatch(!lostAt.IsZero())
 
-	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	ctx, cancel := context.WithTimeout(ctx, p.wait+p.grace)
 	defer cancel()
 
-	supervision := f.superviseWatch(cancel, wait == watchWait)
+	supervision := f.superviseWatch(cancel, p.relies)
 	revision := f.Revision()
 	sent := time.Now()
 
-	changes, next, err := f.Source.Watch(ctx, revision, wait)
+	changes, next, err := f.Source.Watch(ctx, revision, p.wait)
 	if reason := supervision(); reason != notRestarted {
 		f.restarted(reason, revision, time.Since(sent))
 
@@ -125,8 +124,8 @@
 	}
 
 	// A watch that has used up its wait leaves nothing to collect in a pause.
-	f.skipPause = f.lastCount == 0 && wait != watchWait && time.Since(sent) >= wait
-	f.progress.answered(next, lastRevision(changes, next), answeredAt(sent, wait, len(changes)))
+	f.skipPause = f.Bound > 0 && f.lastCount == 0 && time.Since(sent) >= p.wait
+	f.progress.answered(next, lastRevision(changes, next), answeredAt(sent, p.wait, len(changes)))
 
 	return nil
 }
@@ -142,16 +141,16 @@
 	}
 
 	f.Log.Info().Str("event", "store_watch_restarted").Str("collection", f.Name).Str("reason", string(reason)).
-		Uint64("revision", revision).Int64("age_ms", f.Position().Age.Milliseconds()).Int64("ran_ms", ran.Milliseconds()).Send()
+		Uint64("revision", revision).Int64("unconfirmed_ms", f.progress.unconfirmed().Milliseconds()).Int64("ran_ms", ran.Milliseconds()).Send()
 }
 
 // superviseWatch cancels a watch that has to be restarted. The function that it returns
 // must be called after the watch; it returns why the watch was cancelled, if it was.
-func (f *Follower[T]) superviseWatch(cancel context.CancelFunc, long bool) func() restartReason {
+func (f *Follower[T]) superviseWatch(cancel context.CancelFunc, relies bool) func() restartReason {
 	ended, done := make(chan struct{}), make(chan restartReason, 1)
 
 	go func() {
-		reason := f.awaitRestart(ended, long && f.Bound > 0)
+		reason := f.awaitRestart(ended, relies)
 		if reason != notRestarted {
 			cancel()
 		}
@@ -167,9 +166,9 @@
 }
 
 // awaitRestart waits for a reason to restart a watch, or for its end. A hint counts once
-// the watch has run for restartAfter. A long watch, which would hide a lost call, ends
-// when nobody confirms the collection.
-func (f *Follower[T]) awaitRestart(ended <-chan struct{}, long bool) restartReason {
+// the watch has run for restartAfter. A watch that relies on others ends when nobody
+// confirms the collection.
+func (f *Follower[T]) awaitRestart(ended <-chan struct{}, relies bool) restartReason {
 	hintsAfter := time.NewTimer(max(f.restartAfter, minRestartAfter))
 	defer hintsAfter.Stop()
 
@@ -179,8 +178,8 @@
 	)
 
 	for {
-		if long {
-			left := share(maxAgeShare, f.Bound) - f.Position().Age
+		if relies {
+			left := share(maxAgeShare, f.Bound) - f.progress.unconfirmed()
 			if left <= 0 {
 				return restartUnconfirmed
 			}
