platform, serving: ask once more before a waiting attempt is sent

Cause: an attempt that waits for a connection to a searcher was sent also after the searcher had said that it leaves or wants a pause; with few connections several reach it in its pause. Requests look at the pauses of their shards only while any is in force.

--- a/internal/routing/pause.go
+++ b/internal/routing/pause.go
@@ -42,6 +42,10 @@
 	spread := time.Duration(float64(t.random()%1000) / 1000 * pauseSpread * float64(d))
 	st.pausedUntil, st.pausedIncarnation = now.Add(d+spread), sr.Incarnation
 
+	if st.pausedUntil.After(t.lastPauseEnd) {
+		t.lastPauseEnd = st.pausedUntil
+	}
+
 	return st.pausedUntil, true
 }
 
@@ -50,6 +54,24 @@
 	return now.Before(s.pausedUntil) && s.pausedIncarnation == sr.Incarnation
 }
 
+// Paused reports whether the searcher has asked for a pause that hasn't ended.
+func (t *Table) Paused(now time.Time, sr *domain.Searcher) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	st, ok := t.searchers[sr.ID]
+
+	return ok && st.paused(now, sr)
+}
+
+// AnyPaused reports whether a pause of any searcher is in force.
+func (t *Table) AnyPaused(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return now.Before(t.lastPauseEnd)
+}
+
 // PausedUntil returns the earliest end of the pauses of a shard's searchers, or a zero time
 // if one of them isn't paused.
 func (t *Table) PausedUntil(now time.Time, sh *domain.Shard) time.Time {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -110,6 +110,8 @@
 	// classTimes is the mean service time of each class over all searchers.
 	classTimes map[string]*classTime
 	services   map[string][]string
+	// lastPauseEnd is the latest end of all pauses.
+	lastPauseEnd time.Time
 }
 
 const (
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -98,9 +98,14 @@
 // shards, of those live, for an acceptable answer. The caller may return when the first
 // pause ends, and at the latency objective at the latest: another instance may have none.
 func (x *execution) refuseIfPaused(live int) error {
+	now := time.Now()
+	if !x.engine.routing.AnyPaused(now) {
+		return nil
+	}
+
 	var first time.Time
 
-	now, paused, shards := time.Now(), 0, x.target.Service.PartitionMap.Shards
+	paused, shards := 0, x.target.Service.PartitionMap.Shards
 
 	for i := range shards {
 		until := x.engine.routing.PausedUntil(now, &shards[i])
--- a/internal/serving/signs.go
+++ b/internal/serving/signs.go
@@ -32,6 +32,12 @@
 	Routing   *routing.Table
 }
 
+// Wanted reports whether the searcher of an attempt that hasn't been sent still takes
+// requests of this instance.
+func (k *SignKeeper) Wanted(c Call) bool {
+	return k.Directory.Usable(c.Searcher.ID) && !k.Routing.Paused(time.Now(), c.Searcher)
+}
+
 // Observe takes the signs in the answer to an attempt.
 func (k *SignKeeper) Observe(c Call, s Signs) {
 	sr := c.Searcher
