follower: call the store seldom while it answers nobody

Change: what others are heard to know counts from when the store answered them. While it answers nobody who was asked, the wait between two calls is 1 to 2 s from the first on, and ends with the first sign of an answer.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -90,8 +90,8 @@
 	// maxBackoff bounds the time until a recovered store is noticed. Searchers have
 	// registered again within 2 s of the recovery.
 	maxBackoff = 800 * time.Millisecond
-	// silentBackoff replaces it while no instance that was asked gets answers either: the
-	// first of them that does ends it.
+	// silentBackoff is the time between two calls while no instance that was asked gets
+	// answers either: the first of them that does ends it.
 	silentBackoff = 2 * time.Second
 )
 
@@ -182,8 +182,13 @@
 			}
 
 			f.checkAge()
+
+			if f.silent() {
+				backoff = silentBackoff
+			}
+
 			f.waitBackoff(ctx, backoff/2+rand.N(backoff/2+1))
-			backoff = min(2*backoff, f.maxBackoff())
+			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
@@ -234,22 +239,23 @@
 	return true
 }
 
-// maxBackoff returns the longest time between two calls in an outage.
-func (f *Follower[T]) maxBackoff() time.Duration {
-	if f.Bound == 0 || f.progress.relied() || f.progress.heard(f.Bound) {
-		return maxBackoff
-	}
-
-	return silentBackoff
+// silent reports whether the store answers nobody that this instance asks, so that its own
+// calls are hardly of use. Those on whom others rely go on trying.
+func (f *Follower[T]) silent() bool {
+	return f.Bound > 0 && !f.progress.relied() && !f.progress.heard(share(maxAgeShare, f.Bound))
 }
 
-// waitBackoff waits between two calls in an outage. If the store answered nobody that was
-// asked when the wait began, the first sign that it does ends it.
+// waitBackoff waits between two calls in an outage. If the store was silent when the wait
+// began, the first sign that it answers somebody ends it.
 func (f *Follower[T]) waitBackoff(ctx context.Context, d time.Duration) {
 	var news <-chan struct{}
-
-	if recent := share(askShare, f.Bound); f.Bound > 0 && !f.progress.heard(2*recent) {
+	if f.silent() {
 		news = f.progress.notifications()
+
+		select {
+		case <-news: // From before the silence.
+		default:
+		}
 	}
 
 	t := time.NewTimer(d)
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -30,8 +30,8 @@
 	// listedAt is when the collection was last listed. A stale list isn't known to be
 	// complete, but the watch that follows it has its time to show what is missing.
 	listedAt time.Time
-	// heardAt is when another instance last stated a position that the store had given it
-	// shortly before, or when the collection was listed.
+	// heardAt is when the store last answered another instance, as far as that is known, or
+	// when the collection was listed.
 	heardAt time.Time
 	// reliedUntil is until when other instances rely on this one.
 	reliedUntil time.Time
@@ -111,9 +111,12 @@
 		return false
 	}
 
-	p.heardAt = time.Now()
+	at = at.Add(-o.Age)
+	if at.After(p.heardAt) {
+		p.heardAt = at
+	}
 
-	if at = at.Add(-o.Age); o.Changed <= p.revision && at.After(p.currentAt) {
+	if o.Changed <= p.revision && at.After(p.currentAt) {
 		p.currentAt = at
 	}
 
@@ -154,7 +157,7 @@
 	return p.news
 }
 
-// heard reports whether the store answered another instance within about d.
+// heard reports whether the store answered another instance within d.
 func (p *progress) heard(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
