--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -142,7 +142,7 @@
 // line feed counted as whole.
 func TestTruncatedHeadsAreFailures(t *testing.T) {
 	for _, framing := range []string{"", "Content-Length: 0\r\n", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"} {
-		head := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n" + framing + "\r\n"
+		head := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Signature: s\r\n" + framing + "\r\n"
 
 		for n := range len(head) {
 			local, remote := net.Pipe()
