--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,8 @@
 
 // cases maps names to cases. Each returns the violations that it has seen.
 var cases = map[string]func(r *run) (violations []string, err error){
-	"late-refusal": lateRefusal,
+	"late-refusal":  lateRefusal,
+	"escaped-slash": escapedSlash,
 }
 
 // main runs the case of the first argument. The second is the repository's root, the third
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -169,7 +169,7 @@
 	time.Sleep(s.work(r))
 	s.release()
 
-	return s.newAnswer(r, http.StatusOK, true, "X-Response-Stamp: "+stamp(s.id, id)+"\r\n", append([]byte("done "+id+" "), body...))
+	return s.newAnswer(r, http.StatusOK, true, "X-Response-Stamp: "+stamp(s.id, id)+"\r\n", append([]byte("service "+s.service+" has run "+id+" "), body...))
 }
 
 var errFull = errors.New("the searcher is full")
