--- a/review/standin/case_late_refusal.go
+++ b/review/standin/case_late_refusal.go
@@ -20,7 +20,7 @@
 // some of these refusals late: when the next request on the connection has arrived.
 func lateRefusal(r *run) ([]string, error) {
 	const (
-		length    = 50 * time.Second
+		length    = 75 * time.Second
 		instances = 9
 		clients   = 18
 	)
@@ -74,7 +74,8 @@
 	record *record
 	active func() bool
 
-	mu              sync.Mutex // Guards the fields below.
+	mu sync.Mutex // Guards the fields below.
+	// answers counts the answers while active, and copied those with a copy.
 	answers, copied int
 }
 
@@ -83,9 +84,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
+	if !g.active() {
+		return a.bytes, nil
+	}
+
 	g.answers++
 
-	if a.status != http.StatusServiceUnavailable || !g.active() || float64(g.copied+1) > copies*float64(g.answers) {
+	if a.status != http.StatusServiceUnavailable || float64(g.copied+1) > copies*float64(g.answers) {
 		return a.bytes, nil
 	}
 
