--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Builds the stand-ins that the cases start into target/review. They need the Go
-# toolchain and its standard library only.
+# toolchain and its standard library only, and belong to no module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-GOWORK=off GOFLAGS=-buildvcs=false go -C review/standin build -o ../../target/review/standin .
+output=$PWD/target/review/standin
+cd review/standin
+GOWORK=off GOFLAGS=-buildvcs=false GOPROXY=off go build -o "$output" ./*.go
