http1: send no request twice on one connection

Cause: an answer is matched by the caller's request id, which all sendings of a request share. The connection of a refusal is kept and is the first to be used again, so that the late copy of a refusal passes for the answer to the next sending, which runs.

Change: a connection remembers the requests that it has carried until their deadline, and none is sent on it again. Another idle connection is used, or a new one, at the limit in place of one that is closed. A late copy then meets only requests with other ids, which closes the connection.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -103,6 +103,8 @@
 	bodies       *BodyBudget
 	// used is set once a request was sent.
 	used bool
+	// carried are the requests that it has carried and that may be sent again.
+	carried requestSet
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 	// peerIdleTimeout is the idle timeout that the peer stated last; zero if it
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -84,6 +84,12 @@
 
 // Exchange describes one request and how to check its response.
 type Exchange struct {
+	// Key identifies the request if it may be sent more than once, until Expires at the
+	// latest. No connection carries the same request twice: a late copy of the response to
+	// the first sending would pass for the response to the second. Empty if the request is
+	// sent once.
+	Key     string
+	Expires time.Time
 	// Prepare makes the request once a connection is available, so that a
 	// remaining time stated in it is current. If it fails, nothing is sent.
 	Prepare func() (*Request, error)
@@ -97,7 +103,7 @@
 // connection that the peer has closed is skipped before anything is sent on it.
 // Errors are *SendError.
 func (p *Pool) Do(ctx context.Context, x Exchange) (*Response, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, x.Key)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -114,7 +120,7 @@
 	}
 
 	resp, keep, err := c.Exchange(ctx, r)
-	reusable = keep && (x.Matches == nil || x.Matches(resp))
+	reusable = keep && (x.Matches == nil || x.Matches(resp)) && c.carried.add(x.Key, x.Expires, time.Now())
 
 	return resp, err
 }
@@ -131,18 +137,23 @@
 	}
 }
 
-func (p *Pool) acquire(ctx context.Context) (*Conn, error) {
+// acquire returns a connection that hasn't carried the request of that key.
+func (p *Pool) acquire(ctx context.Context, key string) (*Conn, error) {
 	for {
-		c, err := p.get(ctx)
+		c, err := p.get(ctx, key)
 		if err != nil {
 			return nil, err
 		}
 
-		if c != nil {
-			if time.Since(c.idleSince) < c.maxIdle() && c.reusable() {
-				return c, nil
-			}
-
+		switch {
+		case c == nil:
+		case c.carried.has(key):
+			// The connection to open takes its slot.
+			connsReplaced.Inc()
+			c.Close()
+		case time.Since(c.idleSince) < c.maxIdle() && c.reusable():
+			return c, nil
+		default:
 			p.release(c, false)
 
 			continue
@@ -178,13 +189,12 @@
 	return time.Duration(idleFraction * float64(c.peerIdleTimeout))
 }
 
-// get returns an idle connection, or nil as permission to open one.
-func (p *Pool) get(ctx context.Context) (*Conn, error) {
+// get returns an idle connection, or nil as permission to open one. The connection has
+// carried the request of that key only if all idle ones have and no other may be opened.
+func (p *Pool) get(ctx context.Context, key string) (*Conn, error) {
 	p.mu.Lock()
 
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	if c := p.takeIdle(key); c != nil {
 		p.mu.Unlock()
 
 		return c, nil
@@ -211,6 +221,28 @@
 	}
 }
 
+// takeIdle removes the idle connection to use for the request of that key, or returns nil.
+// The caller holds mu.
+func (p *Pool) takeIdle(key string) *Conn {
+	i := len(p.idle) - 1
+	for i >= 0 && p.idle[i].carried.has(key) {
+		i--
+	}
+
+	if i < 0 && !p.canOpen() {
+		i = len(p.idle) - 1
+	}
+
+	if i < 0 {
+		return nil
+	}
+
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+
+	return c
+}
+
 // cancelWait removes a waiter and passes on what it received in the meantime.
 func (p *Pool) cancelWait(ready chan *Conn) {
 	p.mu.Lock()
