--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -10,13 +10,14 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"primrosespring.example/internal/memory"
 )
 
 const (
@@ -29,9 +30,6 @@
 	// defaultMaxBodyBytes bounds the body of a response where Limit.MaxBodyBytes
 	// doesn't; the store pages its lists at about 1 MB.
 	defaultMaxBodyBytes = 8 << 20
-	// initialBodyBytes is the size of the first buffer for a body. It grows as the
-	// body arrives, since the stated length says nothing about what will.
-	initialBodyBytes = 4 << 10
 	// The kernel closes a connection whose peer acknowledges nothing for
 	// ackTimeout, and sends keep-alive probes every keepAliveInterval while it is
 	// idle. The timeout is below the 3 s within which a change or a searcher's
@@ -100,7 +98,7 @@
 	// maxBodyBytes bounds the body of a response, and bodies what all bodies that are
 	// being read may take.
 	maxBodyBytes int64
-	bodies       *BodyBudget
+	bodies       *memory.Budget
 	// used is set once a request was sent.
 	used bool
 	// carried are the requests that it has carried and that may be sent again.
@@ -135,7 +133,7 @@
 
 // newConn returns a connection whose responses have bodies of maxBodyBytes at most, or
 // defaultMaxBodyBytes if that is zero; b bounds them too and may be nil.
-func newConn(nc net.Conn, maxBodyBytes int64, b *BodyBudget) *Conn {
+func newConn(nc net.Conn, maxBodyBytes int64, b *memory.Budget) *Conn {
 	head := &headLimiter{reader: nc}
 
 	return &Conn{
@@ -247,43 +245,31 @@
 	return nil, ErrHeadTooLarge
 }
 
-// readBody reads the whole body. Its buffer grows with what arrives. It doesn't close
-// hr.Body, which holds no resources: Close would read the rest of a body without end.
-func (c *Conn) readBody(hr *http.Response) (body []byte, err error) {
+// readBody reads the whole body. It doesn't close hr.Body, which holds no resources: Close
+// would read the rest of a body without end.
+func (c *Conn) readBody(hr *http.Response) ([]byte, error) {
 	if hr.ContentLength > c.maxBodyBytes {
 		return nil, ErrTooLarge
 	}
 
-	// One more byte than allowed tells a body at the limit from a larger one.
+	// One more byte than allowed tells a body at the limit from a larger one, and the end of
+	// one with a stated length has to be read too.
 	largest := c.maxBodyBytes + 1
 	if hr.ContentLength >= 0 {
-		largest = hr.ContentLength
+		largest = hr.ContentLength + 1
 	}
 
-	defer func() { c.bodies.release(int64(cap(body))) }()
-
-	for {
-		if len(body) == cap(body) && int64(len(body)) < largest {
-			size := min(max(2*int64(len(body)), initialBodyBytes), largest)
-			if !c.bodies.reserve(size - int64(cap(body))) {
-				return body, ErrTooLarge
-			}
-
-			body = append(make([]byte, 0, size), body...)[:len(body)]
-		}
+	body, reserved, err := c.bodies.ReadAll(hr.Body, largest)
+	c.bodies.Release(reserved)
 
-		n, err := hr.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-
-		switch {
-		case int64(len(body)) > c.maxBodyBytes:
-			return body, ErrTooLarge
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return body, err
-		}
+	switch {
+	case errors.Is(err, memory.ErrExhausted), int64(len(body)) > c.maxBodyBytes:
+		return nil, ErrTooLarge
+	case err != nil:
+		return nil, err
 	}
+
+	return body, nil
 }
 
 func (r *Request) encode() []byte {
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/memory"
 )
 
 // endless are responses that don't end: head is written once, then repeat until the
@@ -84,7 +86,7 @@
 // Guards against a buffer of the stated length, which hundreds of responses that never
 // come would multiply: the reserved memory follows what has arrived.
 func TestBodiesGrowAsTheyArrive(t *testing.T) {
-	budget := &BodyBudget{Max: 8 << 10}
+	budget := &memory.Budget{Max: 8 << 10}
 	next := make(chan string)
 	p := newPeer(t, func(_ int, r *bufio.Reader, c net.Conn) {
 		for body := range next {
@@ -106,11 +108,11 @@
 	resp, err := pool.Do(t.Context(), getExchange())
 	require.NoError(t, err)
 	require.Len(t, resp.Body, 6000)
-	require.Zero(t, budget.used.Load(), "the memory is returned")
+	require.Zero(t, budget.Used(), "the memory is returned")
 
 	_, err = pool.Do(t.Context(), getExchange())
 	require.ErrorIs(t, err, ErrTooLarge, "the process has no memory left for the body")
-	require.Zero(t, budget.used.Load())
+	require.Zero(t, budget.Used())
 }
 
 // Guards against a body that is cut at the limit and taken for a whole one.
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/memory"
 )
 
 // Guards against bytes of a peer that make the client panic, hang or return more than the
@@ -28,7 +30,7 @@
 
 	f.Fuzz(func(t *testing.T, response []byte) {
 		client, server := net.Pipe()
-		c := newConn(client, limit, &BodyBudget{Max: 4 * limit})
+		c := newConn(client, limit, &memory.Budget{Max: 4 * limit})
 
 		go func() {
 			defer func() { _ = server.Close() }()
@@ -40,7 +42,7 @@
 		resp, keep, err := c.Exchange(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
 		c.Close()
 
-		require.Zero(t, c.bodies.used.Load(), "the memory is returned")
+		require.Zero(t, c.bodies.Used(), "the memory is returned")
 
 		if err == nil {
 			require.LessOrEqual(t, len(resp.Body), limit)
--- a/internal/http1/limit.go
+++ b/internal/http1/limit.go
@@ -1,9 +1,6 @@
 package http1
 
-import (
-	"io"
-	"sync/atomic"
-)
+import "io"
 
 // headLimiter is a reader that fails once more than a number of bytes were read. Its
 // user is a bufio.Reader, which may read ahead by its own size.
@@ -37,33 +34,3 @@
 
 	return n, err
 }
-
-// BodyBudget bounds the memory of all response bodies that are being read. It is safe
-// for concurrent use; nil sets no bound.
-type BodyBudget struct {
-	// Max is the bound in bytes; it must be set before first use.
-	Max  int64
-	used atomic.Int64
-}
-
-// reserve takes n bytes and reports whether the bound allows them.
-func (b *BodyBudget) reserve(n int64) bool {
-	if b == nil {
-		return true
-	}
-
-	if b.used.Add(n) > b.Max {
-		b.used.Add(-n)
-
-		return false
-	}
-
-	return true
-}
-
-// release returns n bytes that reserve took.
-func (b *BodyBudget) release(n int64) {
-	if b != nil {
-		b.used.Add(-n)
-	}
-}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"primrosespring.example/internal/memory"
 )
 
 const (
@@ -35,7 +37,7 @@
 type Pool struct {
 	address string
 	dial    DialFunc
-	bodies  *BodyBudget
+	bodies  *memory.Budget
 
 	mu   sync.Mutex // Guards the fields below.
 	idle []*Conn
@@ -312,7 +314,7 @@
 	Dial DialFunc
 	// Bodies bounds the bodies that are being read from all peers; nil sets no bound.
 	// It must be set before first use.
-	Bodies *BodyBudget
+	Bodies *memory.Budget
 
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*Pool
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -28,6 +28,7 @@
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
 	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
@@ -143,7 +144,7 @@
 			return &routing.Table{Random: rand.Uint64, MaxReportAge: maxReportAge, Quota: q}
 		},
 		func(s hosting.Settings) *http1.Group {
-			return &http1.Group{Bodies: &http1.BodyBudget{Max: max(int64(bodyMemoryShare*float64(s.MemoryBytes)), minBodyMemory)}}
+			return &http1.Group{Bodies: &memory.Budget{Max: max(int64(bodyMemoryShare*float64(s.MemoryBytes)), minBodyMemory)}}
 		},
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
