platform, http1: bound the memory of callers' bodies and heads together

Cause: a body had no limit where the configuration sets none, and all bodies together had none; a head had net/http's limit of 1 MiB, and takes up to forty times its text if its lines are short. Each attempt copied the body once more.

Change: bodies and heads take memory from a share of the limit until their request has ended. A body without room is refused as not run before it is read, if its length is stated; a head without room is answered 503 and not parsed. Bodies above 16 KiB are sent to searchers without a copy.

--- a/internal/http1/carried_test.go
+++ b/internal/http1/carried_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -81,7 +82,7 @@
 		var s requestSet
 
 		for n := range maxCarried {
-			require.True(t, s.add(fmt.Sprint(n), time.Now().Add(time.Minute+time.Duration(n)*time.Millisecond), time.Now()))
+			require.True(t, s.add(strconv.Itoa(n), time.Now().Add(time.Minute+time.Duration(n)*time.Millisecond), time.Now()))
 		}
 
 		require.True(t, s.has("0"))
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,9 @@
 	// defaultMaxBodyBytes bounds the body of a response where Limit.MaxBodyBytes
 	// doesn't; the store pages its lists at about 1 MB.
 	defaultMaxBodyBytes = 8 << 20
+	// maxCopiedBody is the largest body of a request that is copied, to be sent in one
+	// packet with its head.
+	maxCopiedBody = 16 << 10
 	// The kernel closes a connection whose peer acknowledges nothing for
 	// ackTimeout, and sends keep-alive probes every keepAliveInterval while it is
 	// idle. The timeout is below the 3 s within which a change or a searcher's
@@ -199,7 +203,7 @@
 }
 
 func (c *Conn) exchange(r *Request) (*Response, bool, error) {
-	if n, err := c.conn.Write(r.encode()); err != nil {
+	if n, err := r.write(c.conn); err != nil {
 		return nil, false, &SendError{Sent: n > 0, Err: err}
 	}
 
@@ -272,8 +276,20 @@
 	return body, nil
 }
 
-func (r *Request) encode() []byte {
-	b := make([]byte, 0, 256+len(r.Body))
+// write sends the request and returns how many bytes it has sent.
+func (r *Request) write(w io.Writer) (int64, error) {
+	if len(r.Body) > maxCopiedBody {
+		return (&net.Buffers{r.encodeHead(0), r.Body}).WriteTo(w)
+	}
+
+	n, err := w.Write(append(r.encodeHead(len(r.Body)), r.Body...))
+
+	return int64(n), err
+}
+
+// encodeHead returns the request line and the headers, with room for so many bytes more.
+func (r *Request) encodeHead(room int) []byte {
+	b := make([]byte, 0, 256+room)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -296,9 +312,7 @@
 		b = append(b, "\r\n"...)
 	}
 
-	b = append(b, "\r\n"...)
-
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // keepAliveTimeout returns the timeout that a Keep-Alive header states, or zero.
--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"primrosespring.example/internal/memory"
 )
 
 // IdleTimer closes server connections on which no request arrives in time. The
@@ -19,6 +21,9 @@
 	// included; zero means no timeout. It is called each time a connection begins to
 	// wait, under the timer's lock.
 	Timeout func() time.Duration
+	// Heads bounds the heads of the requests that are being read or served; nil sets no
+	// bound. One for which no memory is left is refused with status 503.
+	Heads *memory.Budget
 
 	mu    sync.Mutex // Guards the fields below; locked before those of the connections.
 	conns map[net.Conn]*idleConn
@@ -41,7 +46,7 @@
 func (c *idleConn) waiting() bool { return c.state == http.StateNew || c.state == http.StateIdle }
 
 // Listen returns a listener whose connections the timer closes without losing a request.
-func (t *IdleTimer) Listen(l net.Listener) net.Listener { return keptListener{l} }
+func (t *IdleTimer) Listen(l net.Listener) net.Listener { return keptListener{l, t.Heads} }
 
 // CloseIdle closes the connections that wait for another request, now and as soon as they do.
 func (t *IdleTimer) CloseIdle() {
@@ -83,11 +88,17 @@
 		delete(t.conns, c)
 	}
 
+	k, kept := c.(*keptConn)
+
 	if !ic.waiting() {
+		if kept {
+			k.headRead()
+		}
+
 		return
 	}
 
-	if k, ok := c.(*keptConn); ok {
+	if kept {
 		k.await()
 	}
 
@@ -137,7 +148,11 @@
 }
 
 // keptListener makes keptConns.
-type keptListener struct{ net.Listener }
+type keptListener struct {
+	net.Listener
+
+	heads *memory.Budget
+}
 
 // Accept implements net.Listener.
 func (l keptListener) Accept() (net.Conn, error) {
@@ -146,7 +161,7 @@
 		return nil, err
 	}
 
-	return &keptConn{Conn: c}, nil
+	return &keptConn{Conn: c, heads: l.heads}, nil
 }
 
 // keptConn is a server's connection that is either closed while it waits for a request or
@@ -154,10 +169,15 @@
 type keptConn struct {
 	net.Conn
 
+	heads *memory.Budget
+
 	mu sync.Mutex // Guards the fields below.
-	// read says that something has been read since await; closed that closeUnread has closed
-	// the connection.
+	// read says that something has been read since await; closed that the connection is
+	// closed.
 	read, closed bool
+	// inHead says that a head is being read, and held what the last one holds of heads.
+	inHead bool
+	held   int64
 }
 
 // Read implements net.Conn.
@@ -165,23 +185,49 @@
 	n, err := c.Conn.Read(p)
 
 	c.mu.Lock()
-	defer c.mu.Unlock()
 
 	if c.closed {
+		c.mu.Unlock()
+
 		return 0, net.ErrClosed
 	}
 
 	c.read = c.read || n > 0
+	refused := c.inHead && !c.reserveHead(p[:n])
+	c.mu.Unlock()
+
+	if refused {
+		return 0, c.refuse()
+	}
 
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *keptConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.releaseHead()
+	c.mu.Unlock()
+
+	return c.Conn.Close()
+}
+
 // await records that the next request hasn't begun.
 func (c *keptConn) await() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.read = false
+	c.read, c.inHead = false, true
+	c.releaseHead()
+}
+
+// headRead records that a whole head has been read.
+func (c *keptConn) headRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.inHead = false
 }
 
 func (c *keptConn) closeUnread() bool {
@@ -193,7 +239,8 @@
 	}
 
 	c.closed = true
-	_ = c.Close()
+	c.releaseHead()
+	_ = c.Conn.Close()
 
 	return true
 }
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -28,7 +28,6 @@
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
 	"primrosespring.example/internal/logline"
-	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
@@ -47,10 +46,6 @@
 	// memoryShare is the share of the memory limit that is set as the runtime's soft
 	// limit.
 	memoryShare = 0.7
-	// bodyMemoryShare is the share of the memory limit for searchers' answers that are
-	// being read; minBodyMemory applies where the limit is lower or unknown.
-	bodyMemoryShare = 0.2
-	minBodyMemory   = 16 << 20
 	// maxPartBytes bounds the answer of one shard, to 65,536 records: a query reads the
 	// answers of hundreds of shards.
 	maxPartBytes = 1 << 20
@@ -68,6 +63,9 @@
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the configured limit: the server's own can't change while it
+	// runs.
+	maxHeaderBytes = 256 << 10
 	// serverTimeout is the HTTP server's own timeout for callers, which can't change
 	// while it runs. The configured timeouts are lower; http1.IdleTimer enforces them.
 	serverTimeout = time.Hour
@@ -121,6 +119,7 @@
 	Table          *routing.Table
 	Quota          *quota.Table
 	Signs          *serving.SignKeeper
+	Budgets        *budgets
 	Group          *http1.Group
 	Engine         *serving.Engine
 	Store          *platform.Store
@@ -143,9 +142,8 @@
 		func(q *quota.Table) *routing.Table {
 			return &routing.Table{Random: rand.Uint64, MaxReportAge: maxReportAge, Quota: q}
 		},
-		func(s hosting.Settings) *http1.Group {
-			return &http1.Group{Bodies: &memory.Budget{Max: max(int64(bodyMemoryShare*float64(s.MemoryBytes)), minBodyMemory)}}
-		},
+		newBudgets,
+		func(b *budgets) *http1.Group { return &http1.Group{Bodies: b.answers} },
 		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
 			return platform.NewStore(log, s.StoreAddress)
 		},
@@ -332,20 +330,20 @@
 	ingress := chi.NewRouter()
 	ingress.Use(i.closeWhenStopping)
 	ingress.Handle("/*", &platform.Ingress{
-		Server: i.parts.Engine, Limits: i.limits, Ended: requests,
+		Server: i.parts.Engine, Limits: i.limits, Bodies: i.parts.Budgets.bodies, Log: i.log, Ended: requests,
 	})
 
 	metricsHandler := chi.NewRouter()
 	metricsHandler.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 
-	i.idle = &http1.IdleTimer{Timeout: func() time.Duration {
+	i.idle = &http1.IdleTimer{Heads: i.parts.Budgets.heads, Timeout: func() time.Duration {
 		l := i.limits()
 
 		return l.IdleTimeout + l.HeaderTimeout
 	}}
 	callers = &http.Server{
 		Addr: i.settings.CallerAddress, Handler: ingress, ConnState: i.idle.ConnState,
-		ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout,
+		ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 
 	if err := i.listen(callers, i.idle.Listen); err != nil {
@@ -371,14 +369,14 @@
 }
 
 // limits returns the limits on callers in force, with defaults where the configuration
-// sets none or isn't loaded yet. The size of bodies has no default.
+// sets none or isn't loaded yet. platform.Ingress has a default for the size of bodies.
 func (i *Instance) limits() domain.CallerLimits {
 	var l domain.CallerLimits
 	if v := i.parts.Directory.View(); v != nil {
 		l = v.Table.Limits
 	}
 
-	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.HeaderBytes = min(cmp.Or(l.HeaderBytes, defaultHeaderBytes), maxHeaderBytes)
 	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
 	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
 
