platform, jsonlist: bound the lists and watches of the store

Cause: the pages of a list were read until one said that it was the last; answers had a bound of 8 MiB each and none together; and an answer of 3 MiB with a million short values took a hundred times that while it was decoded.

Bodies without end were cut off already.

Change: all answers and lists that are being read share a part of the memory limit, a list holds its part until it is whole, and a list has 65,536 values at most.

--- a/internal/jsonlist/jsonlist.go
+++ b/internal/jsonlist/jsonlist.go
@@ -12,6 +12,10 @@
 	"github.com/tidwall/gjson"
 )
 
+// maxValues bounds the values of a list, whose number says more of the memory that they take
+// than the size of the document.
+const maxValues = 1 << 16
+
 // Document is a JSON object with a list. Its values are checked when they are decoded, not
 // before.
 type Document struct{ body []byte }
@@ -29,8 +33,8 @@
 // Has reports whether the document has a field.
 func (d Document) Has(field string) bool { return gjson.GetBytes(d.body, field).Exists() }
 
-// List returns the unchecked values of the list in a field, which must be there; null is an
-// empty list.
+// List returns the unchecked values of the list in a field, which must be there and have
+// maxValues at most; null is an empty list.
 func (d Document) List(field string) ([]json.RawMessage, error) {
 	list := gjson.GetBytes(d.body, field)
 	if list.Exists() && list.Type == gjson.Null {
@@ -46,9 +50,13 @@
 	list.ForEach(func(_, v gjson.Result) bool {
 		out = append(out, json.RawMessage(v.Raw))
 
-		return true
+		return len(out) <= maxValues
 	})
 
+	if len(out) > maxValues {
+		return nil, errors.Errorf("field %s has more than %d values", field, maxValues)
+	}
+
 	return out, nil
 }
 
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -144,8 +144,8 @@
 		},
 		newBudgets,
 		func(b *budgets) *http1.Group { return &http1.Group{Bodies: b.answers} },
-		func(log zerolog.Logger, s hosting.Settings) *platform.Store {
-			return platform.NewStore(log, s.StoreAddress)
+		func(log zerolog.Logger, s hosting.Settings, b *budgets) *platform.Store {
+			return platform.NewStore(log, s.StoreAddress, b.lists)
 		},
 		func() restartHints { return make(restartHints, 1) },
 		func(s hosting.Settings) *quota.Table {
