mux, peer, frame, rpc: bound what other instances and callers of run send

Cause: a frame had a limit of 32 MiB and all together had none; a session could have any number of streams, for each of which yamux buffers up to 256 KiB (1 MiB in run); streams that a server opens to its clients were buffered and never read. Copies and told changes were decoded whole, 32 MiB after decompression. In run, bodies of callers had a limit each and none together, and heads had 1 MiB.

Change: frames that are being read share a part of the memory limit (256 MiB in run). A session serves 128 streams (1,024 in run) and lets 64 (256) wait, and a client closes a session whose server opens a stream. Lists in copies and changes have 65,536 values at most, changes 8 MiB. Bodies of callers of run share 256 MiB, and their heads have 64 KiB.

Conclusion: sessions have no common bound: an instance that opens ever more connections is held only by the descriptors.

--- a/internal/jsonlist/jsonlist.go
+++ b/internal/jsonlist/jsonlist.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"math"
 
 	"github.com/juju/errors"
@@ -76,6 +77,39 @@
 // Raw returns the unchecked value in a field; nil if it is missing.
 func (d Document) Raw(field string) []byte { return []byte(gjson.GetBytes(d.body, field).Raw) }
 
+// Decode decodes a list of values of one kind, maxValues at most.
+func Decode[T any](r io.Reader) ([]T, error) {
+	d := json.NewDecoder(r)
+
+	switch start, err := d.Token(); {
+	case err != nil:
+		return nil, err
+	case start == nil:
+		return nil, nil
+	case start != json.Delim('['):
+		return nil, errors.New("the document isn't a list")
+	}
+
+	var out []T
+
+	for d.More() {
+		if len(out) == maxValues {
+			return nil, errors.Errorf("the list has more than %d values", maxValues)
+		}
+
+		var v T
+		if err := d.Decode(&v); err != nil {
+			return nil, err
+		}
+
+		out = append(out, v)
+	}
+
+	_, err := d.Token()
+
+	return out, err
+}
+
 // Text returns the text at a path in a value that can't be decoded; empty if there is none.
 func Text(value []byte, path string) string {
 	if v := gjson.GetBytes(value, path); v.Type == gjson.String {
--- a/primrosed/internal/frame/frame.go
+++ b/primrosed/internal/frame/frame.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/memory"
 )
 
 const (
@@ -66,9 +67,10 @@
 	return err
 }
 
-// Read reads one frame of a peer. An *Error means that the peer sent an invalid
-// frame or one of more than limit bytes; other errors come from the connection.
-func Read(r io.Reader, peer string, limit int) (*pb.PeerFrame, error) {
+// Read reads one frame of a peer. The bytes take memory from frames until they are decoded. An
+// *Error means that the peer sent an invalid frame or one of more than limit bytes, or that no
+// memory is left for it; other errors come from the connection.
+func Read(r io.Reader, peer string, limit int, frames *memory.Budget) (*pb.PeerFrame, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -79,9 +81,16 @@
 		return nil, &Error{Peer: peer, Reason: fmt.Sprintf("frame has %d bytes; at most %d are allowed", size, limit)}
 	}
 
-	b, err := readExactly(r, int(size))
-	if err != nil {
-		return nil, err
+	b, reserved, err := frames.ReadAll(r, int64(size))
+	defer frames.Release(reserved)
+
+	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return nil, &Error{Peer: peer, Reason: fmt.Sprintf("frame has %d bytes", size), Cause: err}
+	case err != nil:
+		return nil, errors.Annotate(err, "read body")
+	case len(b) < int(size):
+		return nil, errors.Annotate(io.ErrUnexpectedEOF, "read body")
 	}
 
 	f := &pb.PeerFrame{}
@@ -95,22 +104,3 @@
 
 	return f, nil
 }
-
-// readExactly reads size bytes. It allocates memory as data arrives, so that a
-// header alone can't make it allocate the whole size.
-func readExactly(r io.Reader, size int) ([]byte, error) {
-	const chunk = 256 << 10
-
-	b := make([]byte, 0, min(size, chunk))
-
-	for len(b) < size {
-		n := min(chunk, size-len(b))
-		b = append(b, make([]byte, n)...)
-
-		if _, err := io.ReadFull(r, b[len(b)-n:]); err != nil {
-			return nil, errors.Annotate(err, "read body")
-		}
-	}
-
-	return b, nil
-}
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -14,6 +14,7 @@
 	"primrosespring.example/internal/gathering"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/refusal"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/primrosed/internal/frame"
@@ -23,9 +24,10 @@
 // Client hands queries over to other instances. It implements
 // serving.GathererClient and is safe for concurrent use.
 type Client struct {
-	log  zerolog.Logger
-	self string
-	dial http1.DialFunc
+	log    zerolog.Logger
+	self   string
+	dial   http1.DialFunc
+	frames *memory.Budget
 
 	work sync.WaitGroup // Dials and pings; waited for by Close.
 
@@ -50,9 +52,9 @@
 }
 
 // NewClient returns a client of the instance self, which hands nothing over until
-// SetPlan is called.
-func NewClient(log zerolog.Logger, self string, dial http1.DialFunc) *Client {
-	return &Client{log: log, self: self, dial: dial, peers: make(map[string]*peer), retired: make(map[*peer]bool)}
+// SetPlan is called. frames bounds the answers that are being read; nil sets no bound.
+func NewClient(log zerolog.Logger, self string, dial http1.DialFunc, frames *memory.Budget) *Client {
+	return &Client{log: log, self: self, dial: dial, frames: frames, peers: make(map[string]*peer), retired: make(map[*peer]bool)}
 }
 
 // SetPlan sets the instances that queries are handed over to and connects to the
@@ -358,7 +360,7 @@
 		return nil, true, c.noAnswer(ctx, p, s, "start query", err)
 	}
 
-	f, err := frame.Read(stream, p.instance.ID, frame.MaxRelayBytes)
+	f, err := frame.Read(stream, p.instance.ID, frame.MaxRelayBytes, c.frames)
 	if err != nil {
 		return nil, true, c.noAnswer(ctx, p, s, "await answer", err)
 	}
@@ -376,7 +378,7 @@
 	if err == nil {
 		var f *pb.PeerFrame
 
-		f, err = frame.Read(stream, p.instance.ID, frame.MaxRelayBytes)
+		f, err = frame.Read(stream, p.instance.ID, frame.MaxRelayBytes, c.frames)
 		if err == nil && f.GetHandoverAccept() == nil {
 			return c.handleRefusal(p, f.GetHandoverAnswer())
 		}
--- a/primrosed/internal/gatherer/gatherer.go
+++ b/primrosed/internal/gatherer/gatherer.go
@@ -31,6 +31,8 @@
 	acceptTimeout = 30 * time.Millisecond
 	// startTimeout is how long a gatherer waits for the start after it accepted.
 	startTimeout = 500 * time.Millisecond
+	// maxStartBytes bounds the frame of a start, which has no content.
+	maxStartBytes = 1 << 10
 	// A session with queries in progress is pinged every pingInterval; one that
 	// doesn't answer within mux.WriteTimeout is closed.
 	pingInterval = 150 * time.Millisecond
--- a/primrosed/internal/gatherer/gatherer_test.go
+++ b/primrosed/internal/gatherer/gatherer_test.go
@@ -106,7 +106,7 @@
 
 	p := &pair{engine: &fakeEngine{serve: answerOK}}
 	p.server = NewServer(zerolog.New(io.Discard), "g", p.engine, limit)
-	p.sessions = mux.NewServer(zerolog.New(io.Discard), func(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
+	p.sessions = mux.NewServer(zerolog.New(io.Discard), nil, func(ctx context.Context, peer string, first *pb.PeerFrame, stream *yamux.Stream) {
 		p.server.Handle(ctx, peer, first.GetHandoverOffer(), stream)
 	})
 	p.client = NewClient(zerolog.New(io.Discard), "e", func(ctx context.Context, _ string) (net.Conn, error) {
@@ -114,7 +114,7 @@
 		p.sessions.ServeConn(context.WithoutCancel(ctx), lossyConn{remote, &p.dropWrites})
 
 		return local, nil
-	})
+	}, nil)
 	p.client.SetPlan(gathering.Plan{
 		HandsOver: true, Near: []gathering.Instance{{ID: "g", Address: "x"}}, Gatherers: 1, Instances: 2,
 	})
--- a/primrosed/internal/gatherer/server.go
+++ b/primrosed/internal/gatherer/server.go
@@ -145,7 +145,7 @@
 
 	_ = stream.SetReadDeadline(time.Now().Add(startTimeout)) // A closed stream fails below.
 
-	f, err := frame.Read(stream, from, frame.MaxRelayBytes)
+	f, err := frame.Read(stream, from, maxStartBytes, nil)
 	if err != nil || f.GetHandoverStart() == nil {
 		return false
 	}
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -195,8 +195,8 @@
 	})
 }
 
-func newGathererClient(log zerolog.Logger, s hosting.Settings) *gatherer.Client {
-	return gatherer.NewClient(log, s.Instance.ID, http1.DialTCP)
+func newGathererClient(log zerolog.Logger, s hosting.Settings, b *budgets) *gatherer.Client {
+	return gatherer.NewClient(log, s.Instance.ID, http1.DialTCP, b.frames)
 }
 
 func newGathererServer(log zerolog.Logger, s hosting.Settings, e *serving.Engine) *gatherer.Server {
@@ -249,7 +249,7 @@
 		return errors.Annotatef(err, "listen on %s", i.settings.Instance.PeerAddress)
 	}
 
-	sessions := mux.NewServer(i.log, i.servePeer)
+	sessions := mux.NewServer(i.log, i.parts.Budgets.frames, i.servePeer)
 	metrics.NewGauge("primrose_peer_sessions", func() float64 { return float64(sessions.Sessions()) })
 	i.registerCollectionMetrics()
 
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -23,14 +23,15 @@
 )
 
 // newReplicaClient returns a client that knows the instances that the settings name.
-func newReplicaClient(log zerolog.Logger, s hosting.Settings) *replica.Client {
-	return replica.NewClient(log, s.Instance.PeerAddress, http1.DialTCP, s.Peers)
+func newReplicaClient(log zerolog.Logger, s hosting.Settings, b *budgets) *replica.Client {
+	return replica.NewClient(log, s.Instance.PeerAddress, http1.DialTCP, b.frames, s.Peers)
 }
 
 // newPositions returns the exchange of positions in the collections that are followed.
-func newPositions(log zerolog.Logger, s hosting.Settings, f *followers, q *quota.Table, k *serving.SignKeeper) *replica.Positions {
+func newPositions(log zerolog.Logger, s hosting.Settings, f *followers, q *quota.Table, k *serving.SignKeeper, b *budgets,
+) *replica.Positions {
 	return &replica.Positions{
-		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP, Quota: q, OnLimits: k.LimitsLearned,
+		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP, Frames: b.frames, Quota: q, OnLimits: k.LimitsLearned,
 		Interval: follower.AskInterval(min(f.configuration.Bound, f.registrations.Bound)),
 		Followed: map[string]replica.Followed{
 			replica.Configuration: &replica.Collection[*domain.RouteTable]{Follower: &f.configuration},
--- a/primrosed/internal/mux/mux.go
+++ b/primrosed/internal/mux/mux.go
@@ -19,6 +19,7 @@
 	"primrosespring.example/internal/contain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/primrosed/internal/frame"
 )
 
@@ -30,8 +31,12 @@
 	StreamCloseTimeout = 5 * time.Second
 	// firstFrameTimeout bounds the arrival of the first frame on a new stream.
 	firstFrameTimeout = 2 * time.Second
-	// maxBacklog bounds the streams that wait to be accepted.
-	maxBacklog = 1024
+	// maxStreams bounds the streams of a session that are served at a time, and maxBacklog
+	// those that wait to be accepted; more are reset. yamux buffers 256 KiB for each.
+	maxStreams = 128
+	maxBacklog = 64
+	// maxOpening bounds the streams that this instance opens and that aren't accepted yet.
+	maxOpening = 1024
 )
 
 // Handler serves one stream, whose first frame has been read; peer is the remote
@@ -43,6 +48,7 @@
 type Server struct {
 	log    zerolog.Logger
 	handle Handler
+	frames *memory.Budget
 
 	sessions sync.WaitGroup
 
@@ -51,9 +57,10 @@
 	closed bool
 }
 
-// NewServer returns a server that passes each stream to handle.
-func NewServer(log zerolog.Logger, handle Handler) *Server {
-	return &Server{log: log, handle: handle, open: make(map[*yamux.Session]bool)}
+// NewServer returns a server that passes each stream to handle. frames bounds the first frames
+// that are being read; nil sets no bound.
+func NewServer(log zerolog.Logger, frames *memory.Budget, handle Handler) *Server {
+	return &Server{log: log, handle: handle, frames: frames, open: make(map[*yamux.Session]bool)}
 }
 
 // Serve serves the connections of a listener until it is closed.
@@ -97,7 +104,7 @@
 }
 
 func (s *Server) serveSession(ctx context.Context, nc net.Conn) {
-	session, err := yamux.Server(nc, config())
+	session, err := yamux.Server(nc, config(maxBacklog))
 	if err != nil {
 		_ = nc.Close()
 
@@ -124,13 +131,21 @@
 	var streams sync.WaitGroup
 	defer streams.Wait()
 
+	slots := make(chan struct{}, maxStreams)
+
 	for {
+		slots <- struct{}{}
+
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
 
-		streams.Go(func() { s.serveStream(ctx, nc.RemoteAddr().String(), stream) })
+		streams.Go(func() {
+			defer func() { <-slots }()
+
+			s.serveStream(ctx, nc.RemoteAddr().String(), stream)
+		})
 	}
 }
 
@@ -141,7 +156,7 @@
 
 	// A panic ends this stream, which the sender sees; it is logged there.
 	_ = contain.Call(s.log, "serve stream", peer, func() error {
-		f, err := frame.Read(stream, peer, frame.MaxRelayBytes)
+		f, err := frame.Read(stream, peer, frame.MaxRelayBytes, s.frames)
 		if err != nil {
 			s.log.Warn().Str("event", "peer_frame_unreadable").Str("peer", peer).Err(err).Send()
 
@@ -161,15 +176,27 @@
 		return nil, err
 	}
 
-	s, err := yamux.Client(nc, config())
+	s, err := yamux.Client(nc, config(maxOpening))
 	if err != nil {
 		return nil, errors.Join(err, nc.Close())
 	}
 
+	go refuseStreams(s)
+
 	return s, nil
 }
 
-func config() *yamux.Config {
+// refuseStreams closes a session whose server opens a stream, which no server does; nobody
+// would read what is sent on it. It returns when the session is closed.
+func refuseStreams(s *yamux.Session) {
+	if _, err := s.AcceptStream(); err == nil {
+		_ = s.Close()
+	}
+}
+
+// config returns the configuration of a session in which so many streams may wait to be
+// accepted.
+func config(backlog int) *yamux.Config {
 	c := yamux.DefaultConfig()
 	// Users of a session ping it while they wait for an answer. If the peer of an
 	// idle session stops responding, the next exchange detects it.
@@ -177,7 +204,7 @@
 	c.ConnectionWriteTimeout = WriteTimeout
 	c.StreamOpenTimeout = 0 // A stream that isn't accepted must not end its session.
 	c.StreamCloseTimeout = StreamCloseTimeout
-	c.AcceptBacklog = maxBacklog
+	c.AcceptBacklog = backlog
 	c.LogOutput = io.Discard
 
 	return c
--- a/primrosed/internal/mux/mux_test.go
+++ b/primrosed/internal/mux/mux_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
@@ -12,6 +15,7 @@
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/primrosed/internal/frame"
 )
 
@@ -21,7 +25,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	s := NewServer(zerolog.New(io.Discard), func(_ context.Context, _ string, first *pb.PeerFrame, stream *yamux.Stream) {
+	s := NewServer(zerolog.New(io.Discard), nil, func(_ context.Context, _ string, first *pb.PeerFrame, stream *yamux.Stream) {
 		if first.GetCopyRequest().GetCollection() == "malformed" {
 			panic("malformed message")
 		}
@@ -46,7 +50,7 @@
 			CopyRequest: &pb.CopyRequest{Collection: c.collection},
 		}}, frame.MaxRelayBytes))
 
-		_, err = frame.Read(stream, "server", frame.MaxRelayBytes)
+		_, err = frame.Read(stream, "server", frame.MaxRelayBytes, nil)
 		require.Equal(t, c.answered, err == nil, "%s: %v", c.collection, err)
 		require.NoError(t, stream.Close())
 	}
@@ -56,3 +60,84 @@
 	require.ErrorIs(t, <-served, net.ErrClosed)
 	s.Close()
 }
+
+// Guards against an instance that decides how much memory another one takes: streams without
+// end, frames that are stated to be large and sent slowly, and streams that a server opens to
+// its clients.
+func TestPeersAreBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	frames := &memory.Budget{Max: 1 << 20}
+	serving, leave := make(chan struct{}, 10*maxStreams), make(chan struct{})
+	s := NewServer(zerolog.New(io.Discard), frames, func(context.Context, string, *pb.PeerFrame, *yamux.Stream) {
+		serving <- struct{}{}
+		<-leave
+	})
+
+	served := make(chan error, 1)
+
+	go func() { served <- s.Serve(t.Context(), l) }()
+
+	session, err := Dial(t.Context(), http1.DialTCP, l.Addr().String())
+	require.NoError(t, err)
+
+	large := binary.BigEndian.AppendUint32(nil, frame.MaxRelayBytes)
+
+	var unread []*yamux.Stream
+
+	for range 32 {
+		stream, err := session.OpenStream()
+		require.NoError(t, err)
+
+		_, err = stream.Write(append(large, make([]byte, 100<<10)...))
+		require.NoError(t, err)
+
+		unread = append(unread, stream)
+	}
+
+	// The frames that find no memory end their streams; the others wait for their rest.
+	ended := 0
+
+	for _, stream := range unread {
+		require.NoError(t, stream.SetReadDeadline(time.Now().Add(firstFrameTimeout/4)))
+
+		if _, err := stream.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			ended++
+		}
+
+		require.LessOrEqual(t, frames.Used(), frames.Max)
+	}
+
+	require.Positive(t, ended)
+
+	for _, stream := range unread {
+		require.NoError(t, stream.Close())
+	}
+
+	for range maxStreams + 2*maxBacklog {
+		stream, err := session.OpenStream()
+		require.NoError(t, err)
+		require.NoError(t, frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_CopyRequest{CopyRequest: &pb.CopyRequest{}}}, frame.MaxRelayBytes))
+	}
+
+	for range maxStreams {
+		<-serving
+	}
+
+	require.Never(t, func() bool { return len(serving) > 0 }, 50*time.Millisecond, time.Millisecond)
+	close(leave)
+
+	s.mu.Lock()
+	for opened := range s.open {
+		_, err := opened.OpenStream()
+		require.NoError(t, err)
+	}
+	s.mu.Unlock()
+
+	require.Eventually(t, session.IsClosed, time.Minute, time.Millisecond, "the session is closed")
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-served, net.ErrClosed)
+	s.Close()
+	require.Zero(t, frames.Used())
+}
--- a/primrosed/internal/peer/control.go
+++ b/primrosed/internal/peer/control.go
@@ -114,7 +114,7 @@
 	m.sendLeaving([]*session{s})
 
 	for {
-		f, err := frame.Read(s.stream, s.id(), frame.MaxControlBytes)
+		f, err := frame.Read(s.stream, s.id(), frame.MaxControlBytes, m.options.Frames)
 		if err == nil {
 			countFrame(f, "received")
 			err = m.handleFrame(ctx, s, f)
--- a/primrosed/internal/peer/mesh.go
+++ b/primrosed/internal/peer/mesh.go
@@ -20,6 +20,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/platform"
@@ -77,6 +78,8 @@
 	Seeds []string
 	// Lister may be nil.
 	Lister Lister
+	// Frames bounds the frames that are being read; nil sets no bound.
+	Frames *memory.Budget
 	// SetLeaving receives the searchers that the platform lists as leaving; it
 	// may be nil.
 	SetLeaving func(searchers []string)
--- a/primrosed/internal/peer/relay_test.go
+++ b/primrosed/internal/peer/relay_test.go
@@ -105,7 +105,7 @@
 				return
 			}
 
-			f, err := frame.Read(stream, "entry-0", frame.MaxRelayBytes)
+			f, err := frame.Read(stream, "entry-0", frame.MaxRelayBytes, nil)
 			if err != nil {
 				return
 			}
--- a/primrosed/internal/peer/session.go
+++ b/primrosed/internal/peer/session.go
@@ -23,8 +23,12 @@
 	writeTimeout = 2 * time.Second
 	// closeTimeout is how long a half-closed stream waits for the peer's close.
 	closeTimeout      = 10 * time.Second
-	streamWindowBytes = 1 << 20
-	maxPendingStreams = 4096
+	streamWindowBytes = 256 << 10
+	// maxPendingStreams bounds the streams of a session that wait to be accepted, and
+	// maxServedStreams those that are served at a time; more are reset. yamux buffers
+	// streamWindowBytes for each.
+	maxPendingStreams = 256
+	maxServedStreams  = 1024
 	// maxQueuedFrames bounds the frames queued for a slow peer; beyond it the session is
 	// closed, and a new one starts with an exchange of state.
 	maxQueuedFrames = 1024
@@ -110,7 +114,7 @@
 		return nil, err
 	}
 
-	return readHello(conn, mux, stream, true)
+	return m.readHello(conn, mux, stream, true)
 }
 
 // accept exchanges hellos on an accepted connection.
@@ -130,7 +134,7 @@
 		return nil, errors.Join(err, mux.Close())
 	}
 
-	s, err := readHello(conn, mux, stream, false)
+	s, err := m.readHello(conn, mux, stream, false)
 	if err != nil {
 		return nil, errors.Join(err, mux.Close())
 	}
@@ -144,10 +148,10 @@
 	return s, nil
 }
 
-func readHello(conn *countedConn, mux *yamux.Session, stream *yamux.Stream, dialled bool) (*session, error) {
+func (m *Mesh) readHello(conn *countedConn, mux *yamux.Session, stream *yamux.Stream, dialled bool) (*session, error) {
 	address := conn.RemoteAddr().String()
 
-	f, err := frame.Read(stream, address, frame.MaxControlBytes)
+	f, err := frame.Read(stream, address, frame.MaxControlBytes, m.options.Frames)
 	if err != nil {
 		return nil, err
 	}
--- a/primrosed/internal/peer/stream.go
+++ b/primrosed/internal/peer/stream.go
@@ -53,7 +53,7 @@
 		return nil, !errors.As(err, &fe), err
 	}
 
-	answer, err = frame.Read(stream, s.id(), limit)
+	answer, err = frame.Read(stream, s.id(), limit, m.options.Frames)
 	if err != nil {
 		m.logFrameError(err)
 
@@ -77,13 +77,27 @@
 func (m *Mesh) acceptStreams(ctx context.Context, s *session) {
 	defer s.close()
 
+	slots := make(chan struct{}, maxServedStreams)
+
 	for {
+		select {
+		case slots <- struct{}{}:
+		case <-s.closed:
+			return
+		}
+
 		stream, err := s.mux.AcceptStream()
 		if err != nil {
 			return
 		}
 
-		if !m.goRun(func() { m.serveStream(ctx, s, stream) }) {
+		serve := func() {
+			defer func() { <-slots }()
+
+			m.serveStream(ctx, s, stream)
+		}
+
+		if !m.goRun(serve) {
 			return
 		}
 	}
@@ -95,7 +109,7 @@
 	s.lastUsed.Store(time.Now().UnixNano())
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 
-	f, err := frame.Read(stream, s.id(), frame.MaxRelayBytes)
+	f, err := frame.Read(stream, s.id(), frame.MaxRelayBytes, m.options.Frames)
 	if err != nil {
 		var fe *frame.Error
 		if errors.As(err, &fe) {
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -1,8 +1,8 @@
 package replica
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,15 +12,18 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/jsonlist"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/mux"
 )
 
 // Client fetches copies from other instances. It is safe for concurrent use.
 type Client struct {
-	log  zerolog.Logger
-	self string
-	dial http1.DialFunc
+	log    zerolog.Logger
+	self   string
+	dial   http1.DialFunc
+	frames *memory.Budget
 
 	mu sync.Mutex // Guards the fields below.
 	// Peer addresses: seeds are from the settings, listed from the list of instances,
@@ -28,9 +31,10 @@
 	seeds, listed, requesters []string
 }
 
-// NewClient returns a client of the instance with the peer address self.
-func NewClient(log zerolog.Logger, self string, dial http1.DialFunc, seeds []string) *Client {
-	return &Client{log: log, self: self, dial: dial, seeds: seeds}
+// NewClient returns a client of the instance with the peer address self. frames bounds the
+// copies that are being read; nil sets no bound.
+func NewClient(log zerolog.Logger, self string, dial http1.DialFunc, frames *memory.Budget, seeds []string) *Client {
+	return &Client{log: log, self: self, dial: dial, frames: frames, seeds: seeds}
 }
 
 // SetSeeds replaces the peer addresses that the settings name.
@@ -141,7 +145,7 @@
 		return nil, err
 	}
 
-	f, err := frame.Read(stream, address, frame.MaxRelayBytes)
+	f, err := frame.Read(stream, address, frame.MaxRelayBytes, c.frames)
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +171,8 @@
 		return nil, 0
 	}
 
-	if err := json.Unmarshal(a.GetItems(), &items); err != nil {
+	items, err := jsonlist.Decode[T](bytes.NewReader(a.GetItems()))
+	if err != nil {
 		p.Client.log.Error().Str("event", "copy_refused").Str("collection", p.Collection).
 			Uint64("revision", a.GetRevision()).Err(err).Send()
 
--- a/primrosed/internal/replica/delta.go
+++ b/primrosed/internal/replica/delta.go
@@ -12,9 +12,12 @@
 
 	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
-	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/internal/jsonlist"
 )
 
+// maxChangesBytes bounds decompressed changes, which hold one value of each object at most.
+const maxChangesBytes = 8 << 20
+
 // wireChange is the wire form of a change.
 type wireChange[T any] struct {
 	Name     string `json:"name"`
@@ -113,8 +116,8 @@
 		return nil, errors.Annotate(err, "decode changes")
 	}
 
-	var list []wireChange[T]
-	if err := json.NewDecoder(io.LimitReader(r, frame.MaxRelayBytes)).Decode(&list); err != nil {
+	list, err := jsonlist.Decode[wireChange[T]](io.LimitReader(r, maxChangesBytes))
+	if err != nil {
 		return nil, errors.Annotate(err, "decode changes")
 	}
 
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -18,6 +18,7 @@
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/primrosed/internal/allocator"
 	"primrosespring.example/primrosed/internal/frame"
@@ -67,6 +68,8 @@
 	// Self is this instance's id.
 	Self string
 	Dial http1.DialFunc
+	// Frames bounds the answers that are being read; nil sets no bound.
+	Frames *memory.Budget
 	// Interval is the time between two questions.
 	Interval time.Duration
 	// Followed holds the collections by name.
@@ -343,7 +346,7 @@
 		return nil, err
 	}
 
-	f, err := frame.Read(stream, r.PeerAddress, frame.MaxControlBytes)
+	f, err := frame.Read(stream, r.PeerAddress, frame.MaxControlBytes, p.Frames)
 	if err != nil {
 		return nil, err
 	}
--- a/primrosed/internal/replica/positions_test.go
+++ b/primrosed/internal/replica/positions_test.go
@@ -206,7 +206,7 @@
 		in.positions.SetReaders(placement.NewSet(peers).Readers(peers[i].ID))
 
 		server := Server{Log: zerolog.Nop(), Collections: copies}
-		network.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.New(io.Discard),
+		network.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.New(io.Discard), nil,
 			func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
 				if f.GetPositionRequest() != nil {
 					in.positions.Handle(peer, f.GetPositionRequest(), stream)
--- a/primrosed/internal/replica/replica_test.go
+++ b/primrosed/internal/replica/replica_test.go
@@ -68,13 +68,13 @@
 
 // add starts an instance that serves the collections, and returns its client.
 func (n *network) add(address string, collections map[string]ReadFunc, seeds ...string) *Client {
-	c := NewClient(zerolog.New(io.Discard), address, n.dial, seeds)
+	c := NewClient(zerolog.New(io.Discard), address, n.dial, nil, seeds)
 	s := &Server{Log: zerolog.New(io.Discard), Collections: collections, Client: c}
 
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.instances[address] = mux.NewServer(zerolog.New(io.Discard), func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+	n.instances[address] = mux.NewServer(zerolog.New(io.Discard), nil, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
 		s.Handle(peer, f.GetCopyRequest(), stream)
 	})
 
--- a/primrosed/internal/rpc/rpc.go
+++ b/primrosed/internal/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/refusal"
 )
 
@@ -36,17 +37,42 @@
 }
 
 // LimitBody refuses requests to next whose body has more than limit bytes, not
-// counting an envelope.
-func LimitBody(limit int64, next http.Handler) http.Handler {
+// counting an envelope, or finds no memory left in bodies, which bounds those of all requests
+// that are being served; nil sets no bound.
+func LimitBody(limit int64, bodies *memory.Budget, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := &heldReader{reader: r.Body, bodies: bodies}
+		defer held.release()
+
 		r.Body = struct {
 			io.Reader
 			io.Closer
-		}{&limitedReader{reader: r.Body, remaining: limit + envelopeBytes, limit: limit}, r.Body}
+		}{&limitedReader{reader: held, remaining: limit + envelopeBytes, limit: limit}, r.Body}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// heldReader takes memory for what it reads until release.
+type heldReader struct {
+	reader io.Reader
+	bodies *memory.Budget
+	held   int64
+}
+
+// Read implements io.Reader.
+func (h *heldReader) Read(p []byte) (int, error) {
+	n, err := h.reader.Read(p)
+	if !h.bodies.Reserve(int64(n)) {
+		return 0, refusal.ToConnect(domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "read request", "no memory is left for its body"))
+	}
+
+	h.held += int64(n)
+
+	return n, err
+}
+
+func (h *heldReader) release() { h.bodies.Release(h.held) }
+
 // limitedReader reads remaining bytes and fails if there are more. The error
 // names limit.
 type limitedReader struct {
--- a/primrosed/internal/rpc/rpc_test.go
+++ b/primrosed/internal/rpc/rpc_test.go
@@ -15,6 +15,7 @@
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/refusal"
 )
 
@@ -22,13 +23,13 @@
 
 // serve starts a service without methods: a request that passes the checks is
 // answered as unimplemented.
-func serve(t *testing.T) *httptest.Server {
+func serve(t *testing.T, bodies *memory.Budget) *httptest.Server {
 	t.Helper()
 
 	path, h := primrosespringv1connect.NewSearchServiceHandler(
 		primrosespringv1connect.UnimplementedSearchServiceHandler{}, Options(testLimit))
 	mux := http.NewServeMux()
-	mux.Handle(path, LimitBody(testLimit, h))
+	mux.Handle(path, LimitBody(testLimit, bodies, h))
 
 	s := httptest.NewUnstartedServer(mux)
 	s.Config.Protocols = new(http.Protocols)
@@ -57,7 +58,7 @@
 // oversized request that is refused with status 429, which makes clients retry
 // it.
 func TestBadRequestsAreInvalid(t *testing.T) {
-	s := serve(t)
+	s := serve(t, nil)
 	atLimit := `{"service":"` + strings.Repeat("s", testLimit-len(`{"service":""}`)) + `"}`
 
 	for name, c := range map[string]struct {
@@ -100,7 +101,7 @@
 // Guards against an oversized request whose code and fate don't reach Connect
 // and gRPC clients.
 func TestTooLargeIsATypedRefusal(t *testing.T) {
-	s := serve(t)
+	s := serve(t, nil)
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 
@@ -121,3 +122,26 @@
 		})
 	}
 }
+
+// Guards against callers that decide together how much memory their bodies take: one that
+// finds none left is refused as not run, and what it held is returned.
+func TestBodiesShareOneBound(t *testing.T) {
+	bodies := &memory.Budget{Max: testLimit}
+	s := serve(t, bodies)
+	c := primrosespringv1connect.NewSearchServiceClient(s.Client(), s.URL)
+	req := &pb.SearchRequest{Service: strings.Repeat("s", testLimit/2)}
+
+	require.True(t, bodies.Reserve(testLimit/2))
+
+	_, err := c.Search(t.Context(), req)
+	e := refusal.FromConnect(err, "search", "instance")
+	require.Equal(t, domain.CodeOverloaded, e.Code)
+	require.Equal(t, domain.FateNotRun, e.Fate)
+	require.EqualValues(t, testLimit/2, bodies.Used())
+
+	bodies.Release(testLimit / 2)
+
+	_, err = c.Search(t.Context(), req)
+	require.Equal(t, connect.CodeUnimplemented, connect.CodeOf(err))
+	require.Zero(t, bodies.Used())
+}
--- a/primrosed/internal/server/container.go
+++ b/primrosed/internal/server/container.go
@@ -14,12 +14,14 @@
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/logline"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/snapshot"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
 	"primrosespring.example/primrosed/internal/execute"
+	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/operator"
 	"primrosespring.example/primrosed/internal/peer"
 	"primrosespring.example/primrosed/internal/platform"
@@ -32,6 +34,9 @@
 // takes a heartbeat interval from one instance to the next.
 const shareDelay = 5 * time.Second
 
+// frameMemory bounds the frames of other instances that are being read: eight of the largest.
+const frameMemory = 8 * frame.MaxRelayBytes
+
 // provide registers the constructors of an instance's parts.
 func provide(c *dig.Container, s settings.Settings, logOut io.Writer) error {
 	constructors := []any{
@@ -126,7 +131,7 @@
 	rt *routing.Table, q *quota.Table, sg *searcher.Signs,
 ) *peer.Mesh {
 	return peer.NewMesh(peer.Options{
-		Log: log, Table: t, Keeper: k, Seeds: s.Seeds, Lister: c, SetLeaving: rt.SetLeaving, Quota: q, OnLimits: sg.LimitsLearned,
+		Log: log, Table: t, Keeper: k, Seeds: s.Seeds, Lister: c, Frames: &memory.Budget{Max: frameMemory}, SetLeaving: rt.SetLeaving, Quota: q, OnLimits: sg.LimitsLearned,
 		Jitter: jitter,
 	})
 }
--- a/primrosed/internal/server/instance.go
+++ b/primrosed/internal/server/instance.go
@@ -18,6 +18,7 @@
 	"primrosespring.example/internal/gen/primrosespring/v1/primrosespringv1connect"
 	"primrosespring.example/internal/logline"
 	"primrosespring.example/internal/membership"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/primrosed/internal/balancer"
 	"primrosespring.example/primrosed/internal/caller"
 	"primrosespring.example/primrosed/internal/execute"
@@ -33,8 +34,12 @@
 const (
 	// maxCallerBytes and maxOperatorBytes bound the body of a request; an
 	// operator's holds a whole service, and the store accepts up to one megabyte.
-	maxCallerBytes    = 256 << 10
-	maxOperatorBytes  = 2 << 20
+	maxCallerBytes   = 256 << 10
+	maxOperatorBytes = 2 << 20
+	// bodyMemory bounds the bodies of all requests together, and maxHeaderBytes the headers
+	// of each.
+	bodyMemory        = 256 << 20
+	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	// statusShutdownTimeout bounds the shutdown of the health and debug servers.
 	statusShutdownTimeout = time.Second
@@ -218,11 +223,12 @@
 	callers.Use(i.closeWhenStopping)
 	operators.Use(i.closeWhenStopping, i.endWatchesWhenStopping)
 
+	bodies := &memory.Budget{Max: bodyMemory}
 	path, h := primrosespringv1connect.NewSearchServiceHandler(i.parts.Caller, rpc.Options(maxCallerBytes))
-	callers.Mount(path, rpc.LimitBody(maxCallerBytes, h))
+	callers.Mount(path, rpc.LimitBody(maxCallerBytes, bodies, h))
 
 	path, h = primrosespringv1connect.NewAdminServiceHandler(i.parts.Operator, rpc.Options(maxOperatorBytes))
-	operators.Mount(path, rpc.LimitBody(maxOperatorBytes, h))
+	operators.Mount(path, rpc.LimitBody(maxOperatorBytes, bodies, h))
 
 	out := &servers{}
 
@@ -303,7 +309,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 
-	s := &http.Server{Addr: address, Handler: h, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Addr: address, Handler: h, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
