--- /dev/null
+++ b/internal/quarantine/digest.go
@@ -0,0 +1,32 @@
+// Package quarantine keeps which requests end the searchers that run them ("queries of death"),
+// so that they are sent on carefully at first and then not at all.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+)
+
+// Digest identifies the content of a request, which a caller that tries again sends unchanged
+// under another id. Two contents have the same digest with a chance of 2^-128.
+type Digest [16]byte
+
+// DigestOf returns the digest of a request.
+func DigestOf(method, host, target string, body []byte) Digest {
+	h := sha256.New()
+
+	for _, part := range []string{method, host, target} {
+		// The length separates the parts.
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		_, _ = io.WriteString(h, part)
+	}
+
+	_, _ = h.Write(body)
+
+	return Digest(h.Sum(nil)[:len(Digest{})])
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- a/internal/serving/log.go
+++ b/internal/serving/log.go
@@ -30,6 +30,11 @@
 
 	x.addPlacement(ev)
 	addOutcome(ev, resp, err)
+
+	if err != nil {
+		ev.Stringer("content", x.req.digest())
+	}
+
 	ev.Send()
 }
 
@@ -110,7 +115,7 @@
 }
 
 func (x *execution) logAttemptFailed(a scatter.Attempt, e *domain.Error) {
-	x.engine.log.Info().Str("event", "attempt_failed").Str("request_id", x.req.ID).Uint32("attempt", a.ID).
+	x.engine.log.Info().Str("event", "attempt_failed").Str("request_id", x.req.ID).Stringer("content", x.req.digest()).Uint32("attempt", a.ID).
 		Str("pool", x.target.Pools[a.Shard]).Str("searcher", a.Searcher.ID).
 		Int64("at_ms", time.Since(x.req.Received).Milliseconds()).
 		Str("code", string(e.Code)).Str("fate", e.Fate.String()).Str("reason", e.Error()).Send()
@@ -125,7 +130,7 @@
 	}
 
 	addError(ev, err)
-	ev.Send()
+	ev.Stringer("content", r.digest()).Send()
 }
 
 func addError(ev *zerolog.Event, err error) {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -22,6 +22,7 @@
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/hedging"
+	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
 )
@@ -51,6 +52,11 @@
 	Margin time.Duration
 }
 
+// digest identifies the content of the request, which is the same when a caller tries again.
+func (r *Request) digest() quarantine.Digest {
+	return quarantine.DigestOf(r.Method, r.Host, r.Target, r.Body)
+}
+
 // Response is the answer of one searcher, or the merged answer of many.
 type Response struct {
 	Status int
