scatter: attempts that reach no searcher don't count among those allowed

Cause: maxAttempts bounds the searchers to which a request may be sent; an attempt whose connection is refused was counted, so that two dead searchers of four used up all attempts.

Change: such an attempt allows another one as long as a searcher of the shard hasn't been tried, and doesn't count among the searchers reached. A dead shard is tried once at each searcher.

Evidence: TestSearchersThatAreNotReachedDoNotCount fails without the change (a living searcher isn't tried) and passes in 100 drawn cases.

--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -192,7 +192,7 @@
 
 // allTried reports whether every searcher of the shard has been tried.
 func (q *Query) allTried(sh *shardState) bool {
-	return sh.distinctSearchers() >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.attemptIDs[0]].shard].Searchers)
+	return q.distinctSearchers(sh, true) >= len(q.params.Service.PartitionMap.Shards[q.attempts[sh.attemptIDs[0]].shard].Searchers)
 }
 
 // missingCode returns the code of a shard without a usable searcher. The failure of one
@@ -212,17 +212,22 @@
 }
 
 // mayUse reports whether an attempt at the searcher stays within the number of
-// searchers that the rules allow for a shard. Shed attempts count here.
+// searchers that the rules allow for a shard. Shed attempts count here, those that never
+// reached their searcher don't.
 func (q *Query) mayUse(sh *shardState, searcher string) bool {
-	return slices.Contains(sh.searchers[:sh.sent], searcher) || sh.distinctSearchers() < int(q.params.Service.Rules.MaxAttempts)
+	return slices.Contains(sh.searchers[:sh.sent], searcher) || q.distinctSearchers(sh, false) < int(q.params.Service.Rules.MaxAttempts)
 }
 
-// distinctSearchers returns how many different searchers attempts were sent to.
-func (s *shardState) distinctSearchers() int {
+// distinctSearchers returns how many different searchers attempts were sent to; unreached says
+// that those count too that no attempt has reached.
+func (q *Query) distinctSearchers(sh *shardState, unreached bool) int {
+	var counted [domain.MaxAttempts]string
+
 	n := 0
 
-	for i, id := range s.searchers[:s.sent] {
-		if !slices.Contains(s.searchers[:i], id) {
+	for i, id := range sh.searchers[:sh.sent] {
+		if (unreached || !q.attempts[sh.attemptIDs[i]].unsent) && !slices.Contains(counted[:n], id) {
+			counted[n] = id
 			n++
 		}
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -104,8 +104,9 @@
 	// EndEarly ends the query as soon as it can no longer reach an acceptable coverage,
 	// so that the caller learns at once.
 	EndEarly bool
-	// RetryShed allows one more attempt for each shed one, which didn't run, at
-	// searchers that the shard has already used.
+	// RetryShed allows one more attempt for each one that a searcher refused to run, at
+	// searchers that the shard has already used, and for each one that never reached its
+	// searcher, as long as others haven't been tried.
 	RetryShed bool
 	// PermitWait is until when a shard may wait for a permit if its only searchers have
 	// limits on their requests; zero if it may not.
@@ -161,8 +162,8 @@
 	attemptIDs  [domain.MaxAttempts]uint32
 	sent        int
 	outstanding int
-	// shed counts the attempts that a searcher refused without running them, if
-	// Params.RetryShed is set.
+	// shed counts the attempts that a searcher refused without running them, or that never
+	// reached it, if Params.RetryShed is set.
 	shed int
 	// nextAt is when the next extra attempt is due; zero means never.
 	nextAt time.Time
@@ -336,7 +337,7 @@
 	sh := &q.shards[a.shard]
 	sh.failure = code
 
-	if outcome == routing.Shed && q.params.RetryShed {
+	if q.params.RetryShed && (outcome == routing.Shed || a.unsent && !q.allTried(sh)) {
 		sh.shed++
 	}
 
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -387,3 +387,38 @@
 	require.Equal(t, "b", s.Send[0].Searcher.FailureDomain)
 	require.Empty(t, s.Cancel, "the first attempt goes on")
 }
+
+// Guards against a request that is refused though a searcher of its shard lives: attempts that
+// reach nobody used up those that the rules allow. A dead shard isn't tried without end, and no
+// more searchers are reached than the rules allow.
+func TestSearchersThatAreNotReachedDoNotCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		searchers := rapid.IntRange(1, 6).Draw(t, "searchers")
+		svc := testService(1, searchers, domain.Rules{TimeoutMS: 200, MaxAttempts: 2, ExtraLoadPermille: 500, MinCoveragePermille: 1000})
+		alive := rapid.IntRange(-1, searchers-1).Draw(t, "alive")
+		q := New(Params{
+			Service: svc, Deadline: start.Add(time.Second), Eligible: func(uint32, string) bool { return true }, EndEarly: true, RetryShed: true,
+		}, &countingRouter{reserved: make(map[string]int)}, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
+
+		s, tried := q.Start(start), 0
+
+		for !s.Done {
+			require.Len(t, s.Send, 1)
+
+			a := s.Send[0]
+			tried++
+
+			if alive >= 0 && a.Searcher.ID == fmt.Sprintf("s0-%d", alive) {
+				s = q.Answered(start, a.ID, nil)
+
+				continue
+			}
+
+			q.MarkUnsent(a.ID)
+			s = q.Failed(start, a.ID, routing.Unreachable, domain.CodeSearcherUnavailable)
+		}
+
+		require.LessOrEqual(t, tried, searchers+1)
+		require.Equal(t, alive >= 0, q.Included() == 1, "%d searchers, number %d lives, %d tried", searchers, alive, tried)
+	})
+}
