quarantine, serving, scatter, replica: hold back requests that end searchers

Cause: nothing remembers under which content a searcher has ended (hypothesis 1), and all parts are sent, hedged and retried before any has been answered (hypothesis 2).

Change: an end of a searcher is a strike against the content of the requests that it ran: the connection broke after the request was sent, and the address refuses connections. With one strike a content is tried at one searcher at a time; with three, one after another and without an answer between, it is refused as not run for ten minutes, after which it may be tried once. An answer clears it. Instances tell one another at once, and with their positions. A query over many shards isn't hedged before the first answer (until half of its objective), isn't retried after a searcher's end until a shard has answered, and ends after three. For 5 s after a second strike the queries of its route are sent to one shard first.

--- a/internal/domain/error.go
+++ b/internal/domain/error.go
@@ -70,6 +70,7 @@
 	CodeHeaderTooLarge      Code = "header_too_large"
 	CodeNoConfiguration     Code = "no_configuration"
 	CodeSearcherFailed      Code = "searcher_failed"
+	CodeQuarantined         Code = "quarantined"
 )
 
 // Error is the error type of all packages. Step names the operation that failed
--- a/internal/hosting/settings.go
+++ b/internal/hosting/settings.go
@@ -9,6 +9,12 @@
 	"primrosespring.example/internal/domain"
 )
 
+// The bounds of Settings.Quarantine.
+const (
+	MinQuarantine = time.Second
+	MaxQuarantine = time.Hour
+)
+
 // Settings are what the platform passes to an instance at its start and whenever
 // they change.
 type Settings struct {
@@ -29,7 +35,9 @@
 	Cores float64
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s.
 	LinkMbps float64
-	Bounds   Bounds
+	// Quarantine is how long a request that ends searchers is held back; zero turns it off.
+	Quarantine time.Duration
+	Bounds     Bounds
 }
 
 // Bounds are the time and retry limits that the platform's users rely on.
@@ -82,5 +90,13 @@
 		}
 	}
 
+	if s.Quarantine != 0 && (s.Quarantine < MinQuarantine || s.Quarantine > MaxQuarantine) {
+		e := domain.Errorf(domain.FateNotRun, domain.CodeInvalid, "check settings", "is %s; must be 0, or from %s to %s",
+			s.Quarantine, MinQuarantine, MaxQuarantine)
+		e.Field = "quarantine"
+
+		return e
+	}
+
 	return nil
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -1,5 +1,3 @@
-// Package quarantine keeps which requests end the searchers that run them ("queries of death"),
-// so that they are sent on carefully at first and then not at all.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,363 @@
+// Package quarantine keeps which requests end the searchers that run them ("queries of death"),
+// so that they are sent on carefully at first and then not at all.
+//
+// A searcher's end while it runs a request is a strike against the request's content, whatever
+// the caller's id. It proves little: other requests that ran beside it lose their answers too.
+// Therefore a content with a strike is a suspect, which is tried at one searcher at a time, and
+// is held back only after MaxStrikes such ends, one after another, without any answer between.
+// An answer clears it. Instances tell one another what they know.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// MaxStrikes is how many strikes hold a content back.
+	MaxStrikes = 3
+	// MaxSuspects bounds the contents that are kept; the one that was struck first is
+	// dropped first.
+	MaxSuspects = 512
+	// maxKept bounds the strikes that are kept of a content.
+	maxKept = 2 * MaxStrikes
+	// suspicion is how long a strike counts that hasn't led to a quarantine.
+	suspicion = time.Minute
+	// alertTime is how long the requests of a route are sent carefully after one of its
+	// contents has got its second strike.
+	alertTime = 5 * time.Second
+	// trialTime bounds how long one trial of a suspect keeps others waiting.
+	trialTime = 2 * time.Second
+)
+
+// Strike is the end of a searcher while it ran a request.
+type Strike struct {
+	// Instance saw it, as its Sequence-th.
+	Instance string
+	Sequence uint64
+	Age      time.Duration
+}
+
+// Suspect is a content under which searchers have ended, without an answer since.
+type Suspect struct {
+	Content Digest
+	Route   string
+	Strikes []Strike
+}
+
+// Validate returns an error for the first invalid field.
+func (s *Suspect) Validate() error {
+	if s.Route == "" || len(s.Strikes) == 0 || len(s.Strikes) > maxKept {
+		return errors.Errorf("suspect %s: it must have a route and 1 to %d strikes", s.Content, maxKept)
+	}
+
+	for _, k := range s.Strikes {
+		if k.Instance == "" || k.Age < 0 {
+			return errors.Errorf("suspect %s: a strike has no instance or a negative age", s.Content)
+		}
+	}
+
+	return nil
+}
+
+// Verdict says how a request may be sent.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Free requests are sent as usual.
+	Free Verdict = iota
+	// Careful requests are sent to one searcher first.
+	Careful
+	// Trial requests are careful ones of a suspect, of which only one is sent at a time.
+	Trial
+	// Busy requests have to wait for the trial of the same content.
+	Busy
+	// Held requests aren't sent.
+	Held
+)
+
+// Table holds the suspects that this instance knows. Create it with New. It is safe for
+// concurrent use.
+type Table struct {
+	self string
+	hold time.Duration
+	// started is the sequence from which on strikes are those of this process, which needn't
+	// be told of them.
+	started uint64
+
+	// known says that there are entries, so that nothing has to be looked up without.
+	known atomic.Bool
+
+	mu       sync.Mutex // Guards the fields below.
+	sequence uint64
+	entries  map[Digest]*entry
+	alerts   map[string]time.Time // The ends of alerts, by route.
+}
+
+// entry is what is known of a content.
+type entry struct {
+	route   string
+	strikes []strike // In the order of their times.
+	// clearedAt is when an answer came last; earlier strikes don't count.
+	clearedAt time.Time
+	// trialUntil is when the trial in progress ends at the latest.
+	trialUntil time.Time
+}
+
+type strike struct {
+	instance string
+	sequence uint64
+	at       time.Time
+}
+
+func (e *entry) last() time.Time {
+	if n := len(e.strikes); n > 0 {
+		return e.strikes[n-1].at
+	}
+
+	return e.clearedAt
+}
+
+// New returns an empty table of the instance self, which holds a content back for so long after
+// its last strike; zero turns quarantine off. sequence is higher than any of an earlier process
+// of this instance.
+func New(self string, hold time.Duration, sequence uint64) *Table {
+	return &Table{
+		self: self, hold: hold, started: sequence, sequence: sequence, entries: make(map[Digest]*entry), alerts: make(map[string]time.Time),
+	}
+}
+
+// Enabled reports whether contents may be held back at all.
+func (t *Table) Enabled() bool { return t != nil && t.hold > 0 }
+
+// Known reports whether there is anything to look up.
+func (t *Table) Known() bool { return t.Enabled() && t.known.Load() }
+
+// Check returns how a request may be sent, and when one that is Held or Busy may return. The
+// caller ends a Trial with EndTrial, unless a strike or an answer does.
+func (t *Table) Check(now time.Time, d Digest, route string) (v Verdict, retryAfter time.Duration) {
+	if !t.Known() {
+		return Free, 0
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	e := t.entries[d]
+
+	switch {
+	case e == nil || len(e.strikes) == 0:
+		if now.Before(t.alerts[route]) {
+			return Careful, 0
+		}
+
+		return Free, 0
+	case t.held(now, e):
+		return Held, e.last().Add(t.hold).Sub(now)
+	case now.Before(e.trialUntil):
+		return Busy, 0
+	}
+
+	e.trialUntil = now.Add(trialTime)
+
+	return Trial, 0
+}
+
+// held reports whether a content is held back; the caller holds mu.
+func (t *Table) held(now time.Time, e *entry) bool {
+	return len(e.strikes) >= MaxStrikes && now.Before(e.last().Add(t.hold))
+}
+
+// EndTrial ends a trial without a result.
+func (t *Table) EndTrial(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if e := t.entries[d]; e != nil {
+		e.trialUntil = time.Time{}
+	}
+}
+
+// Strike records that a searcher has ended under a request, and returns how many strikes count
+// against its content now.
+func (t *Table) Strike(now time.Time, d Digest, route string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.sequence++
+
+	e := t.entry(d, route)
+	e.trialUntil = time.Time{}
+	t.add(e, strike{t.self, t.sequence, now})
+
+	return len(e.strikes)
+}
+
+// Answered records that a searcher has answered a request, and reports whether this clears its
+// content of strikes.
+func (t *Table) Answered(now time.Time, d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	e := t.entries[d]
+	if e == nil {
+		return false
+	}
+
+	cleared := len(e.strikes) > 0
+	e.strikes, e.clearedAt, e.trialUntil = nil, now, time.Time{}
+
+	return cleared
+}
+
+// Learn takes what another instance knows, which must be valid, and returns the contents of
+// which this one has learned something.
+func (t *Table) Learn(now time.Time, suspects []Suspect) []Suspect {
+	if !t.Enabled() {
+		return nil
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var out []Suspect
+
+	for i := range suspects {
+		s := &suspects[i]
+
+		if oldest := t.memory(len(s.Strikes)); !slices.ContainsFunc(s.Strikes, func(k Strike) bool { return k.Age < oldest }) {
+			continue
+		}
+
+		e, learned := t.entry(s.Content, s.Route), false
+
+		for _, k := range s.Strikes {
+			if k.Instance == t.self && k.Sequence > t.started {
+				continue
+			}
+
+			learned = t.add(e, strike{k.Instance, k.Sequence, now.Add(-k.Age)}) || learned
+		}
+
+		if learned {
+			out = append(out, describe(now, s.Content, e))
+		}
+	}
+
+	return out
+}
+
+// All returns the suspects to tell others, those struck last first.
+func (t *Table) All(now time.Time) []Suspect {
+	if !t.Known() {
+		return nil
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	out := make([]Suspect, 0, len(t.entries))
+
+	for d, e := range t.entries {
+		if len(e.strikes) > 0 {
+			out = append(out, describe(now, d, e))
+		}
+	}
+
+	slices.SortFunc(out, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(a.Strikes[len(a.Strikes)-1].Age, b.Strikes[len(b.Strikes)-1].Age), slices.Compare(a.Content[:], b.Content[:]))
+	})
+
+	return out
+}
+
+// Held returns how many contents are held back.
+func (t *Table) Held(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	n := 0
+
+	for _, e := range t.entries {
+		if t.held(now, e) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func describe(now time.Time, d Digest, e *entry) Suspect {
+	s := Suspect{Content: d, Route: e.route, Strikes: make([]Strike, len(e.strikes))}
+	for i, k := range e.strikes {
+		s.Strikes[i] = Strike{k.instance, k.sequence, max(now.Sub(k.at), 0)}
+	}
+
+	return s
+}
+
+// entry returns the entry of a content, which it makes; the caller holds mu.
+func (t *Table) entry(d Digest, route string) *entry {
+	e := t.entries[d]
+	if e != nil {
+		return e
+	}
+
+	if len(t.entries) >= MaxSuspects {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(t.entries)), func(a, b Digest) int {
+			return t.entries[a].last().Compare(t.entries[b].last())
+		})
+		delete(t.entries, oldest)
+	}
+
+	e = &entry{route: route}
+	t.entries[d] = e
+	t.known.Store(true)
+
+	return e
+}
+
+// add adds a strike and reports whether it counts and is new. The caller holds mu.
+func (t *Table) add(e *entry, k strike) bool {
+	if !k.at.After(e.clearedAt) && !e.clearedAt.IsZero() ||
+		slices.ContainsFunc(e.strikes, func(o strike) bool { return o.instance == k.instance && o.sequence == k.sequence }) {
+		return false
+	}
+
+	e.strikes = append(e.strikes, k)
+	slices.SortStableFunc(e.strikes, func(a, b strike) int { return a.at.Compare(b.at) })
+	e.strikes = e.strikes[max(len(e.strikes)-maxKept, 0):]
+
+	if until := k.at.Add(alertTime); len(e.strikes) > 1 && until.After(t.alerts[e.route]) {
+		t.alerts[e.route] = until
+	}
+
+	return true
+}
+
+// memory returns how long a content with that many strikes is kept after the last one.
+func (t *Table) memory(strikes int) time.Duration {
+	if strikes >= MaxStrikes {
+		return t.hold + suspicion
+	}
+
+	return suspicion
+}
+
+// expire drops what has become too old; the caller holds mu.
+func (t *Table) expire(now time.Time) {
+	maps.DeleteFunc(t.entries, func(_ Digest, e *entry) bool { return now.Sub(e.last()) >= t.memory(len(e.strikes)) })
+	maps.DeleteFunc(t.alerts, func(_ string, until time.Time) bool { return !now.Before(until) })
+	t.known.Store(len(t.entries) > 0 || len(t.alerts) > 0)
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,183 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testHold = 10 * time.Minute
+
+func content(n int) Digest { return DigestOf("GET", "h", fmt.Sprint("/", n), nil) }
+
+// Guards against a content that ends more than three searchers one after another, a trial
+// beside a trial, a quarantine without end, and one that a caller's new id evades.
+func TestContentsAreHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New("a", testHold, 0)
+		d := content(1)
+
+		check := func(want Verdict) time.Duration {
+			t.Helper()
+
+			v, after := q.Check(time.Now(), d, "r")
+			require.Equal(t, want, v)
+
+			return after
+		}
+
+		check(Free)
+		require.False(t, q.Known())
+		require.Equal(t, 1, q.Strike(time.Now(), d, "r"))
+		check(Trial)
+		check(Busy)
+		q.EndTrial(d)
+		check(Trial)
+		time.Sleep(trialTime)
+		check(Trial)
+		require.Equal(t, 2, q.Strike(time.Now(), d, "r"))
+
+		v, _ := q.Check(time.Now(), content(2), "r")
+		require.Equal(t, Careful, v, "the route is watched")
+
+		v, _ = q.Check(time.Now(), content(2), "other")
+		require.Equal(t, Free, v)
+
+		check(Trial)
+		require.Equal(t, MaxStrikes, q.Strike(time.Now(), d, "r"))
+		require.Equal(t, testHold, check(Held))
+		require.Equal(t, 1, q.Held(time.Now()))
+
+		time.Sleep(alertTime)
+
+		v, _ = q.Check(time.Now(), content(2), "r")
+		require.Equal(t, Free, v, "the alert has ended")
+
+		time.Sleep(testHold - alertTime)
+		check(Trial)
+		q.Strike(time.Now(), d, "r")
+		require.Equal(t, testHold, check(Held), "one trial after the time")
+
+		time.Sleep(testHold)
+		check(Trial)
+		require.True(t, q.Answered(time.Now(), d))
+		check(Free)
+		require.Empty(t, q.All(time.Now()))
+	})
+}
+
+// Guards against an innocent request that is condemned since searchers ended beside it, and
+// against strikes that come back from other instances after an answer.
+func TestAnswersClear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New("a", testHold, 0), New("b", testHold, 0)
+		d := content(1)
+
+		for range 2 * MaxStrikes {
+			a.Strike(time.Now(), d, "r")
+			b.Learn(time.Now(), a.All(time.Now()))
+			time.Sleep(time.Millisecond)
+			require.True(t, a.Answered(time.Now(), d))
+			a.Learn(time.Now(), b.All(time.Now()))
+
+			v, _ := a.Check(time.Now(), d, "r")
+			require.NotEqual(t, Held, v)
+			require.NotEqual(t, Trial, v, "its own strikes don't count again")
+			b.Answered(time.Now(), d)
+			time.Sleep(time.Second)
+		}
+
+		a.Strike(time.Now(), d, "r")
+		time.Sleep(suspicion)
+
+		v, _ := a.Check(time.Now(), d, "r")
+		require.Equal(t, Free, v, "a strike is forgotten")
+	})
+}
+
+// Guards against a restarted instance that forgets what it saw, and against one that must be
+// told twice: what is learned in any order, any number of times, is the same, and is bounded.
+func TestInstancesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			tables := make([]*Table, rapid.IntRange(2, 5).Draw(rt, "instances"))
+			for i := range tables {
+				tables[i] = New(fmt.Sprint("e-", i), testHold, 0)
+			}
+
+			strikes := 0
+
+			for range rapid.IntRange(1, 30).Draw(rt, "events") {
+				i, j := rapid.IntRange(0, len(tables)-1).Draw(rt, "a"), rapid.IntRange(0, len(tables)-1).Draw(rt, "b")
+
+				switch rapid.IntRange(0, 3).Draw(rt, "event") {
+				case 0:
+					tables[i].Strike(time.Now(), content(1), "r")
+
+					strikes++
+				case 1:
+					tables[i] = New(fmt.Sprint("e-", i), testHold, uint64(1000*strikes))
+				default:
+					tables[j].Learn(time.Now(), tables[i].All(time.Now()))
+				}
+
+				time.Sleep(time.Duration(rapid.IntRange(1, 100).Draw(rt, "ms")) * time.Millisecond)
+			}
+
+			for range 2 {
+				for i := range tables {
+					for j := range tables {
+						tables[j].Learn(time.Now(), tables[i].All(time.Now()))
+					}
+				}
+			}
+
+			first := tables[0].All(time.Now())
+
+			for _, q := range tables {
+				all := q.All(time.Now())
+				require.Equal(t, first, all)
+
+				for i := range all {
+					require.NoError(t, all[i].Validate())
+					require.LessOrEqual(t, len(all[i].Strikes), min(strikes, maxKept))
+				}
+			}
+		})
+	})
+}
+
+// Guards against memory that callers decide, who can have any number of contents end searchers,
+// and against an odd message that is taken.
+func TestSuspectsAreBoundedAndChecked(t *testing.T) {
+	q := New("a", testHold, 0)
+	now := time.Now()
+
+	for n := range 2 * MaxSuspects {
+		q.Strike(now.Add(time.Duration(n)*time.Millisecond), content(n), "r")
+	}
+
+	now = now.Add(time.Second + 24*time.Millisecond)
+	require.Len(t, q.All(now), MaxSuspects)
+	require.Equal(t, content(2*MaxSuspects-1), q.All(now)[0].Content)
+
+	for _, s := range []Suspect{
+		{},
+		{Route: "r"},
+		{Route: "r", Strikes: []Strike{{}}},
+		{Route: "r", Strikes: []Strike{{Instance: "a", Age: -1}}},
+		{Route: "r", Strikes: make([]Strike, maxKept+1)},
+	} {
+		require.Error(t, s.Validate())
+	}
+
+	off := New("a", 0, 0)
+	require.Empty(t, off.Learn(now, q.All(now)))
+
+	v, _ := off.Check(now, content(1), "r")
+	require.Equal(t, Free, v)
+}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -117,6 +117,14 @@
 	// don't suffice for an answer: the query would lengthen every queue and be late, or
 	// use up the budget of other queries. Zero sets no bound.
 	MaxWait time.Duration
+	// Canary sends a query over many shards to one shard first, beginning with CanaryShard,
+	// and to the others once a shard has answered: the request may end the searchers that
+	// run it.
+	Canary      bool
+	CanaryShard uint32
+	// HedgeFrom is until when no hedge is sent unless a shard has answered: a request that
+	// ends the searchers that run it would end another one in each shard.
+	HedgeFrom time.Time
 }
 
 const (
@@ -147,6 +155,9 @@
 	// sent, so that one closure serves every choice.
 	eligible      func(searcher string) bool
 	eligibleShard uint32
+	// lostSearchers counts the attempts under which a searcher ended before any shard had
+	// answered.
+	lostSearchers int
 	// turn is what the last choice that was refused as rate limited was told.
 	turn quota.Turn
 }
@@ -167,6 +178,8 @@
 	shed int
 	// nextAt is when the next extra attempt is due; zero means never.
 	nextAt time.Time
+	// held says that the shard isn't tried again until another one has answered.
+	held bool
 	// hedgeBlocked says that a hedge was due and couldn't be sent.
 	hedgeBlocked bool
 	// ticket is set while the shard waits for a permit, for which it asks again at nextAt.
@@ -200,10 +213,17 @@
 	return q
 }
 
-// Start sends the first attempt of every shard.
+// Start sends the first attempt of every shard, or that of one with Params.Canary.
 func (q *Query) Start(now time.Time) Step {
 	s := Step{Send: make([]Attempt, 0, len(q.shards))}
 
+	if q.params.Canary {
+		q.unsettled = len(q.shards)
+		q.budget.Fill(len(q.shards), q.params.Service.Rules.ExtraLoadPermille)
+
+		return q.finish(now, s)
+	}
+
 	// unlikely counts the shards that are saturated, short of budget, or wait for a permit.
 	unlikely := 0
 	missingShare := plannedMissingShare * (1 - q.minCoverage())
@@ -310,6 +330,10 @@
 		q.included++
 		q.unsettled--
 		q.cancelShard(now, a.shard, &s)
+
+		if q.included == 1 {
+			q.resume(now, &s)
+		}
 	}
 
 	if q.pastObjective(now) {
@@ -341,13 +365,30 @@
 		sh.shed++
 	}
 
-	if !sh.settled() && !q.done && sh.outstanding == 0 {
+	switch {
+	case sh.settled() || q.done || sh.outstanding > 0:
+	case q.holding():
+		sh.held = true
+	default:
 		q.retry(now, a.shard, a.estimate.Total(), &s)
 	}
 
 	return q.finish(now, s)
 }
 
+// FailedWithSearcher handles the failure of an attempt whose searcher has ended. Until a shard
+// has answered, which shows that the request doesn't end the searchers that run it, no shard
+// is tried again, and the query ends once maxLostSearchers have ended.
+func (q *Query) FailedWithSearcher(now time.Time, id uint32, outcome routing.Outcome, code domain.Code) Step {
+	q.lostSearchers++
+
+	if q.holding() && q.lostSearchers >= maxLostSearchers {
+		q.markAllMissing(code)
+	}
+
+	return q.Failed(now, id, outcome, code)
+}
+
 // FailedPermanently handles the failure of an attempt after which the shard must not be
 // tried again.
 func (q *Query) FailedPermanently(now time.Time, id uint32, outcome routing.Outcome, code domain.Code) Step {
@@ -389,6 +430,9 @@
 		}
 
 		switch {
+		case q.holding():
+		case sh.outstanding > 0 && q.included == 0 && now.Before(q.params.HedgeFrom):
+			sh.nextAt = q.params.HedgeFrom
 		case sh.sent == 0:
 			sh.nextAt = time.Time{}
 			q.sendFirst(now, uint32(i), &s)
@@ -565,6 +609,8 @@
 		return s
 	}
 
+	q.proceed(now, &s)
+
 	if q.unsettled == 0 || q.cannotSucceed() {
 		q.done = true
 		s.Done = true
@@ -601,7 +647,7 @@
 	}
 
 	for i := range q.shards {
-		if sh := &q.shards[i]; !sh.settled() && !sh.nextAt.IsZero() && sh.nextAt.Before(w) {
+		if sh := &q.shards[i]; !sh.settled() && !sh.nextAt.IsZero() && sh.nextAt.Before(w) && !q.holding() {
 			w = sh.nextAt
 		}
 	}
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -73,6 +73,8 @@
 		q := New(Params{
 			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
 			EndEarly: rapid.Bool().Draw(t, "end early"), RetryShed: false,
+			Canary: rapid.Bool().Draw(t, "canary"), CanaryShard: rapid.Uint32().Draw(t, "canary shard"),
+			HedgeFrom: start.Add(rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, time.Second}).Draw(t, "hedge from")),
 		}, r, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 
 		var running []uint32
@@ -119,7 +121,9 @@
 			running = slices.DeleteFunc(running, func(o uint32) bool { return o == id })
 			ended[id] = true
 
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 4:
+				apply(q.FailedWithSearcher(now, id, routing.Unreachable, domain.CodeSearcherUnavailable))
 			case 0:
 				apply(q.Failed(now, id, routing.Shed, domain.CodeOverloaded))
 			case 1:
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -10,6 +10,7 @@
 	"primrosespring.example/internal/contain"
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/internal/routing"
 	"primrosespring.example/internal/scatter"
 )
@@ -47,6 +48,8 @@
 	failedReply *Reply
 	// lastErr is the last error of an attempt, cancellations excluded.
 	lastErr *domain.Error
+	// suspicion is what is known of requests that end searchers.
+	suspicion suspicion
 }
 
 func newExecution(e *Engine, v *directory.View, entry *directory.Entry, t *directory.Target, r *Request) *execution {
@@ -151,6 +154,10 @@
 // serve processes the request on this instance, and logs and counts the result.
 func (x *execution) serve(ctx context.Context) (*Response, error) {
 	resp, err := x.run(ctx)
+	if err != nil {
+		x.awaitTold(ctx)
+	}
+
 	x.logOutcome(resp, err)
 	countResult(x.entry.Route.Name, time.Since(x.req.Received), resp, err)
 
@@ -197,6 +204,12 @@
 		p.MaxWait = x.maxWait
 	}
 
+	if v := x.suspicion.verdict; v == quarantine.Careful || v == quarantine.Trial {
+		p.Canary, p.CanaryShard = route.Gathered(), rand.Uint32()
+	}
+
+	p.HedgeFrom = x.hedgeFrom()
+
 	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name, route.Priority}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target, route.Gathered()))
 	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
 	x.perform(x.query.Start(time.Now()))
@@ -283,19 +296,23 @@
 		return err
 	})
 
+	ended := x.searcherEnded(a, err) //nolint:contextcheck // The check has its own time limit.
+
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
 	x.cancels[a.ID]()
-	x.perform(x.handleResult(a, reply, load, err)) //nolint:contextcheck // Further attempts end with x.ctx.
+	x.perform(x.handleResult(a, reply, load, err, ended)) //nolint:contextcheck // Further attempts end with x.ctx.
 }
 
 // handleResult passes the result of an attempt to the query and to routing; the caller
-// holds mu.
-func (x *execution) handleResult(a scatter.Attempt, reply *Reply, load *routing.Load, err error) scatter.Step {
+// holds mu. ended says that the searcher has ended.
+func (x *execution) handleResult(a scatter.Attempt, reply *Reply, load *routing.Load, err error, ended bool) scatter.Step {
 	now := time.Now()
 
 	if err == nil {
+		x.answered(now)
+
 		// A gathered answer states the signature of each of its parts, so it can't
 		// include an answer without one.
 		if reply.Success() && (reply.Signature != "" || !x.entry.Route.Gathered()) {
@@ -340,6 +357,10 @@
 		x.query.MarkUnsent(a.ID)
 	}
 
+	if ended {
+		return x.strike(now, a, e.Fate, e.Code)
+	}
+
 	return x.handleFailure(now, a, routingOutcome(e), e.Code, e.Fate)
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -129,6 +129,8 @@
 	// pool has no searcher, or another searcher answers at an address. It must not
 	// block.
 	OnStaleList func()
+	// Suspects hold back requests that end searchers.
+	Suspects Suspects
 }
 
 const (
@@ -219,6 +221,7 @@
 
 		return nil, err
 	}
+	defer x.endTrial()
 
 	if e.settings.Gatherers != nil && x.entry.Route.Gathered() {
 		resp, by, begun, err := e.settings.Gatherers.Gather(ctx, x.forHandover(), x.entry.Route)
@@ -247,7 +250,11 @@
 			"version %d defines route %s differently", x.view.Table.Version, x.entry.Route.Name)
 	}
 
-	return x.serve, nil
+	return func(ctx context.Context) (*Response, error) {
+		defer x.endTrial()
+
+		return x.serve(ctx)
+	}, nil
 }
 
 // begin matches and admits the request.
@@ -268,7 +275,11 @@
 
 	x := newExecution(e, view, entry, &entry.Targets[e.chooseTarget(entry)], r)
 
-	return x, x.admit()
+	if err := x.admit(); err != nil {
+		return nil, err
+	}
+
+	return x, x.checkContent()
 }
 
 // reportStaleList calls Settings.OnStaleList, if it is set.
--- /dev/null
+++ b/internal/serving/suspects_test.go
@@ -0,0 +1,220 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/quarantine"
+	"primrosespring.example/internal/routing"
+)
+
+// deadlySystem is a system whose searchers end under requests with the target deadly, and
+// start again after a second. Its engines tell one another of strikes after 20 ms.
+type deadlySystem struct {
+	*system
+
+	mu sync.Mutex // Guards the fields below.
+	// endedAt holds when each searcher ended last, and ended how many did so.
+	endedAt map[string]time.Time
+	ended   int
+}
+
+func newDeadlySystem(t *testing.T, pools, perPool, engines int, hold time.Duration, routes ...domain.Route) *deadlySystem {
+	t.Helper()
+
+	d := &deadlySystem{system: newSystem(t, 1, engines, pools, perPool, routes...), endedAt: make(map[string]time.Time)}
+
+	for id, sv := range d.model.servers {
+		sv.respond = func(c Call) (*Reply, *routing.Load, error) { return d.run(id, c) }
+	}
+
+	tables := make([]*quarantine.Table, engines)
+
+	for i, e := range d.engines {
+		tables[i] = quarantine.New(fmt.Sprint("entry-", i), hold, 0)
+		e.settings.Suspects = Suspects{
+			Table: tables[i], Ended: func(_ context.Context, sr *domain.Searcher) bool { return d.down(sr.ID) },
+			Tell: func() <-chan struct{} {
+				told := make(chan struct{})
+
+				time.AfterFunc(20*time.Millisecond, func() {
+					for _, other := range d.engines {
+						other.SuspectsLearned("entry", tables[i].All(time.Now()))
+					}
+
+					close(told)
+				})
+
+				return told
+			},
+		}
+	}
+
+	return d
+}
+
+func (d *deadlySystem) down(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	at, ok := d.endedAt[id]
+
+	return ok && time.Since(at) < time.Second
+}
+
+// run runs a request for 10 ms at a searcher.
+func (d *deadlySystem) run(id string, c Call) (*Reply, *routing.Load, error) {
+	fail := func(fate domain.Fate) (*Reply, *routing.Load, error) {
+		return nil, nil, domain.Errorf(fate, domain.CodeSearcherUnavailable, "send attempt", "connection closed").WithPeer(id)
+	}
+
+	if d.down(id) {
+		return fail(domain.FateNotRun)
+	}
+
+	time.Sleep(10 * time.Millisecond)
+
+	if d.down(id) {
+		return fail(domain.FateUnknown)
+	}
+
+	if !strings.Contains(c.Request.Target, "deadly") {
+		return &Reply{Signature: id, Response: Response{Status: 200, Body: []byte(strings.Repeat("r", 16))}}, nil, nil
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.endedAt[id] = time.Now()
+	d.ended++
+
+	return fail(domain.FateUnknown)
+}
+
+// Guards against a request that ends a searcher in each shard, and again with each attempt of
+// its caller at another instance; against refusals that claim that it didn't run; and against
+// other requests that are condemned with it.
+func TestRequestsThatEndSearchersAreHeldBack(t *testing.T) {
+	for name, route := range map[string]domain.Route{
+		"gathered": gatheredRoute("q", 6, 150*time.Millisecond, 2*time.Second, 0.5),
+		"single": {
+			Name: "q", Host: "h", PathPrefix: "/q/", Repeatable: true, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+		},
+		"single, may run once": {
+			Name: "q", Host: "h", PathPrefix: "/q/", Timeout: 2 * time.Second, MaxAttempts: 2,
+			Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const engines = 3
+
+				d := newDeadlySystem(t, 6, 4, engines, time.Minute, route)
+				send := func(n int, target string) *domain.Error {
+					r := request("q", fmt.Sprint("id-", n), 10*time.Millisecond, time.Second)
+					r.Target = "/q/" + target
+
+					_, err := d.engines[n%engines].Serve(t.Context(), r)
+					if err == nil {
+						return nil
+					}
+
+					var e *domain.Error
+
+					require.ErrorAs(t, err, &e)
+
+					return e
+				}
+
+				var last *domain.Error
+
+				for n := range 20 {
+					ended := d.ended
+					last = send(n, "deadly")
+					require.NotNil(t, last)
+
+					if last.Fate == domain.FateNotRun {
+						require.Equal(t, ended, d.ended, "a request that ran isn't answered as not run")
+					}
+
+					if send(100+2*n, fmt.Sprint("healthy-", n)) != nil {
+						require.Nil(t, send(101+2*n, fmt.Sprint("healthy-", n)), "others are served, at the second attempt at the latest")
+					}
+
+					time.Sleep(100 * time.Millisecond)
+				}
+
+				require.Equal(t, domain.CodeQuarantined, last.Code)
+				require.Positive(t, last.RetryAfter)
+				require.LessOrEqual(t, d.ended, max(len(route.Shards), 1)+quarantine.MaxStrikes-1, "those under way at once, and one a trial")
+
+				ended := d.ended
+
+				time.Sleep(time.Minute)
+				send(0, "deadly")
+				require.Equal(t, ended+1, d.ended, "one searcher tells whether it still is deadly")
+				require.Equal(t, domain.CodeQuarantined, send(1, "deadly").Code)
+			})
+		})
+	}
+}
+
+// Guards against innocent requests in flight beside a deadly one that are condemned with it.
+func TestRequestsBesideADeadlyOneAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeadlySystem(t, 6, 4, 3, time.Minute, gatheredRoute("q", 6, 150*time.Millisecond, 2*time.Second, 0.5))
+
+		var (
+			wg   sync.WaitGroup
+			mu   sync.Mutex
+			lost []string
+		)
+
+		for n := range 600 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(n) * 5 * time.Millisecond)
+
+				target := fmt.Sprint("healthy-", n)
+				if n%20 == 0 {
+					target = "deadly"
+				}
+
+				// A caller tries once more, at another instance.
+				for attempt := range 2 {
+					r := request("q", fmt.Sprintf("id-%d-%d", n, attempt), 10*time.Millisecond, time.Second)
+					r.Target = "/q/" + target
+
+					_, err := d.engines[(n+attempt)%3].Serve(t.Context(), r)
+					if err == nil {
+						return
+					}
+
+					time.Sleep(50 * time.Millisecond)
+				}
+
+				mu.Lock()
+				defer mu.Unlock()
+
+				if target != "deadly" {
+					lost = append(lost, target)
+				}
+			})
+		}
+
+		wg.Wait()
+		require.Empty(t, lost)
+
+		for _, e := range d.engines {
+			require.LessOrEqual(t, e.settings.Suspects.Table.Held(time.Now()), 1)
+		}
+	})
+}
--- a/primrosed/internal/gatherer/client.go
+++ b/primrosed/internal/gatherer/client.go
@@ -132,6 +132,12 @@
 			return resp, p.instance.ID, true, err
 		}
 
+		// The other instance knows that the request ends searchers.
+		var e *domain.Error
+		if errors.As(err, &e) && e.Code == domain.CodeQuarantined {
+			return nil, p.instance.ID, true, err
+		}
+
 		c.logNotBegun(r, p, err)
 
 		if ctx.Err() != nil {
--- a/primrosed/internal/hosted/command.go
+++ b/primrosed/internal/hosted/command.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
@@ -21,14 +22,27 @@
 const (
 	defaultMetricsPort = 7390
 	defaultPeerPort    = 7380
+	// defaultQuarantine allows for the time that a correction of the searchers takes, and
+	// costs one searcher each time that it is over.
+	defaultQuarantine = 10 * time.Minute
 )
 
 // Command returns the command that runs a hosted instance.
 func Command(c *dig.Container, stdout io.Writer) *cobra.Command {
-	var metricsPort, peerPort int
+	var (
+		metricsPort, peerPort int
+		quarantine            time.Duration
+	)
 
 	load := func() (hosting.Settings, error) {
-		return platform.LoadSettings(os.Getenv(platform.SettingsVariable), metricsPort, peerPort)
+		s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable), metricsPort, peerPort)
+		if err != nil {
+			return s, err
+		}
+
+		s.Quarantine = quarantine
+
+		return s, s.Validate()
 	}
 
 	cmd := &cobra.Command{
@@ -37,6 +51,8 @@
 	}
 	cmd.PersistentFlags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port that serves /metrics")
 	cmd.PersistentFlags().IntVar(&peerPort, "peer-port", defaultPeerPort, "port that other instances connect to")
+	cmd.PersistentFlags().DurationVar(&quarantine, "quarantine", defaultQuarantine,
+		"how long a request is refused that has ended searchers, from 1s to 1h; 0 turns it off")
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the platform's settings file without starting", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -28,6 +28,7 @@
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
 	"primrosespring.example/internal/logline"
+	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/internal/roster"
 	"primrosespring.example/internal/routing"
@@ -127,6 +128,8 @@
 	GathererClient *gatherer.Client
 	GathererServer *gatherer.Server
 	ReplicaClient  *replica.Client
+	Quarantine     *quarantine.Table
+	Notifier       *replica.Notifier
 	Followers      *followers
 	Positions      *replica.Positions
 	Shares         *shares
@@ -151,6 +154,11 @@
 		func(s hosting.Settings) *quota.Table {
 			return quota.New(time.Now(), s.Instance.ID, rand.Uint64(), shareDelay)
 		},
+		func(s hosting.Settings) *quarantine.Table {
+			// Sequences of an earlier process are lower, since it had fewer strikes a second.
+			return quarantine.New(s.Instance.ID, s.Quarantine, uint64(time.Now().UnixNano()))
+		},
+		newNotifier,
 		newShares,
 		newRoster,
 		newSignKeeper,
@@ -204,9 +212,10 @@
 }
 
 func newEngine(log zerolog.Logger, s hosting.Settings, d *directory.Directory, sc *platform.SearcherClient, t *routing.Table,
-	g *gatherer.Client, hints restartHints,
+	g *gatherer.Client, hints restartHints, q *quarantine.Table, n *replica.Notifier,
 ) *serving.Engine {
 	return serving.New(log, serving.Settings{
+		Suspects: serving.Suspects{Table: q, Ended: sc.Ended, Tell: n.Notify},
 		Instance: s.Instance, Cores: s.Cores, ExtraAttempts: s.Bounds.ExtraAttempts, LogPlacement: true, OnStaleList: hints.add, Gatherers: g,
 	}, d, sc, t)
 }
@@ -217,6 +226,7 @@
 	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.ReplicaClient, Collection: replica.Instances}
 	i.replicaServer = replica.Server{Log: log, Collections: i.collections(), Client: p.ReplicaClient}
 	p.Positions.Signs = leavingSigns{i}
+	p.Positions.Suspects, p.Notifier.Suspects = suspects{i}, suspects{i}
 	p.Followers.configuration.Sink = configurationSink{i}
 	p.Followers.registrations.Sink = registrationSink{i}
 
@@ -252,6 +262,7 @@
 	sessions := mux.NewServer(i.log, i.parts.Budgets.frames, i.servePeer)
 	metrics.NewGauge("primrose_peer_sessions", func() float64 { return float64(sessions.Sessions()) })
 	i.registerCollectionMetrics()
+	metrics.NewGauge("primrose_held_contents", func() float64 { return float64(i.parts.Quarantine.Held(time.Now())) })
 
 	var wg sync.WaitGroup
 
@@ -269,6 +280,7 @@
 	endBackground()
 	_ = peers.Close()
 	sessions.Close()
+	i.parts.Notifier.Close()
 	i.parts.GathererClient.Close() //nolint:contextcheck // An empty plan connects to nobody.
 	wg.Wait()
 
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -16,6 +16,7 @@
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
+	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/internal/quota"
 	"primrosespring.example/internal/serving"
 	"primrosespring.example/primrosed/internal/mux"
@@ -40,6 +41,23 @@
 	}
 }
 
+// suspects gives and takes what is known of requests that end searchers. It implements
+// replica.Suspects.
+type suspects struct{ *Instance }
+
+// All implements replica.Suspects.
+func (s suspects) All(now time.Time) []quarantine.Suspect { return s.parts.Quarantine.All(now) }
+
+// Learn implements replica.Suspects.
+func (s suspects) Learn(from string, list []quarantine.Suspect) bool {
+	return s.parts.Engine.SuspectsLearned(from, list)
+}
+
+// newNotifier returns a notifier without suspects; newInstance sets them.
+func newNotifier(log zerolog.Logger, s hosting.Settings, c *replica.Client) *replica.Notifier {
+	return &replica.Notifier{Log: log, Self: s.Instance.ID, Address: s.Instance.PeerAddress, Peers: c.Instances, Send: replica.SendNotice(http1.DialTCP)}
+}
+
 // leavingSigns gives and takes the signs of searchers that leave. It implements
 // replica.LeavingSigns.
 type leavingSigns struct{ *Instance }
@@ -98,6 +116,8 @@
 		i.parts.GathererServer.Handle(ctx, peer, b.HandoverOffer, stream)
 	case *pb.PeerFrame_CopyRequest:
 		i.replicaServer.Handle(peer, b.CopyRequest, stream)
+	case *pb.PeerFrame_SuspectNotice:
+		i.parts.Notifier.Handle(peer, b.SuspectNotice)
 	case *pb.PeerFrame_PositionRequest:
 		i.parts.Positions.Handle(peer, b.PositionRequest, stream)
 	default:
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -53,6 +53,14 @@
 	c.listed = addresses
 }
 
+// Instances returns the peer addresses of the other listed instances, in a slice of its own.
+func (c *Client) Instances() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return slices.DeleteFunc(slices.Clone(c.listed), func(a string) bool { return a == c.self })
+}
+
 // addRequester records an instance that asked: if this instance has just started, it
 // may know of no other.
 func (c *Client) addRequester(address string) {
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -78,6 +78,8 @@
 	Quota *quota.Table
 	// Signs takes and tells which searchers leave; nil if there is none.
 	Signs LeavingSigns
+	// Suspects takes and tells which requests end searchers; nil if there is none.
+	Suspects Suspects
 	// OnLimits is called with the changes of searchers' limits that other instances know of;
 	// from is the instance that told them.
 	OnLimits func(from string, changes []quota.Learned)
@@ -174,7 +176,7 @@
 		}
 
 		asked := time.Now()
-		request := &pb.PositionRequest{Leaving: p.leavingSigns(), Known: p.known()}
+		request := &pb.PositionRequest{Leaving: p.leavingSigns(), Known: p.known(), Suspects: p.suspects()}
 
 		if !allocated {
 			question := p.Quota.Ask(asked, r.ID)
@@ -193,6 +195,7 @@
 		}
 
 		p.learnLeaving(r.PeerAddress, r.ID, answer.GetLeaving())
+		p.learnSuspects(r.PeerAddress, r.ID, answer.GetSuspects())
 
 		if p.confirm(answer, request.GetKnown(), asked) {
 			return r.ID
@@ -361,8 +364,9 @@
 // Handle answers one question.
 func (p *Positions) Handle(peer string, q *pb.PositionRequest, stream io.Writer) {
 	p.learnLeaving(peer, peer, q.GetLeaving())
+	p.learnSuspects(peer, peer, q.GetSuspects())
 
-	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns()}
+	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
 
 	for name, f := range p.Followed {
 		at := f.Rely()
--- /dev/null
+++ b/primrosed/internal/replica/suspects.go
@@ -0,0 +1,298 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/quarantine"
+	"primrosespring.example/primrosed/internal/frame"
+	"primrosespring.example/primrosed/internal/mux"
+)
+
+const (
+	// noticeTimeout bounds the delivery of one notice, a new session included.
+	noticeTimeout = 250 * time.Millisecond
+	// maxNotified bounds the instances that are told at a time. In a larger fleet, those that
+	// learn something tell maxRandom others, which spreads it fast, and the maxNext that follow
+	// them by address, so that nobody is left out.
+	maxNotified = 24
+	maxRandom   = 4
+	maxNext     = 4
+	// noticePause is the time between two rounds of notices.
+	noticePause = 50 * time.Millisecond
+	// maxTold bounds the suspects in a message.
+	maxTold = 128
+)
+
+var (
+	noticesSent   = metrics.NewCounter(`primrose_suspect_notices_total`)
+	noticesFailed = metrics.NewCounter(`primrose_suspect_notices_failed_total`)
+)
+
+// Suspects is what an instance knows of requests that end searchers.
+type Suspects interface {
+	// All returns the suspects to tell, the most important first.
+	All(now time.Time) []quarantine.Suspect
+	// Learn takes suspects that another instance told, and reports whether they were new.
+	Learn(from string, suspects []quarantine.Suspect) bool
+}
+
+// Notifier tells other instances at once what this one has learned of suspects. It is safe for
+// concurrent use.
+type Notifier struct {
+	Log zerolog.Logger
+	// Self and Address are this instance's id and peer address.
+	Self, Address string
+	Suspects      Suspects
+	// Peers returns the peer addresses of the other instances.
+	Peers func() []string
+	// Send delivers a notice to the instance at an address.
+	Send func(ctx context.Context, address string, n *pb.SuspectNotice) error
+
+	work sync.WaitGroup
+
+	mu sync.Mutex // Guards the fields below.
+	// next is closed at the end of the next round; nil if none is wanted.
+	next chan struct{}
+	// own says that the round is for something that this instance saw itself.
+	own     bool
+	running bool
+	closed  bool
+}
+
+// Notify starts a round of notices, or has another one follow that in progress. The channel is
+// closed once the instances of that round know.
+func (n *Notifier) Notify() <-chan struct{} { return n.notify(true) }
+
+func (n *Notifier) notify(own bool) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.next == nil {
+		n.next = make(chan struct{})
+	}
+
+	n.own = n.own || own
+
+	if !n.running && !n.closed {
+		n.running = true
+
+		n.work.Go(n.run)
+	}
+
+	return n.next
+}
+
+// Close waits for the round in progress and starts no other.
+func (n *Notifier) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+
+	n.work.Wait()
+}
+
+// run does rounds until none is wanted.
+func (n *Notifier) run() {
+	for {
+		n.mu.Lock()
+		done, own := n.next, n.own
+		n.next, n.own = nil, false
+
+		if done == nil || n.closed {
+			n.running = false
+			n.mu.Unlock()
+
+			return
+		}
+		n.mu.Unlock()
+
+		n.round(n.targets(own))
+		close(done)
+		time.Sleep(noticePause)
+	}
+}
+
+// targets returns the instances to tell. own says that this instance saw something itself.
+func (n *Notifier) targets(own bool) []string {
+	peers := n.Peers()
+
+	if own || len(peers) <= maxNotified {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+
+		return peers[:min(len(peers), maxNotified)]
+	}
+
+	slices.Sort(peers)
+
+	next, _ := slices.BinarySearch(peers, n.Address)
+	out := make([]string, 0, maxNext+maxRandom)
+
+	for i := range maxNext {
+		out = append(out, peers[(next+i)%len(peers)])
+	}
+
+	for range maxRandom {
+		out = append(out, peers[rand.IntN(len(peers))])
+	}
+
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
+
+// round tells instances.
+func (n *Notifier) round(targets []string) {
+	suspects := n.Suspects.All(time.Now())
+	if len(suspects) == 0 {
+		return
+	}
+
+	notice := &pb.SuspectNotice{InstanceId: n.Self, Suspects: encodeSuspects(suspects)}
+
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+	defer cancel()
+
+	var wg sync.WaitGroup
+
+	for _, address := range targets {
+		wg.Go(func() {
+			noticesSent.Inc()
+
+			if err := n.Send(ctx, address, notice); err != nil {
+				noticesFailed.Inc()
+				n.Log.Info().Str("event", "notice_failed").Str("peer", address).Err(err).Send()
+			}
+		})
+	}
+
+	wg.Wait()
+}
+
+// Handle takes a notice. If it has news for this instance and the sender hasn't told all of the
+// fleet, others are told too.
+func (n *Notifier) Handle(peer string, notice *pb.SuspectNotice) {
+	suspects, err := decodeSuspects(notice.GetSuspects())
+	if err != nil {
+		n.Log.Warn().Str("event", "suspects_refused").Str("peer", peer).Err(err).Send()
+
+		return
+	}
+
+	if n.Suspects.Learn(notice.GetInstanceId(), suspects) && len(n.Peers()) > maxNotified {
+		n.notify(false)
+	}
+}
+
+// SendNotice delivers a notice over a session of its own.
+func SendNotice(dial http1.DialFunc) func(ctx context.Context, address string, notice *pb.SuspectNotice) error {
+	return func(ctx context.Context, address string, notice *pb.SuspectNotice) error {
+		session, err := mux.Dial(ctx, dial, address)
+		if err != nil {
+			return err
+		}
+
+		stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+
+		defer func() {
+			if stop() {
+				_ = session.Close()
+			}
+		}()
+
+		stream, err := session.OpenStream()
+		if err != nil {
+			return err
+		}
+
+		f := &pb.PeerFrame{Body: &pb.PeerFrame_SuspectNotice{SuspectNotice: notice}}
+		if err := frame.Write(stream, f, frame.MaxControlBytes); err != nil {
+			return err
+		}
+
+		// The receiver closes the stream.
+		if _, err := stream.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			return err
+		}
+
+		return nil
+	}
+}
+
+func encodeSuspects(suspects []quarantine.Suspect) []*pb.Suspect {
+	out := make([]*pb.Suspect, min(len(suspects), maxTold))
+
+	for i := range out {
+		s := &suspects[i]
+		out[i] = &pb.Suspect{Content: s.Content[:], Route: s.Route, Strikes: make([]*pb.Strike, len(s.Strikes))}
+
+		for j, k := range s.Strikes {
+			out[i].Strikes[j] = &pb.Strike{InstanceId: k.Instance, Sequence: k.Sequence, AgeMs: uint64(k.Age.Milliseconds())}
+		}
+	}
+
+	return out
+}
+
+// decodeSuspects returns the suspects of a message, or an error if one of them is invalid.
+func decodeSuspects(list []*pb.Suspect) ([]quarantine.Suspect, error) {
+	if len(list) > maxTold {
+		return nil, errors.New("too many suspects")
+	}
+
+	out := make([]quarantine.Suspect, len(list))
+
+	for i, s := range list {
+		if len(s.GetContent()) != len(out[i].Content) {
+			return nil, errors.New("the content of a suspect has another length")
+		}
+
+		out[i] = quarantine.Suspect{Content: quarantine.Digest(s.GetContent()), Route: s.GetRoute(), Strikes: make([]quarantine.Strike, len(s.GetStrikes()))}
+
+		for j, k := range s.GetStrikes() {
+			// An age that overflows is as good as none.
+			age := time.Duration(min(k.GetAgeMs(), uint64(24*time.Hour/time.Millisecond))) * time.Millisecond
+			out[i].Strikes[j] = quarantine.Strike{Instance: k.GetInstanceId(), Sequence: k.GetSequence(), Age: age}
+		}
+
+		if err := out[i].Validate(); err != nil {
+			return nil, err
+		}
+	}
+
+	return out, nil
+}
+
+// learnSuspects takes what another instance told in an exchange of positions.
+func (p *Positions) learnSuspects(address, from string, list []*pb.Suspect) {
+	if p.Suspects == nil || len(list) == 0 {
+		return
+	}
+
+	suspects, err := decodeSuspects(list)
+	if err != nil {
+		p.Log.Warn().Str("event", "suspects_refused").Str("peer", address).Err(err).Send()
+
+		return
+	}
+
+	p.Suspects.Learn(from, suspects)
+}
+
+func (p *Positions) suspects() []*pb.Suspect {
+	if p.Suspects == nil {
+		return nil
+	}
+
+	return encodeSuspects(p.Suspects.All(time.Now()))
+}
