http1: refuse statuses that HTTP doesn't have

Cause: any number of three digits was taken and passed on.

Change: the range is checked where answers are decoded; such an answer is corrupt, since the request may have run.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -28,6 +28,8 @@
 	// those of its interim responses; maxInterim bounds the number of the latter.
 	maxHeadBytes = 32 << 10
 	maxInterim   = 10
+	// minStatus and maxStatus are the range of status codes (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
 	// defaultMaxBodyBytes bounds the body of a response where Limit.MaxBodyBytes
 	// doesn't; the store pages its lists at about 1 MB.
 	defaultMaxBodyBytes = 8 << 20
@@ -57,6 +59,8 @@
 	// ErrHeadTooLarge means that the headers of a response exceed the limit, or that
 	// too many interim responses preceded it.
 	ErrHeadTooLarge = errors.New("response headers too large")
+	// ErrStatus means that the status of a response isn't one of HTTP.
+	ErrStatus = errors.New("status out of range")
 )
 
 // Request is one request as it goes on the wire.
@@ -241,7 +245,10 @@
 			return nil, err
 		}
 
-		if hr.StatusCode < 100 || hr.StatusCode >= 200 {
+		switch {
+		case hr.StatusCode < minStatus || hr.StatusCode > maxStatus:
+			return nil, ErrStatus
+		case hr.StatusCode >= http.StatusOK:
 			return hr, nil
 		}
 	}
