directory: deny a searcher's incarnation, not its id

Cause: Deny took the id only.

Change: it takes incarnation and address of the attempt as well. Pauses, signs of leaving, limits and strikes name the incarnation already; connection pools name the address; the routing table's health of a searcher goes by its id and heals by itself.

Evidence: the added lines of TestRegistryDeniesReusedAddresses fail without the change.

Conclusion: fixed for denials.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -168,12 +168,12 @@
 	return applied
 }
 
-// Deny stops the use of a searcher at whose address another one answered, until it
-// registers with another address or start time. It reports whether that is a change.
-func (d *Directory) Deny(id string) bool {
+// Deny stops the use of a searcher's incarnation at whose address another one answered, until
+// it registers with another address or start time. It reports whether that is a change.
+func (d *Directory) Deny(id string, incarnation int64, address string) bool {
 	return d.update(func(time.Time) bool {
 		rec, ok := d.registry.records[id]
-		if !ok || rec.denied {
+		if !ok || rec.denied || rec.registration.Started != incarnation || rec.registration.Address != address {
 			return false
 		}
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -129,12 +129,18 @@
 func TestRegistryDeniesReusedAddresses(t *testing.T) {
 	d := configured()
 	d.ReplaceSearchers([]domain.Registration{registration("s", nil)})
-	require.True(t, d.Deny("s"))
+	require.True(t, d.Deny("s", 100, "127.0.0.1:1"))
 	require.False(t, d.Usable("s"))
 	put(d, registration("s", func(r *domain.Registration) { r.Sequence = 6 }))
 	require.False(t, d.Usable("s"), "a heartbeat of the same process changes nothing")
 	put(d, registration("s", func(r *domain.Registration) { r.Address, r.Sequence = "127.0.0.1:2", 7 }))
 	require.True(t, d.Usable("s"))
+
+	// An answer from the old address, or for an earlier incarnation, comes late.
+	require.False(t, d.Deny("s", 100, "127.0.0.1:1"))
+	put(d, registration("s", func(r *domain.Registration) { r.Address, r.Started, r.Sequence = "127.0.0.1:2", 200, 1 }))
+	require.False(t, d.Deny("s", 100, "127.0.0.1:2"))
+	require.True(t, d.Usable("s"))
 }
 
 // Guards against a new view for each of many changes: while hundreds of searchers
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -343,7 +343,7 @@
 		countAttemptFailure(e.Code)
 	}
 
-	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID) {
+	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID, a.Searcher.Incarnation, a.Searcher.Address) {
 		x.engine.reportStaleList()
 		x.engine.log.Warn().Str("event", "searcher_denied").Str("searcher", a.Searcher.ID).
 			Str("address", a.Searcher.Address).Str("reason", "another searcher answers at its address").Send()
