mux: go on accepting after a failed accept

Change: it waits, 5 ms to 1 s, and tries again until it is closed; a log line and a counter say so. The listeners for callers, readiness and metrics are http.Server's, which does the same; run's mesh does as well.

Evidence: TestFailedAcceptsAreRepeated; before, Serve returns the error.

Conclusion: fixed for listeners. A dial that fails for want of descriptors still counts as a failure of the searcher.

--- a/primrosed/internal/mux/mux.go
+++ b/primrosed/internal/mux/mux.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
@@ -35,10 +36,16 @@
 	// those that wait to be accepted; more are reset. yamux buffers 256 KiB for each.
 	maxStreams = 128
 	maxBacklog = 64
+	// minAcceptWait and maxAcceptWait bound the time after which a listener that failed is
+	// tried again.
+	minAcceptWait = 5 * time.Millisecond
+	maxAcceptWait = time.Second
 	// maxOpening bounds the streams that this instance opens and that aren't accepted yet.
 	maxOpening = 1024
 )
 
+var acceptsFailed = metrics.NewCounter("primrose_peer_accepts_failed_total")
+
 // Handler serves one stream, whose first frame has been read; peer is the remote
 // address. The read deadline of the first frame is still set. The stream is closed
 // after Handler returns.
@@ -63,15 +70,35 @@
 	return &Server{log: log, handle: handle, frames: frames, open: make(map[*yamux.Session]bool)}
 }
 
-// Serve serves the connections of a listener until it is closed.
+// Serve serves the connections of a listener until it is closed or ctx ends. Accept fails for a
+// time when file descriptors run out.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	wait := minAcceptWait
+
 	for {
 		nc, err := l.Accept()
-		if err != nil {
+
+		switch {
+		case err == nil:
+			wait = minAcceptWait
+
+			s.ServeConn(ctx, nc)
+
+			continue
+		case errors.Is(err, net.ErrClosed):
 			return err
 		}
 
-		s.ServeConn(ctx, nc)
+		acceptsFailed.Inc()
+		s.log.Warn().Str("event", "accept_failed").Str("address", l.Addr().String()).Int64("wait_ms", wait.Milliseconds()).Err(err).Send()
+
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+
+		wait = min(2*wait, maxAcceptWait)
 	}
 }
 
--- a/primrosed/internal/mux/mux_test.go
+++ b/primrosed/internal/mux/mux_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,3 +155,49 @@
 	s.Close()
 	require.Zero(t, frames.Used())
 }
+
+// failingListener fails to accept a number of times.
+type failingListener struct {
+	net.Listener
+
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+
+	return l.Listener.Accept()
+}
+
+// Guards against a listener for other instances that ends for good at its first failed accept,
+// as without free descriptors.
+func TestFailedAcceptsAreRepeated(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	s := NewServer(zerolog.Nop(), nil, func(_ context.Context, _ string, first *pb.PeerFrame, stream *yamux.Stream) {
+		_ = frame.Write(stream, first, frame.MaxRelayBytes)
+	})
+	served := make(chan error, 1)
+
+	go func() { served <- s.Serve(t.Context(), &failingListener{l, 3}) }()
+
+	session, err := Dial(t.Context(), http1.DialTCP, l.Addr().String())
+	require.NoError(t, err)
+
+	stream, err := session.OpenStream()
+	require.NoError(t, err)
+	require.NoError(t, frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_CopyRequest{CopyRequest: &pb.CopyRequest{}}}, frame.MaxRelayBytes))
+
+	_, err = frame.Read(stream, "server", frame.MaxRelayBytes, nil)
+	require.NoError(t, err)
+	require.NoError(t, session.Close())
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-served, net.ErrClosed)
+	s.Close()
+}
