logline, hosted, server: outlive the reader of standard output

Cause: Go's runtime ends a process whose write to descriptor 1 finds a closed pipe, unless the signal is ignored.

Change: both hosts ignore it, so that the write fails. Lines that are lost so are counted, and said with the dropped ones once the output is back.

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -4,10 +4,13 @@
 import (
 	"bytes"
 	"io"
+	"os/signal"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 )
 
@@ -21,6 +24,12 @@
 	flushInterval = 200 * time.Millisecond
 )
 
+var linesLost = metrics.NewCounter("primrose_log_lines_lost_total")
+
+// IgnoreClosedOutput keeps the process from ending by SIGPIPE when it writes to standard output
+// and the reader has gone: the write fails instead.
+func IgnoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // Writer converts zerolog's JSON events to key=value lines and buffers them. A
 // slow or failed output never blocks Write: lines that exceed the buffer are
 // dropped, and the next flush logs their number. It is safe for concurrent use.
@@ -77,7 +86,7 @@
 }
 
 // flush writes the pending lines without blocking Write. If a write fails, the
-// lines that it didn't write are lost.
+// lines that it didn't write are lost, and count as dropped.
 func (w *Writer) flush() error {
 	w.flushMu.Lock()
 	defer w.flushMu.Unlock()
@@ -107,6 +116,17 @@
 		}
 
 		if _, err := w.out.Write(lines[:n]); err != nil {
+			lost := bytes.Count(lines, []byte{'\n'})
+			if dropped > 0 {
+				lost-- // The line that says so.
+			}
+
+			linesLost.Add(lost)
+
+			w.mu.Lock()
+			w.dropped += dropped + lost
+			w.mu.Unlock()
+
 			return err
 		}
 
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,3 +104,41 @@
 		}
 	})
 }
+
+// brokenWriter fails until it is repaired.
+type brokenWriter struct {
+	bytes.Buffer
+
+	broken bool
+}
+
+// Write implements io.Writer.
+func (b *brokenWriter) Write(p []byte) (int, error) {
+	if b.broken {
+		return 0, syscall.EPIPE
+	}
+
+	return b.Buffer.Write(p)
+}
+
+// Guards against lines that are lost to an output whose reader has gone, and that no line
+// reports once it is back.
+func TestLinesLostToABrokenOutputAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &brokenWriter{broken: true}
+		w := New(out)
+		log := w.Logger()
+
+		for range 3 {
+			log.Info().Str("event", "request").Send()
+			time.Sleep(flushInterval)
+		}
+
+		time.Sleep(flushInterval)
+
+		out.broken = false
+
+		require.NoError(t, w.Close())
+		require.Equal(t, "level=warn event=log_lines_dropped lines=3\n", out.String())
+	})
+}
--- a/primrosed/internal/hosted/command.go
+++ b/primrosed/internal/hosted/command.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"primrosespring.example/internal/hosting"
+	"primrosespring.example/internal/logline"
 	"primrosespring.example/platform"
 )
 
@@ -76,6 +77,8 @@
 		return errors.Annotate(err, "load settings")
 	}
 
+	logline.IgnoreClosedOutput()
+
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 
--- a/primrosed/internal/server/command.go
+++ b/primrosed/internal/server/command.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/dig"
 
+	"primrosespring.example/internal/logline"
 	"primrosespring.example/primrosed/internal/hosted"
 	"primrosespring.example/primrosed/internal/settings"
 )
@@ -90,6 +91,8 @@
 		return err
 	}
 
+	logline.IgnoreClosedOutput()
+
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 
