--- a/primrosed/internal/hosted/gather.go
+++ b/primrosed/internal/hosted/gather.go
@@ -97,9 +97,14 @@
 		i.fleet.knownUntil = time.Now().Add(startTime)
 	}
 
+	first := !i.fleet.listed
 	i.fleet.listed, i.fleet.instances = true, list
 	i.fleet.mu.Unlock()
 
+	if first {
+		i.parts.Notifier.Ask()
+	}
+
 	i.replan()
 }
 
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -54,8 +54,8 @@
 }
 
 // newNotifier returns a notifier without suspects; newInstance sets them.
-func newNotifier(log zerolog.Logger, s hosting.Settings, c *replica.Client) *replica.Notifier {
-	return &replica.Notifier{Log: log, Self: s.Instance.ID, Address: s.Instance.PeerAddress, Peers: c.Instances, Send: replica.SendNotice(http1.DialTCP)}
+func newNotifier(log zerolog.Logger, s hosting.Settings, c *replica.Client, b *budgets) *replica.Notifier {
+	return &replica.Notifier{Log: log, Self: s.Instance.ID, Address: s.Instance.PeerAddress, Peers: c.Instances, Send: replica.SendNotice(http1.DialTCP, b.frames)}
 }
 
 // leavingSigns gives and takes the signs of searchers that leave. It implements
@@ -117,7 +117,7 @@
 	case *pb.PeerFrame_CopyRequest:
 		i.replicaServer.Handle(peer, b.CopyRequest, stream)
 	case *pb.PeerFrame_SuspectNotice:
-		i.parts.Notifier.Handle(peer, b.SuspectNotice)
+		i.parts.Notifier.ServeNotice(peer, b.SuspectNotice, stream)
 	case *pb.PeerFrame_PositionRequest:
 		i.parts.Positions.Handle(peer, b.PositionRequest, stream)
 	default:
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -53,12 +53,21 @@
 	c.listed = addresses
 }
 
-// Instances returns the peer addresses of the other listed instances, in a slice of its own.
+// Instances returns the peer addresses of the other instances, in a slice of its own: of those
+// listed, or that the settings name if there is no list yet, and of those that have asked.
 func (c *Client) Instances() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return slices.DeleteFunc(slices.Clone(c.listed), func(a string) bool { return a == c.self })
+	known := c.listed
+	if len(known) == 0 {
+		known = c.seeds
+	}
+
+	known = slices.Concat(known, c.requesters)
+	slices.Sort(known)
+
+	return slices.DeleteFunc(slices.Compact(known), func(a string) bool { return a == c.self })
 }
 
 // addRequester records an instance that asked: if this instance has just started, it
--- a/primrosed/internal/replica/suspects.go
+++ b/primrosed/internal/replica/suspects.go
@@ -14,6 +14,7 @@
 
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
+	"primrosespring.example/internal/memory"
 	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/primrosed/internal/frame"
 	"primrosespring.example/primrosed/internal/mux"
@@ -56,8 +57,8 @@
 	Suspects      Suspects
 	// Peers returns the peer addresses of the other instances.
 	Peers func() []string
-	// Send delivers a notice to the instance at an address.
-	Send func(ctx context.Context, address string, n *pb.SuspectNotice) error
+	// Send delivers a notice to the instance at an address, and returns its answer.
+	Send func(ctx context.Context, address string, n *pb.SuspectNotice) (*pb.SuspectNotice, error)
 
 	work sync.WaitGroup
 
@@ -70,6 +71,14 @@
 	closed  bool
 }
 
+// Ask learns what a few other instances know, for an instance that has just started.
+func (n *Notifier) Ask() {
+	n.work.Go(func() {
+		peers := n.targets(true)
+		n.exchange(peers[:min(len(peers), maxFetches)], nil)
+	})
+}
+
 // Notify starts a round of notices, or has another one follow that in progress. The channel is
 // closed once the instances of that round know.
 func (n *Notifier) Notify() <-chan struct{} { return n.notify(true) }
@@ -153,11 +162,13 @@
 
 // round tells instances.
 func (n *Notifier) round(targets []string) {
-	suspects := n.Suspects.All(time.Now())
-	if len(suspects) == 0 {
-		return
+	if suspects := n.Suspects.All(time.Now()); len(suspects) > 0 {
+		n.exchange(targets, suspects)
 	}
+}
 
+// exchange tells instances of suspects and learns what they know.
+func (n *Notifier) exchange(targets []string, suspects []quarantine.Suspect) {
 	notice := &pb.SuspectNotice{InstanceId: n.Self, Suspects: encodeSuspects(suspects)}
 
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
@@ -169,37 +180,50 @@
 		wg.Go(func() {
 			noticesSent.Inc()
 
-			if err := n.Send(ctx, address, notice); err != nil {
+			answer, err := n.Send(ctx, address, notice)
+			if err != nil {
 				noticesFailed.Inc()
 				n.Log.Info().Str("event", "notice_failed").Str("peer", address).Err(err).Send()
+
+				return
 			}
+
+			n.learn(address, answer)
 		})
 	}
 
 	wg.Wait()
 }
 
-// Handle takes a notice. If it has news for this instance and the sender hasn't told all of the
-// fleet, others are told too.
-func (n *Notifier) Handle(peer string, notice *pb.SuspectNotice) {
+// Handle takes a notice and returns the answer. If the notice has news for this instance and the
+// sender hasn't told all of the fleet, others are told too.
+func (n *Notifier) Handle(peer string, notice *pb.SuspectNotice) *pb.SuspectNotice {
+	if n.learn(peer, notice) && len(n.Peers()) > maxNotified {
+		n.notify(false)
+	}
+
+	return &pb.SuspectNotice{InstanceId: n.Self, Suspects: encodeSuspects(n.Suspects.All(time.Now()))}
+}
+
+// learn takes the suspects of another instance's message and reports whether they were new.
+func (n *Notifier) learn(peer string, notice *pb.SuspectNotice) bool {
 	suspects, err := decodeSuspects(notice.GetSuspects())
 	if err != nil {
 		n.Log.Warn().Str("event", "suspects_refused").Str("peer", peer).Err(err).Send()
 
-		return
+		return false
 	}
 
-	if n.Suspects.Learn(notice.GetInstanceId(), suspects) && len(n.Peers()) > maxNotified {
-		n.notify(false)
-	}
+	return n.Suspects.Learn(notice.GetInstanceId(), suspects)
 }
 
-// SendNotice delivers a notice over a session of its own.
-func SendNotice(dial http1.DialFunc) func(ctx context.Context, address string, notice *pb.SuspectNotice) error {
-	return func(ctx context.Context, address string, notice *pb.SuspectNotice) error {
+// SendNotice returns a function that delivers a notice over a session of its own. frames bounds
+// the answers that are being read; nil sets no bound.
+func SendNotice(dial http1.DialFunc, frames *memory.Budget) func(ctx context.Context, address string, notice *pb.SuspectNotice) (*pb.SuspectNotice, error) {
+	return func(ctx context.Context, address string, notice *pb.SuspectNotice) (*pb.SuspectNotice, error) {
 		session, err := mux.Dial(ctx, dial, address)
 		if err != nil {
-			return err
+			return nil, err
 		}
 
 		stop := context.AfterFunc(ctx, func() { _ = session.Close() })
@@ -212,20 +236,31 @@
 
 		stream, err := session.OpenStream()
 		if err != nil {
-			return err
+			return nil, err
 		}
 
 		f := &pb.PeerFrame{Body: &pb.PeerFrame_SuspectNotice{SuspectNotice: notice}}
 		if err := frame.Write(stream, f, frame.MaxControlBytes); err != nil {
-			return err
+			return nil, err
+		}
+
+		if f, err = frame.Read(stream, address, frame.MaxControlBytes, frames); err != nil {
+			return nil, err
 		}
 
-		// The receiver closes the stream.
-		if _, err := stream.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-			return err
+		if f.GetSuspectNotice() == nil {
+			return nil, &frame.Error{Peer: address, Reason: "not an answer to a notice"}
 		}
 
-		return nil
+		return f.GetSuspectNotice(), nil
+	}
+}
+
+// ServeNotice answers a notice.
+func (n *Notifier) ServeNotice(peer string, notice *pb.SuspectNotice, stream io.Writer) {
+	answer := &pb.PeerFrame{Body: &pb.PeerFrame_SuspectNotice{SuspectNotice: n.Handle(peer, notice)}}
+	if err := frame.Write(stream, answer, frame.MaxControlBytes); err != nil {
+		n.Log.Info().Str("event", "notice_not_answered").Str("peer", peer).Err(err).Send()
 	}
 }
 
--- a/primrosed/internal/replica/suspects_test.go
+++ b/primrosed/internal/replica/suspects_test.go
@@ -64,17 +64,16 @@
 
 				return out
 			},
-			Send: func(ctx context.Context, to string, n *pb.SuspectNotice) error {
+			Send: func(ctx context.Context, to string, n *pb.SuspectNotice) (*pb.SuspectNotice, error) {
 				if dead[to] {
 					<-ctx.Done()
 
-					return ctx.Err()
+					return nil, ctx.Err()
 				}
 
 				time.Sleep(delay)
-				fleet[to].Handle(address, n)
 
-				return nil
+				return fleet[to].Handle(address, n), nil
 			},
 		}
 	}
@@ -111,6 +110,12 @@
 		}
 	}
 
+	started := quarantine.New("0", time.Minute, 1000)
+	fleet["0"].Suspects = tableSuspects{started}
+	fleet["0"].Ask()
+	fleet["0"].Close()
+	require.Equal(t, 1, started.Held(time.Now()), "an instance that starts again asks")
+
 	for _, n := range fleet {
 		n.Close()
 	}
