quarantine, scatter, serving: go on with a canary, hedge later, try later

Change: no hedge before an answer until the objective has passed. A query that loses a searcher cancels its other parts and goes on with a canary at once. A suspect is tried again 5 s after a strike at the earliest; until then it is refused as not run. A route's queries are sent carefully only once a second of its contents has two strikes.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,9 +29,12 @@
 	maxKept = 2 * MaxStrikes
 	// suspicion is how long a strike counts that hasn't led to a quarantine.
 	suspicion = time.Minute
-	// alertTime is how long the requests of a route are sent carefully after one of its
-	// contents has got its second strike.
+	// alertTime is how long the requests of a route are sent carefully after a second content
+	// of it has got its second strike.
 	alertTime = 5 * time.Second
+	// trialDelay is the time from a strike to the next trial: searchers that have ended start
+	// again within seconds, and the trial may end the last one of a shard.
+	trialDelay = 5 * time.Second
 	// trialTime bounds how long one trial of a suspect keeps others waiting.
 	trialTime = 2 * time.Second
 )
@@ -77,7 +80,7 @@
 	Careful
 	// Trial requests are careful ones of a suspect, of which only one is sent at a time.
 	Trial
-	// Busy requests have to wait for the trial of the same content.
+	// Busy requests have to wait for the trial of the same content, in progress or due later.
 	Busy
 	// Held requests aren't sent.
 	Held
@@ -165,6 +168,8 @@
 		return Held, e.last().Add(t.hold).Sub(now)
 	case now.Before(e.trialUntil):
 		return Busy, 0
+	case now.Before(e.last().Add(trialDelay)):
+		return Busy, e.last().Add(trialDelay).Sub(now)
 	}
 
 	e.trialUntil = now.Add(trialTime)
@@ -339,13 +344,24 @@
 	slices.SortStableFunc(e.strikes, func(a, b strike) int { return a.at.Compare(b.at) })
 	e.strikes = e.strikes[max(len(e.strikes)-maxKept, 0):]
 
-	if until := k.at.Add(alertTime); len(e.strikes) > 1 && until.After(t.alerts[e.route]) {
+	if until := k.at.Add(alertTime); len(e.strikes) > 1 && until.After(t.alerts[e.route]) && t.others(e) {
 		t.alerts[e.route] = until
 	}
 
 	return true
 }
 
+// others reports whether another content of the same route has two strikes; the caller holds mu.
+func (t *Table) others(e *entry) bool {
+	for _, o := range t.entries {
+		if o != e && o.route == e.route && len(o.strikes) > 1 {
+			return true
+		}
+	}
+
+	return false
+}
+
 // memory returns how long a content with that many strikes is kept after the last one.
 func (t *Table) memory(strikes int) time.Duration {
 	if strikes >= MaxStrikes {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -33,6 +33,8 @@
 		check(Free)
 		require.False(t, q.Known())
 		require.Equal(t, 1, q.Strike(time.Now(), d, "r"))
+		require.Equal(t, trialDelay, check(Busy))
+		time.Sleep(trialDelay)
 		check(Trial)
 		check(Busy)
 		q.EndTrial(d)
@@ -41,12 +43,19 @@
 		check(Trial)
 		require.Equal(t, 2, q.Strike(time.Now(), d, "r"))
 
-		v, _ := q.Check(time.Now(), content(2), "r")
+		v, _ := q.Check(time.Now(), content(3), "r")
+		require.Equal(t, Free, v)
+
+		q.Strike(time.Now(), content(2), "r")
+		q.Strike(time.Now(), content(2), "r")
+
+		v, _ = q.Check(time.Now(), content(3), "r")
 		require.Equal(t, Careful, v, "the route is watched")
 
-		v, _ = q.Check(time.Now(), content(2), "other")
+		v, _ = q.Check(time.Now(), content(3), "other")
 		require.Equal(t, Free, v)
 
+		time.Sleep(trialDelay)
 		check(Trial)
 		require.Equal(t, MaxStrikes, q.Strike(time.Now(), d, "r"))
 		require.Equal(t, testHold, check(Held))
@@ -54,12 +63,12 @@
 
 		time.Sleep(alertTime)
 
-		v, _ = q.Check(time.Now(), content(2), "r")
+		v, _ = q.Check(time.Now(), content(3), "r")
 		require.Equal(t, Free, v, "the alert has ended")
 
 		time.Sleep(testHold - alertTime)
 		check(Trial)
-		q.Strike(time.Now(), d, "r")
+		require.Equal(t, MaxStrikes+1, q.Strike(time.Now(), d, "r"))
 		require.Equal(t, testHold, check(Held), "one trial after the time")
 
 		time.Sleep(testHold)
@@ -85,8 +94,7 @@
 			a.Learn(time.Now(), b.All(time.Now()))
 
 			v, _ := a.Check(time.Now(), d, "r")
-			require.NotEqual(t, Held, v)
-			require.NotEqual(t, Trial, v, "its own strikes don't count again")
+			require.Equal(t, Free, v, "its own strikes don't count again")
 			b.Answered(time.Now(), d)
 			time.Sleep(time.Second)
 		}
--- a/internal/scatter/canary.go
+++ b/internal/scatter/canary.go
@@ -5,12 +5,10 @@
 import (
 	"time"
 
+	"primrosespring.example/internal/budget"
 	"primrosespring.example/internal/domain"
 )
 
-// maxLostSearchers is how many searchers may end under a query before any shard has answered.
-const maxLostSearchers = 3
-
 // holding reports whether shards wait for the answer of another one before they are tried
 // again.
 func (q *Query) holding() bool { return q.lostSearchers > 0 && q.included == 0 }
@@ -22,17 +20,26 @@
 		return
 	}
 
-	if q.params.Canary && !q.holding() {
-		q.sendCanary(now, s)
-
-		return
+	switch {
+	case (q.params.Canary || q.holding()) && q.lostSearchers < q.params.MaxLostSearchers && q.sendCanary(now, s):
+	case q.holding():
+		q.markAllMissing(domain.CodeSearcherUnavailable)
 	}
+}
 
-	if !q.holding() {
-		return
-	}
+// hold cancels the outstanding attempts, whose shards are tried again once another one has
+// answered.
+func (q *Query) hold(now time.Time, s *Step) {
+	for i := range q.shards {
+		sh := &q.shards[i]
+		if sh.settled() || sh.sent == 0 {
+			continue
+		}
+
+		q.cancelShard(now, uint32(i), s)
 
-	q.markAllMissing(domain.CodeSearcherUnavailable)
+		sh.held = true
+	}
 }
 
 func (q *Query) markAllMissing(code domain.Code) {
@@ -55,20 +62,33 @@
 	return false
 }
 
-// sendCanary sends the first attempt of the next shard that has a searcher and none yet.
-func (q *Query) sendCanary(now time.Time, s *Step) {
+// sendCanary sends one attempt for the next shard that may have one, and reports whether there
+// is one, or a shard waits for a permit.
+func (q *Query) sendCanary(now time.Time, s *Step) bool {
 	n := uint32(len(q.shards))
 
 	for i := range n {
 		shard := (q.params.CanaryShard + i) % n
-		if sh := &q.shards[shard]; sh.settled() || sh.sent > 0 {
-			continue
-		}
+		sh := &q.shards[shard]
 
-		if a := q.sendFirst(now, shard, s); a != nil || q.shards[shard].ticket != 0 {
-			return
+		switch {
+		case sh.settled():
+		case sh.sent == 0:
+			if q.sendFirst(now, shard, s) != nil || sh.ticket != 0 {
+				return true
+			}
+		case sh.held && q.mayAttempt(sh) && q.budget.Take(shard, budget.Retry):
+			if a, _ := q.send(now, shard, Retry, overrunFactor*q.timeLeft(now), s); a != nil {
+				sh.held = false
+
+				return true
+			}
+
+			q.budget.Return(shard)
 		}
 	}
+
+	return false
 }
 
 // resume sends what waited for the first answer.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -122,6 +122,9 @@
 	// run it.
 	Canary      bool
 	CanaryShard uint32
+	// MaxLostSearchers is how many searchers may end under a query before any shard has
+	// answered.
+	MaxLostSearchers int
 	// HedgeFrom is until when no hedge is sent unless a shard has answered: a request that
 	// ends the searchers that run it would end another one in each shard.
 	HedgeFrom time.Time
@@ -376,17 +379,38 @@
 	return q.finish(now, s)
 }
 
-// FailedWithSearcher handles the failure of an attempt whose searcher has ended. Until a shard
-// has answered, which shows that the request doesn't end the searchers that run it, no shard
-// is tried again, and the query ends once maxLostSearchers have ended.
+// FailedWithSearcher handles the failure of an attempt whose searcher has ended before any shard
+// has answered, which would show that the request doesn't end the searchers that run it. The
+// other attempts are cancelled and a canary is sent, or the query ends if MaxLostSearchers have
+// ended.
 func (q *Query) FailedWithSearcher(now time.Time, id uint32, outcome routing.Outcome, code domain.Code) Step {
+	if q.included > 0 {
+		return q.Failed(now, id, outcome, code)
+	}
+
+	var s Step
+
+	a := q.endAttempt(id)
+	if a == nil {
+		return q.finish(now, s)
+	}
+
+	q.router.Release(now, a.searcher, outcome, now.Sub(a.sent), nil)
+	q.budget.Observe(a.shard, false)
+
+	q.shards[a.shard].failure = code
 	q.lostSearchers++
 
-	if q.holding() && q.lostSearchers >= maxLostSearchers {
-		q.markAllMissing(code)
+	if !q.done {
+		q.hold(now, &s)
 	}
 
-	return q.Failed(now, id, outcome, code)
+	return q.finish(now, s)
+}
+
+// Outstanding reports whether an attempt has been sent and hasn't ended.
+func (q *Query) Outstanding(id uint32) bool {
+	return int(id) < len(q.attempts) && !q.attempts[id].ended
 }
 
 // FailedPermanently handles the failure of an attempt after which the shard must not be
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -74,7 +74,8 @@
 			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
 			EndEarly: rapid.Bool().Draw(t, "end early"), RetryShed: false,
 			Canary: rapid.Bool().Draw(t, "canary"), CanaryShard: rapid.Uint32().Draw(t, "canary shard"),
-			HedgeFrom: start.Add(rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, time.Second}).Draw(t, "hedge from")),
+			MaxLostSearchers: rapid.IntRange(0, 3).Draw(t, "lost searchers"),
+			HedgeFrom:        start.Add(rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, time.Second}).Draw(t, "hedge from")),
 		}, r, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
 
 		var running []uint32
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -205,10 +205,13 @@
 	}
 
 	if v := x.suspicion.verdict; v == quarantine.Careful || v == quarantine.Trial {
-		p.Canary, p.CanaryShard = route.Gathered(), rand.Uint32()
+		p.Canary = route.Gathered()
 	}
 
-	p.HedgeFrom = x.hedgeFrom()
+	p.CanaryShard, p.MaxLostSearchers, p.HedgeFrom = rand.Uint32(), maxLostSearchers, x.hedgeFrom()
+	if x.suspicion.verdict == quarantine.Trial {
+		p.MaxLostSearchers = 1
+	}
 
 	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name, route.Priority}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target, route.Gathered()))
 	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
--- a/internal/serving/suspects.go
+++ b/internal/serving/suspects.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxLostSearchers is how many searchers may end under a query over many shards: one of
+	// its first parts, beside others under way, and a canary.
+	maxLostSearchers = 2
 	// endCheckTimeout bounds the check whether a searcher has ended: opening a connection
 	// takes two network delays.
 	endCheckTimeout = 250 * time.Millisecond
@@ -49,8 +52,6 @@
 	verdict quarantine.Verdict
 	// trial says that a trial of the content is in progress.
 	trial bool
-	// struck says that a searcher ended under the request before any answered.
-	struck bool
 	// told is closed once other instances know of the last strike.
 	told <-chan struct{}
 }
@@ -81,8 +82,8 @@
 		trialsInProgress.Inc()
 
 		err := domain.Errorf(domain.FateNotRun, domain.CodeOverloaded, "check content",
-			"a request with content %s, under which a searcher ended, is being tried", content)
-		err.RetryAfter = minRetryAfter
+			"a searcher ended under a request with content %s, and whether others do is known later", content)
+		err.RetryAfter = max(retryAfter, minRetryAfter)
 
 		return err
 	case quarantine.Careful, quarantine.Trial:
@@ -102,7 +103,7 @@
 	case x.suspicion.verdict == quarantine.Trial:
 		return x.deadline
 	case x.engine.settings.Suspects.enabled() && route.Gathered() && len(x.target.Pools) > 1:
-		return x.req.Received.Add(route.LatencyObjective / 2)
+		return x.req.Received.Add(route.LatencyObjective)
 	default:
 		return time.Time{}
 	}
@@ -146,40 +147,36 @@
 	return s.Ended(ctx, a.Searcher)
 }
 
-// strike handles the failure of an attempt whose searcher has ended; the caller holds mu. A
-// request with several parts at once gets one strike for them. Another searcher is tried while
+// strike handles the failure of an attempt whose searcher has ended; the caller holds mu. The
+// parts of a query that are under way at once get one strike. Another searcher is tried while
 // the content has a single strike: most likely another request ended the first one.
 func (x *execution) strike(now time.Time, a scatter.Attempt, o domain.Fate, code domain.Code) scatter.Step {
 	s := &x.engine.settings.Suspects
 	outcome := routingOutcome(domain.Errorf(o, code, "", ""))
 
-	if x.query.Included() > 0 || x.ended {
+	// Attempts that were cancelled were under way with the one that got the strike.
+	if x.query.Included() > 0 || x.ended || !x.query.Outstanding(a.ID) {
 		return x.handleFailure(now, a, outcome, code, o)
 	}
 
 	searchersEnded.Inc()
 
-	together := x.entry.Route.Gathered() && x.suspicion.verdict == quarantine.Free
-	strikes := 0
-
-	if !together || !x.suspicion.struck {
-		strikes = s.Table.Strike(now, x.req.digest(), x.entry.Route.Name)
-		x.suspicion.struck, x.suspicion.trial = true, false
+	strikes := s.Table.Strike(now, x.req.digest(), x.entry.Route.Name)
+	x.suspicion.trial = false
 
-		if s.Tell != nil {
-			x.suspicion.told = s.Tell()
-		}
+	if s.Tell != nil {
+		x.suspicion.told = s.Tell()
 	}
 
 	x.engine.log.Warn().Str("event", "searcher_ended").Str("request_id", x.req.ID).Stringer("content", x.req.digest()).
 		Str("route", x.entry.Route.Name).Str("searcher", a.Searcher.ID).Int("strikes", strikes).
-		Bool("together", together).Bool("held", strikes >= quarantine.MaxStrikes).Send()
+		Bool("held", strikes >= quarantine.MaxStrikes).Send()
 
 	switch {
-	case !x.entry.Route.Repeatable || !x.entry.Route.Gathered() && strikes > 1:
-		return x.query.FailedPermanently(now, a.ID, outcome, code)
-	case together || strikes > 1:
+	case x.entry.Route.Gathered():
 		return x.query.FailedWithSearcher(now, a.ID, outcome, code)
+	case !x.entry.Route.Repeatable || strikes > 1:
+		return x.query.FailedPermanently(now, a.ID, outcome, code)
 	default:
 		return x.query.Failed(now, a.ID, outcome, code)
 	}
--- a/internal/serving/suspects_test.go
+++ b/internal/serving/suspects_test.go
@@ -137,7 +137,7 @@
 
 				var last *domain.Error
 
-				for n := range 20 {
+				for n := range 200 {
 					ended := d.ended
 					last = send(n, "deadly")
 					require.NotNil(t, last)
@@ -146,8 +146,8 @@
 						require.Equal(t, ended, d.ended, "a request that ran isn't answered as not run")
 					}
 
-					if send(100+2*n, fmt.Sprint("healthy-", n)) != nil {
-						require.Nil(t, send(101+2*n, fmt.Sprint("healthy-", n)), "others are served, at the second attempt at the latest")
+					if send(1000+2*n, fmt.Sprint("healthy-", n)) != nil {
+						require.Nil(t, send(1001+2*n, fmt.Sprint("healthy-", n)), "others are served, at the second attempt at the latest")
 					}
 
 					time.Sleep(100 * time.Millisecond)
