--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -348,6 +348,8 @@
 	metricsHandler := chi.NewRouter()
 	metricsHandler.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 
+	i.quarantineRoutes(metricsHandler)
+
 	i.idle = &http1.IdleTimer{Heads: i.parts.Budgets.heads, Timeout: func() time.Duration {
 		l := i.limits()
 
--- /dev/null
+++ b/primrosed/internal/hosted/quarantine.go
@@ -0,0 +1,48 @@
+package hosted
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"primrosespring.example/internal/quarantine"
+)
+
+// quarantineRoutes adds an operator's view of the requests that are held back: GET lists them,
+// DELETE releases one at this instance.
+func (i *Instance) quarantineRoutes(r chi.Router) {
+	r.Get("/quarantine", i.listSuspects)
+	r.Delete("/quarantine/{content}", i.releaseSuspect)
+}
+
+func (i *Instance) listSuspects(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.Marshal(i.parts.Quarantine.Reports(time.Now()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+
+		return
+	}
+
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+func (i *Instance) releaseSuspect(w http.ResponseWriter, r *http.Request) {
+	content, err := quarantine.ParseDigest(chi.URLParam(r, "content"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	if !i.parts.Quarantine.Answered(time.Now(), content) {
+		http.Error(w, "no suspect has the content "+content.String(), http.StatusNotFound)
+
+		return
+	}
+
+	i.log.Info().Str("event", "suspect_released").Stringer("content", content).Send()
+	w.WriteHeader(http.StatusNoContent)
+}
