quarantine: spread the trials of a suspect over the instances

Cause, from the report: all instances could try the content again 5 s after the last strike; callers that had been refused came back then, and four instances tried it within 30 ms, before one had told the others.

Change: the instance that saw the last strike may try first; the others follow 5 to 15 s later, each at a time of its own. The same holds after a quarantine.

TestTrialsAreSpread fails without the change.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -10,6 +10,8 @@
 
 import (
 	"cmp"
+	"hash/fnv"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -35,6 +37,9 @@
 	// trialDelay is the time from a strike to the next trial: searchers that have ended start
 	// again within seconds, and the trial may end the last one of a shard.
 	trialDelay = 5 * time.Second
+	// trialSpread is the time over which the instances that haven't seen the last strike
+	// spread their trials.
+	trialSpread = 10 * time.Second
 	// trialTime bounds how long one trial of a suspect keeps others waiting.
 	trialTime = 2 * time.Second
 )
@@ -164,12 +169,16 @@
 		}
 
 		return Free, 0
-	case t.held(now, e):
-		return Held, e.last().Add(t.hold).Sub(now)
 	case now.Before(e.trialUntil):
 		return Busy, 0
-	case now.Before(e.last().Add(trialDelay)):
-		return Busy, e.last().Add(trialDelay).Sub(now)
+	}
+
+	if wait := t.trialAt(d, e).Sub(now); wait > 0 {
+		if len(e.strikes) >= MaxStrikes {
+			return Held, wait
+		}
+
+		return Busy, wait
 	}
 
 	e.trialUntil = now.Add(trialTime)
@@ -177,9 +186,24 @@
 	return Trial, 0
 }
 
-// held reports whether a content is held back; the caller holds mu.
-func (t *Table) held(now time.Time, e *entry) bool {
-	return len(e.strikes) >= MaxStrikes && now.Before(e.last().Add(t.hold))
+// trialAt returns when this instance may try a suspect next. The instance that saw the last
+// strike comes first, the others follow at times of their own: callers that were refused come
+// back together, and each of several trials would end a searcher. The caller holds mu.
+func (t *Table) trialAt(d Digest, e *entry) time.Time {
+	at := e.last().Add(trialDelay)
+	if len(e.strikes) >= MaxStrikes {
+		at = e.last().Add(t.hold)
+	}
+
+	if e.strikes[len(e.strikes)-1].instance == t.self {
+		return at
+	}
+
+	h := fnv.New64a()
+	_, _ = h.Write(d[:])
+	_, _ = io.WriteString(h, t.self)
+
+	return at.Add(trialDelay + time.Duration(h.Sum64()%uint64(trialSpread)))
 }
 
 // EndTrial ends a trial without a result.
@@ -292,10 +316,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.expire(now)
+
 	n := 0
 
 	for _, e := range t.entries {
-		if t.held(now, e) {
+		if len(e.strikes) >= MaxStrikes {
 			n++
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -79,6 +79,43 @@
 	})
 }
 
+// Guards against trials of many instances at once, each of which ends a searcher: callers that
+// were refused come back to all of them when the first may try again.
+func TestTrialsAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables := make([]*Table, 72)
+		for i := range tables {
+			tables[i] = New(fmt.Sprint("e-", i), testHold, 0)
+		}
+
+		d := content(1)
+		tables[3].Strike(time.Now(), d, "r")
+
+		tried, trials := make(map[int]bool), make(map[time.Duration]int)
+
+		for at := time.Duration(0); at < 25*time.Second; at += 100 * time.Millisecond {
+			for i, q := range tables {
+				q.Learn(time.Now(), tables[3].All(time.Now()))
+
+				if v, _ := q.Check(time.Now(), d, "r"); v == Trial && !tried[i] {
+					require.True(t, i == 3 || at >= 2*trialDelay)
+
+					tried[i] = true
+					trials[at]++
+				}
+			}
+
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		require.Equal(t, 1, trials[trialDelay], "the instance that saw it comes first")
+
+		for at, n := range trials {
+			require.LessOrEqual(t, n, len(tables)/10, "at %s", at)
+		}
+	})
+}
+
 // Guards against an innocent request that is condemned since searchers ended beside it, and
 // against strikes that come back from other instances after an answer.
 func TestAnswersClear(t *testing.T) {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -12,7 +12,8 @@
 	Content Digest `json:"content"`
 	Route   string `json:"route"`
 	Held    bool   `json:"held"`
-	// RetryAfterMS is the time until the content may be tried, in milliseconds.
+	// RetryAfterMS is the time until the content may be tried at the instance that saw the
+	// last strike, in milliseconds.
 	RetryAfterMS int64          `json:"retry_after_ms"`
 	Strikes      []StrikeReport `json:"strikes"`
 }
@@ -40,7 +41,7 @@
 	for i := range suspects {
 		s := &suspects[i]
 		last := s.Strikes[len(s.Strikes)-1].Age
-		out[i] = Report{Content: s.Content, Route: s.Route, Held: len(s.Strikes) >= MaxStrikes && last < t.hold}
+		out[i] = Report{Content: s.Content, Route: s.Route, Held: len(s.Strikes) >= MaxStrikes}
 
 		wait := trialDelay
 		if out[i].Held {
--- a/internal/serving/suspects_test.go
+++ b/internal/serving/suspects_test.go
@@ -160,7 +160,12 @@
 				ended := d.ended
 
 				time.Sleep(time.Minute)
-				send(0, "deadly")
+
+				for n := range 100 {
+					send(5000+n, "deadly")
+					time.Sleep(200 * time.Millisecond)
+				}
+
 				require.Equal(t, ended+1, d.ended, "one searcher tells whether it still is deadly")
 				require.Equal(t, domain.CodeQuarantined, send(1, "deadly").Code)
 			})
