quarantine: a strike delays an innocent content for 0.3 s, not for up to 15 s

One that runs beside a deadly one gets a strike, which the instance that saw it clears with its next answer, but others are told of; with a strike they sent nothing for 10 to 20 s, so that no answer could clear it there.

Change: with a single strike, or if the content was answered within the last minute, the instance that saw it tries again at once and the others 0.3 s after the strike. The last 512 contents that were answered are remembered.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -27,6 +27,8 @@
 	// MaxSuspects bounds the contents that are kept; the one that was struck first is
 	// dropped first.
 	MaxSuspects = 512
+	// maxAnswers bounds the contents of which it is remembered that a searcher answered them.
+	maxAnswers = 512
 	// maxKept bounds the strikes that are kept of a content.
 	maxKept = 2 * MaxStrikes
 	// suspicion is how long a strike counts that hasn't led to a quarantine.
@@ -34,9 +36,13 @@
 	// alertTime is how long the requests of a route are sent carefully after a second content
 	// of it has got its second strike.
 	alertTime = 5 * time.Second
-	// trialDelay is the time from a strike to the next trial: searchers that have ended start
-	// again within seconds, and the trial may end the last one of a shard.
+	// trialDelay is the time from a second or later strike to the next trial: searchers that
+	// have ended start again within seconds, and the trial may end the last one of a shard.
 	trialDelay = 5 * time.Second
+	// firstDelay is the time from a single strike to a trial at another instance. The request
+	// that got the strike is tried again at once by the instance that saw it, which gives
+	// the content another one or, most likely, clears it there.
+	firstDelay = 300 * time.Millisecond
 	// trialSpread is the time over which the instances that haven't seen the last strike
 	// spread their trials.
 	trialSpread = 10 * time.Second
@@ -107,6 +113,11 @@
 	sequence uint64
 	entries  map[Digest]*entry
 	alerts   map[string]time.Time // The ends of alerts, by route.
+	// answers holds when contents were answered last; recent are its keys, of which the one at
+	// oldest is replaced next.
+	answers map[Digest]time.Time
+	recent  []Digest
+	oldest  int
 }
 
 // entry is what is known of a content.
@@ -139,6 +150,7 @@
 func New(self string, hold time.Duration, sequence uint64) *Table {
 	return &Table{
 		self: self, hold: hold, started: sequence, sequence: sequence, entries: make(map[Digest]*entry), alerts: make(map[string]time.Time),
+		answers: make(map[Digest]time.Time),
 	}
 }
 
@@ -190,12 +202,23 @@
 // strike comes first, the others follow at times of their own: callers that were refused come
 // back together, and each of several trials would end a searcher. The caller holds mu.
 func (t *Table) trialAt(d Digest, e *entry) time.Time {
-	at := e.last().Add(trialDelay)
-	if len(e.strikes) >= MaxStrikes {
+	at, own := e.last().Add(trialDelay), e.strikes[len(e.strikes)-1].instance == t.self
+
+	// A content that many send was answered lately, and the searchers most likely ended under
+	// another one.
+	answered, ok := t.answers[d]
+	little := len(e.strikes) == 1 || len(e.strikes) < MaxStrikes && ok && e.last().Sub(answered) < suspicion
+
+	switch {
+	case little && own:
+		return e.last()
+	case little:
+		return e.last().Add(firstDelay)
+	case len(e.strikes) >= MaxStrikes:
 		at = e.last().Add(t.hold)
 	}
 
-	if e.strikes[len(e.strikes)-1].instance == t.self {
+	if own {
 		return at
 	}
 
@@ -237,6 +260,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.remember(now, d)
+
 	e := t.entries[d]
 	if e == nil {
 		return false
@@ -248,6 +273,21 @@
 	return cleared
 }
 
+// remember records that a content was answered; the caller holds mu.
+func (t *Table) remember(now time.Time, d Digest) {
+	if _, ok := t.answers[d]; !ok {
+		if len(t.recent) < maxAnswers {
+			t.recent = append(t.recent, d)
+		} else {
+			delete(t.answers, t.recent[t.oldest])
+			t.recent[t.oldest] = d
+			t.oldest = (t.oldest + 1) % maxAnswers
+		}
+	}
+
+	t.answers[d] = now
+}
+
 // Learn takes what another instance knows, which must be valid, and returns the contents of
 // which this one has learned something.
 func (t *Table) Learn(now time.Time, suspects []Suspect) []Suspect {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -44,8 +44,12 @@
 		out[i] = Report{Content: s.Content, Route: s.Route, Held: len(s.Strikes) >= MaxStrikes}
 
 		wait := trialDelay
-		if out[i].Held {
+
+		switch {
+		case out[i].Held:
 			wait = t.hold
+		case len(s.Strikes) == 1:
+			wait = 0
 		}
 
 		out[i].RetryAfterMS = max(wait-last, 0).Milliseconds()
--- a/internal/serving/suspects.go
+++ b/internal/serving/suspects.go
@@ -16,6 +16,9 @@
 	// maxLostSearchers is how many searchers may end under a query over many shards: one of
 	// its first parts, beside others under way, and a canary.
 	maxLostSearchers = 2
+	// maxRememberedBody bounds the body of a request of which it is remembered that a searcher
+	// answered it.
+	maxRememberedBody = 16 << 10
 	// endCheckTimeout bounds the check whether a searcher has ended: opening a connection
 	// takes two network delays.
 	endCheckTimeout = 250 * time.Millisecond
@@ -182,10 +185,11 @@
 	}
 }
 
-// answered clears a request that a searcher has answered; the caller holds mu.
+// answered remembers that a searcher has answered the request, and clears its content of
+// strikes; the caller holds mu.
 func (x *execution) answered(now time.Time) {
 	t := x.engine.settings.Suspects.Table
-	if !t.Known() || x.query.Included() > 0 {
+	if !t.Enabled() || x.query.Included() > 0 || !t.Known() && len(x.req.Body) > maxRememberedBody {
 		return
 	}
 
