--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -155,7 +155,8 @@
 			return quota.New(time.Now(), s.Instance.ID, rand.Uint64(), shareDelay)
 		},
 		func(s hosting.Settings) *quarantine.Table {
-			// Sequences of an earlier process are lower, since it had fewer strikes a second.
+			// The start time exceeds every sequence of an earlier process, which adds one for
+			// each strike to its own start time.
 			return quarantine.New(s.Instance.ID, s.Quarantine, uint64(time.Now().UnixNano()))
 		},
 		newNotifier,
