--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,7 +1,7 @@
 // Command standin2 plays the script cases of the second review: it starts instances of the
 // project as separate processes and stand-ins for the platform's store, the searchers and the
 // clients, all on loopback addresses. It exits with 1 if the rule was broken, 0 if it held and 2
-// if the case couldn't run. With TROUBLE=0 the disruption is left out.
+// if the case couldn't run.
 package main
 
 import (
@@ -29,12 +29,13 @@
 	root := flag.String("root", "", "root of the repository")
 	path := flag.String("record", "", "file to write the record to")
 	name := flag.String("case", "", "number of the case")
+	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 
-	os.Exit(play(*root, *path, *name))
+	os.Exit(play(*root, *path, *name, *trouble))
 }
 
-func play(root, path, name string) int {
+func play(root, path, name string, trouble bool) int {
 	rec, err := newRecord(path)
 	if err != nil {
 		return failed(err)
@@ -60,7 +61,6 @@
 		os.Exit(2)
 	}()
 
-	trouble := os.Getenv("TROUBLE") != "0"
 	rec.sayf("case %s, disruption %t", name, trouble)
 
 	v, err := f(d, trouble)
