--- a/internal/follower/delta.go
+++ b/internal/follower/delta.go
@@ -14,7 +14,7 @@
 type Delta[T any] struct {
 	// From is the revision that the changes follow, To the one up to which they are
 	// complete.
-	From, To uint64
+	From, To Revision
 	// Changes are in their order, with the last change of each name only.
 	Changes []Change[T]
 	// Missing says that the other instance is ahead but doesn't have the changes any more.
@@ -24,17 +24,38 @@
 // changeLog holds the latest changes of a collection. It is safe for concurrent use.
 type changeLog[T any] struct {
 	mu sync.Mutex // Guards the fields below.
-	// The changes after from, up to the revision to, are complete.
-	from, to uint64
-	changes  []Change[T]
+	// spans hold the revisions after which the changes are complete, in order, one for each era:
+	// those of an era from its first to its last revision. The changes of a later era lead on
+	// from the last revision of the one before, and from no other.
+	spans   []span
+	changes []Change[T]
 }
 
+// span is a range of revisions of one era.
+type span struct{ first, last Revision }
+
 // reset forgets the changes up to a revision.
-func (l *changeLog[T]) reset(revision uint64) {
+func (l *changeLog[T]) reset(revision Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.from, l.to, l.changes = revision, revision, nil
+	l.spans, l.changes = []span{{revision, revision}}, nil
+}
+
+// end returns the revision up to which the changes are complete; the caller holds mu.
+func (l *changeLog[T]) end() Revision {
+	if len(l.spans) == 0 {
+		return Revision{}
+	}
+
+	return l.spans[len(l.spans)-1].last
+}
+
+// covers reports whether the changes after a revision are complete; the caller holds mu.
+func (l *changeLog[T]) covers(r Revision) bool {
+	return slices.ContainsFunc(l.spans, func(s span) bool {
+		return s.first.Era == r.Era && !r.Before(s.first) && !r.After(s.last)
+	})
 }
 
 // complete reports whether the log has begun.
@@ -42,38 +63,52 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return l.to > 0
+	return len(l.spans) > 0
 }
 
 // add appends the changes up to the revision to.
-func (l *changeLog[T]) add(changes []Change[T], to uint64) {
+func (l *changeLog[T]) add(changes []Change[T], to Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if to <= l.to {
+	if !to.After(l.end()) {
 		return
 	}
 
-	l.to = to
+	if n := len(l.spans); n > 0 && l.spans[n-1].last.Era == to.Era {
+		l.spans[n-1].last = to
+	} else {
+		l.spans = append(l.spans, span{to, to})
+	}
+
 	l.changes = append(l.changes, withRevisions(changes, to)...)
 
 	if n := len(l.changes) - maxLogged; n > 0 {
-		l.from = l.changes[n-1].Revision
+		l.forget(l.changes[n-1].Revision)
 		l.changes = slices.Clone(l.changes[n:])
 	}
 }
 
+// forget drops the revisions before r; the caller holds mu.
+func (l *changeLog[T]) forget(r Revision) {
+	l.spans = slices.DeleteFunc(l.spans, func(s span) bool { return s.last.Before(r) })
+
+	if len(l.spans) > 0 {
+		l.spans[0].first = later(l.spans[0].first, r)
+	}
+}
+
 // withRevisions returns the changes, each with a revision: the highest that an unknown one can
 // have, given those after it. An instance that knows such a change already applies it again,
 // and with it every later change of the same name.
-func withRevisions[T any](changes []Change[T], to uint64) []Change[T] {
+func withRevisions[T any](changes []Change[T], to Revision) []Change[T] {
 	out := slices.Clone(changes)
 
 	for i := len(out) - 1; i >= 0; i-- {
-		if out[i].Revision == 0 {
+		if r := out[i].Revision; r.IsZero() {
 			out[i].Revision = to
-		} else {
-			to = min(to, out[i].Revision-1)
+		} else if r.Number--; r.Before(to) {
+			to = r
 		}
 	}
 
@@ -81,16 +116,16 @@
 }
 
 // since returns the changes after a revision.
-func (l *changeLog[T]) since(revision uint64) Delta[T] {
+func (l *changeLog[T]) since(revision Revision) Delta[T] {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	d := Delta[T]{From: revision, To: l.to}
+	d := Delta[T]{From: revision, To: l.end()}
 
 	switch {
-	case revision >= l.to:
+	case !revision.Before(d.To):
 		return Delta[T]{From: revision, To: revision}
-	case revision < l.from:
+	case !l.covers(revision):
 		d.Missing = true
 
 		return d
@@ -99,7 +134,7 @@
 	last := make(map[string]int)
 
 	for i, c := range l.changes {
-		if c.Revision > revision {
+		if c.Revision.After(revision) {
 			last[c.Name] = i
 		}
 	}
@@ -114,7 +149,7 @@
 }
 
 // logChanges records changes for other instances.
-func (f *Follower[T]) logChanges(changes []Change[T], to uint64) {
+func (f *Follower[T]) logChanges(changes []Change[T], to Revision) {
 	f.log.add(changes, to)
 
 	if f.ItemName == nil {
@@ -133,7 +168,7 @@
 // logList records a list for other instances: the differences to what was known, or, if
 // nothing was or the list may be outdated, that the changes before it are missing. Without
 // that, all of them would read the list when the store drops its history.
-func (f *Follower[T]) logList(items []T, revision uint64, outdated bool) {
+func (f *Follower[T]) logList(items []T, revision Revision, outdated bool) {
 	if f.ItemName == nil {
 		f.log.reset(revision)
 
@@ -168,7 +203,7 @@
 }
 
 // ChangesSince returns the changes after a revision that this instance knows.
-func (f *Follower[T]) ChangesSince(revision uint64) Delta[T] { return f.log.since(revision) }
+func (f *Follower[T]) ChangesSince(revision Revision) Delta[T] { return f.log.since(revision) }
 
 // delivery is a delta of another instance, with its position.
 type delivery[T any] struct {
@@ -181,7 +216,7 @@
 // time asked, with its position. While others confirm the collection, this instance needs no
 // watch of its own.
 func (f *Follower[T]) Deliver(d Delta[T], p Position, asked time.Time) {
-	if !d.Missing && d.To <= f.Revision() {
+	if !d.Missing && !d.To.After(f.Revision()) {
 		return
 	}
 
@@ -263,11 +298,19 @@
 // take applies a delivery, of which the first changes may be known already.
 func (f *Follower[T]) take(d delivery[T]) {
 	revision := f.Revision()
-	if d.delta.From > revision || d.delta.To <= revision {
+	if d.delta.From.After(revision) || !d.delta.To.After(revision) {
 		return
 	}
 
-	changes := slices.DeleteFunc(slices.Clone(d.delta.Changes), func(c Change[T]) bool { return c.Revision <= revision })
+	// The changes into a later era undo those that the store has lost since their beginning, and
+	// no others.
+	if d.delta.To.Era > d.delta.From.Era && revision != d.delta.From {
+		return
+	}
+
+	f.storeRestored(d.delta.To)
+
+	changes := slices.DeleteFunc(slices.Clone(d.delta.Changes), func(c Change[T]) bool { return !c.Revision.After(revision) })
 	if len(changes) > 0 {
 		f.restartAfter = 0
 		f.Sink.Apply(changes)
@@ -277,5 +320,5 @@
 	f.progress.told(d.delta.To, lastRevision(changes, d.delta.To))
 	f.Confirm(d.position, d.asked)
 	f.Log.Debug().Str("event", "changes_told").Str("collection", f.Name).Int("changes", len(changes)).
-		Uint64("revision", d.delta.To).Send()
+		EmbedObject(d.delta.To).Send()
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -29,8 +29,8 @@
 // Change is one change of a collection.
 type Change[T any] struct {
 	Name string
-	// Revision is the store's revision of the change; 0 if it isn't known.
-	Revision uint64
+	// Revision is the store's revision of the change; zero if it isn't known.
+	Revision Revision
 	// Item is set unless the item was removed.
 	Item    T
 	Removed bool
@@ -41,10 +41,11 @@
 type Source[T any] interface {
 	// List returns all items and the revision that they are at least as new as.
 	// A stale list may be seconds old and costs less.
-	List(ctx context.Context, stale bool) (items []T, revision uint64, err error)
+	List(ctx context.Context, stale bool) (items []T, revision Revision, err error)
 	// Watch returns the changes after a revision, or none after wait, and the
-	// revision from which to watch next.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) (changes []Change[T], next uint64, err error)
+	// revision from which to watch next, which is of the same era: the history of an
+	// earlier one is gone.
+	Watch(ctx context.Context, revision Revision, wait time.Duration) (changes []Change[T], next Revision, err error)
 }
 
 // Sink receives the copy and its changes.
@@ -55,13 +56,17 @@
 	// StoreRecovered is called when the store answers again after an outage, before
 	// the first change that was read since.
 	StoreRecovered()
+	// StoreRestored is called when the store has come back from an older copy, before the
+	// first state that was read since. What was written to the store shortly before its
+	// return may be missing in it until it is written again.
+	StoreRestored()
 }
 
 // Peers are other instances that follow the same collection.
 type Peers[T any] interface {
-	// Newer returns a copy with a higher revision than the one given, or revision 0
+	// Newer returns a copy with a later revision than the one given, or the zero revision
 	// if no instance that answers has one.
-	Newer(ctx context.Context, after uint64) (items []T, revision uint64)
+	Newer(ctx context.Context, after Revision) (items []T, revision Revision)
 }
 
 const (
@@ -170,8 +175,8 @@
 }
 
 // Revision returns the store's revision up to which the sink has every change, or
-// 0 before the first list. The sink may be ahead of it.
-func (f *Follower[T]) Revision() uint64 { return f.Position().Revision }
+// zero before the first list. The sink may be ahead of it.
+func (f *Follower[T]) Revision() Revision { return f.Position().Revision }
 
 // Position returns how far the collection has been followed.
 func (f *Follower[T]) Position() Position { return f.progress.position() }
@@ -226,11 +231,11 @@
 		case historyGone(err):
 			// A stale list may be older than the remaining history.
 			listed, stale = false, false
-			f.Log.Info().Str("event", "store_history_gone").Str("collection", f.Name).Uint64("revision", f.Revision()).Send()
+			f.Log.Info().Str("event", "store_history_gone").Str("collection", f.Name).EmbedObject(f.Revision()).Send()
 		case ctx.Err() == nil:
 			if lostAt.IsZero() {
 				lostAt = time.Now()
-				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).Uint64("revision", f.Revision()).Err(err).Send()
+				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).EmbedObject(f.Revision()).Err(err).Send()
 			}
 
 			if f.copyFromPeers(ctx) {
@@ -247,7 +252,7 @@
 
 func (f *Follower[T]) list(ctx context.Context, stale bool, lostAt *time.Time) error {
 	timeout := listTimeout
-	if f.Peers != nil && f.Revision() == 0 && lostAt.IsZero() {
+	if f.Peers != nil && f.Revision().IsZero() && lostAt.IsZero() {
 		timeout = firstListTimeout
 	}
 
@@ -261,13 +266,19 @@
 		return err
 	}
 
+	if before := f.Revision(); revision.Era < before.Era {
+		return domain.Errorf(domain.FateUnknown, domain.CodeStoreUnavailable, "list "+f.Name,
+			"the list is of revision %s, from before the store's return at %s", revision, before)
+	}
+
 	f.storeRecovered(lostAt)
 	f.linkAnswered()
+	f.storeRestored(revision)
 	f.Sink.Replace(items)
 	f.logList(items, revision, stale)
 	f.progress.listed(revision, stale, f.shownAt(sent, time.Now()))
 	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
-		Uint64("revision", revision).Bool("stale", stale).Send()
+		EmbedObject(revision).Bool("stale", stale).Send()
 
 	return nil
 }
@@ -283,15 +294,16 @@
 	before := f.Revision()
 
 	items, revision := f.Peers.Newer(ctx, before)
-	if revision <= before {
+	if !revision.After(before) {
 		return false
 	}
 
+	f.storeRestored(revision)
 	f.Sink.Replace(items)
 	f.logList(items, revision, true)
 	f.progress.copied(revision)
 	f.Log.Info().Str("event", "copy_taken").Str("collection", f.Name).Int("items", len(items)).
-		Uint64("revision", revision).Uint64("before", before).Send()
+		EmbedObject(revision).Stringer("before", before).Send()
 
 	return true
 }
@@ -361,7 +373,7 @@
 
 	if f.Link != nil {
 		var probes bool
-		if probes, answered = f.Link.probes(f); !probes && f.Revision() > 0 {
+		if probes, answered = f.Link.probes(f); !probes && !f.Revision().IsZero() {
 			d = max(d, linkBackoff)
 		}
 	}
@@ -392,13 +404,13 @@
 // checkAge logs once in an outage that the collection is older than Bound.
 func (f *Follower[T]) checkAge() {
 	p := f.Position()
-	if f.outdated || f.Bound == 0 || p.Revision == 0 || p.Age < f.Bound {
+	if f.outdated || f.Bound == 0 || p.Revision.IsZero() || p.Age < f.Bound {
 		return
 	}
 
 	f.outdated = true
 
-	f.Log.Warn().Str("event", "collection_outdated").Str("collection", f.Name).Uint64("revision", p.Revision).
+	f.Log.Warn().Str("event", "collection_outdated").Str("collection", f.Name).EmbedObject(p.Revision).
 		Int64("age_ms", p.Age.Milliseconds()).Int64("bound_ms", f.Bound.Milliseconds()).Send()
 }
 
@@ -454,6 +466,18 @@
 	*lostAt, f.outdated = time.Time{}, false
 }
 
+// storeRestored prepares the sink for a state that is about to be put in force, if that is of a later
+// era than the one before.
+func (f *Follower[T]) storeRestored(to Revision) {
+	before := f.Revision()
+	if before.IsZero() || to.Era <= before.Era {
+		return
+	}
+
+	f.Log.Warn().Str("event", "collection_restored").Str("collection", f.Name).EmbedObject(to).Stringer("before", before).Send()
+	f.Sink.StoreRestored()
+}
+
 func historyGone(err error) bool {
 	var e *domain.Error
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -83,28 +83,31 @@
 	return n
 }
 
-func (s *scriptedSource) List(ctx context.Context, stale bool) ([]int, uint64, error) {
+// at returns a revision of a store that states no era.
+func at(number uint64) Revision { return Revision{Number: number} }
+
+func (s *scriptedSource) List(ctx context.Context, stale bool) ([]int, Revision, error) {
 	err := s.next(ctx, fmt.Sprintf("list stale=%t", stale))
 
-	return []int{1, 2}, 7, err
+	return []int{1, 2}, at(7), err
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change[int], uint64, error) {
-	if err := s.next(ctx, fmt.Sprintf("watch %d", revision)); err != nil {
-		return nil, 0, err
+func (s *scriptedSource) Watch(ctx context.Context, revision Revision, wait time.Duration) ([]Change[int], Revision, error) {
+	if err := s.next(ctx, fmt.Sprintf("watch %d", revision.Number)); err != nil {
+		return nil, Revision{}, err
 	}
 
 	if n := s.nextBatch(); n > 0 {
-		return make([]Change[int], n), revision + uint64(n), nil
+		return make([]Change[int], n), at(revision.Number + uint64(n)), nil
 	}
 
 	select {
 	case c := <-s.events:
-		return []Change[int]{c}, revision + 1, nil
+		return []Change[int]{c}, at(revision.Number + 1), nil
 	case <-time.After(wait):
 		return nil, revision, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, Revision{}, ctx.Err()
 	}
 }
 
@@ -135,6 +138,7 @@
 	}
 }
 func (r *recordingSink) StoreRecovered() { r.add("store recovered") }
+func (r *recordingSink) StoreRestored()  { r.add("store restored") }
 
 func newFollower(s *scriptedSource, r *recordingSink) *Follower[int] {
 	return &Follower[int]{
@@ -338,12 +342,12 @@
 		time.Sleep(time.Second)
 
 		p := f.Rely()
-		require.Equal(t, Position{Revision: 7, Changed: 7, Age: unknownAge}, p)
+		require.Equal(t, Position{Revision: at(7), Changed: at(7), Age: unknownAge}, p)
 		require.False(t, f.Confirm(p, time.Now()))
 
-		s.events <- Change[int]{Revision: 8}
+		s.events <- Change[int]{Revision: at(8)}
 		time.Sleep(time.Second)
-		require.Equal(t, Position{Revision: 8, Changed: 8, Age: time.Second}, f.Position())
+		require.Equal(t, Position{Revision: at(8), Changed: at(8), Age: time.Second}, f.Position())
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/follower/link_test.go
+++ b/internal/follower/link_test.go
@@ -89,7 +89,7 @@
 
 		running.Go(func() {
 			for ctx.Err() == nil {
-				f.Confirm(Position{Changed: 7}, time.Now())
+				f.Confirm(Position{Changed: at(7)}, time.Now())
 				time.Sleep(700 * time.Millisecond)
 			}
 		})
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -17,19 +17,19 @@
 type fakePeers struct {
 	mu       sync.Mutex // Guards the fields below.
 	items    []int
-	revision uint64
-	asked    []uint64
+	revision Revision
+	asked    []Revision
 }
 
 // Newer implements Peers.
-func (c *fakePeers) Newer(_ context.Context, revision uint64) ([]int, uint64) {
+func (c *fakePeers) Newer(_ context.Context, revision Revision) ([]int, Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	c.asked = append(c.asked, revision)
 
-	if c.revision <= revision {
-		return nil, 0
+	if !c.revision.After(revision) {
+		return nil, Revision{}
 	}
 
 	return c.items, c.revision
@@ -39,7 +39,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.items, c.revision = items, revision
+	c.items, c.revision = items, at(revision)
 }
 
 func (c *fakePeers) askCount() int {
@@ -65,7 +65,7 @@
 
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []string{"replace [5 6]"}, r.lines(), "within 2 s of the start")
-		require.Equal(t, uint64(40), f.Revision())
+		require.Equal(t, at(40), f.Revision())
 		require.Equal(t, []string{"list stale=true", "watch 40"}, s.recorded(), "the watch starts at the copy's revision")
 		cancel()
 		synctest.Wait()
@@ -90,7 +90,7 @@
 		s.events <- Change[int]{Item: 7}
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []string{"replace [5 6]", "store recovered", "apply 7 false"}, r.lines())
-		require.Equal(t, uint64(41), f.Revision())
+		require.Equal(t, at(41), f.Revision())
 		cancel()
 		synctest.Wait()
 	})
@@ -122,7 +122,7 @@
 		c.set(9, 8)
 		time.Sleep(3 * time.Second)
 		require.Equal(t, []string{"replace [1 2]", "replace [8]"}, r.lines())
-		require.Equal(t, uint64(9), f.Revision())
+		require.Equal(t, at(9), f.Revision())
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -10,12 +10,12 @@
 
 // Position says how far an instance has followed a collection of the store.
 type Position struct {
-	// Revision is the store's revision up to which every change is known; 0 before the
+	// Revision is the store's revision up to which every change is known; zero before the
 	// first list.
-	Revision uint64
+	Revision Revision
 	// Changed is the revision of the last change known. It is up to Revision where that
 	// of the change itself isn't known.
-	Changed uint64
+	Changed Revision
 	// Age is how long ago the store was last known to have no later change.
 	Age time.Duration
 }
@@ -24,7 +24,7 @@
 // safe for concurrent use.
 type progress struct {
 	mu                sync.Mutex // Guards the fields below.
-	revision, changed uint64
+	revision, changed Revision
 	// currentAt is when the collection was last known to be complete; zero if it never was.
 	currentAt time.Time
 	// listedAt is when the collection was last listed. A stale list isn't known to be
@@ -68,7 +68,7 @@
 }
 
 // listed records a list of that revision, which shows that it was complete at a time.
-func (p *progress) listed(revision uint64, stale bool, at time.Time) {
+func (p *progress) listed(revision Revision, stale bool, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -82,7 +82,7 @@
 }
 
 // copied records a copy of that revision from another instance.
-func (p *progress) copied(revision uint64) {
+func (p *progress) copied(revision Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -90,12 +90,12 @@
 }
 
 // answered records the answer to a watch, which the store gave at the time at. changed
-// is the revision of its last change, or 0 if it had none.
-func (p *progress) answered(next, changed uint64, at time.Time) {
+// is the revision of its last change, or zero if it had none.
+func (p *progress) answered(next, changed Revision, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.revision, p.changed = max(p.revision, next), max(p.changed, changed)
+	p.revision, p.changed = later(p.revision, next), later(p.changed, changed)
 
 	if at.After(p.currentAt) {
 		p.currentAt = at
@@ -104,23 +104,23 @@
 
 // told records the changes up to the revision next that another instance told; changed is that
 // of the last one.
-func (p *progress) told(next, changed uint64) {
+func (p *progress) told(next, changed Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.revision, p.changed = max(p.revision, next), max(p.changed, changed)
+	p.revision, p.changed = later(p.revision, next), later(p.changed, changed)
 }
 
 // confirm compares the position of another instance, received at the time at or later.
 // The collection is as current as the other's if no change is missing. It reports false
-// for a position that is too old to say that.
+// for a position that is too old to say that, or of an era that has ended.
 func (p *progress) confirm(o Position, at time.Time, maxAge time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.toldAt = time.Now()
 
-	if o.Age > maxAge {
+	if o.Age > maxAge || o.Changed.Era < p.revision.Era {
 		return false
 	}
 
@@ -129,7 +129,7 @@
 		p.heardAt = at
 	}
 
-	if o.Changed <= p.revision && at.After(p.currentAt) {
+	if !o.Changed.After(p.revision) && at.After(p.currentAt) {
 		p.currentAt = at
 	}
 
--- a/internal/follower/proof_test.go
+++ b/internal/follower/proof_test.go
@@ -18,7 +18,7 @@
 	by time.Duration
 }
 
-func (s *heldUpSource) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change[int], uint64, error) {
+func (s *heldUpSource) Watch(ctx context.Context, revision Revision, wait time.Duration) ([]Change[int], Revision, error) {
 	changes, next, err := s.scriptedSource.Watch(ctx, revision, wait)
 	time.Sleep(s.by)
 
@@ -87,21 +87,21 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFollower(&scriptedSource{}, &recordingSink{})
 			f.Bound, f.Proof = testProof, testProof
-			f.progress.listed(7, true, time.Now())
+			f.progress.listed(at(7), true, time.Now())
 			require.False(t, f.Proven(), "a stale list proves nothing")
 
-			f.progress.copied(8)
+			f.progress.copied(at(8))
 			require.False(t, f.Proven(), "a copy proves nothing")
 
 			asked := time.Now()
 			time.Sleep(time.Second)
-			f.Confirm(Position{Changed: 9}, asked)
+			f.Confirm(Position{Changed: at(9)}, asked)
 			require.False(t, f.Proven(), "a change is missing")
 
-			f.Confirm(Position{Changed: 8, Age: testProof}, asked)
+			f.Confirm(Position{Changed: at(8), Age: testProof}, asked)
 			require.False(t, f.Proven(), "the position is too old")
 
-			f.Confirm(Position{Changed: 8, Age: time.Second}, asked)
+			f.Confirm(Position{Changed: at(8), Age: time.Second}, asked)
 			require.True(t, f.Proven())
 
 			time.Sleep(testProof - 2*time.Second)
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -149,7 +149,7 @@
 }
 
 // restarted prepares the next watch after one that was ended before its answer.
-func (f *Follower[T]) restarted(reason restartReason, revision uint64, ran time.Duration) {
+func (f *Follower[T]) restarted(reason restartReason, revision Revision, ran time.Duration) {
 	f.lastCount = 0
 
 	if reason == restartHinted {
@@ -159,7 +159,7 @@
 	}
 
 	f.Log.Info().Str("event", "store_watch_restarted").Str("collection", f.Name).Str("reason", string(reason)).
-		Uint64("revision", revision).Int64("unconfirmed_ms", f.progress.unconfirmed().Milliseconds()).Int64("ran_ms", ran.Milliseconds()).Send()
+		EmbedObject(revision).Int64("unconfirmed_ms", f.progress.unconfirmed().Milliseconds()).Int64("ran_ms", ran.Milliseconds()).Send()
 }
 
 // superviseWatch cancels a watch that has to be restarted. The function that it returns
@@ -218,16 +218,16 @@
 }
 
 // lastRevision returns the revision of the last of the changes that a watch returned, or
-// 0 if there are none. next, the revision to watch from, stands for an unknown one.
-func lastRevision[T any](changes []Change[T], next uint64) uint64 {
-	var last uint64
+// zero if there are none. next, the revision to watch from, stands for an unknown one.
+func lastRevision[T any](changes []Change[T], next Revision) Revision {
+	var last Revision
 
 	for i := range changes {
-		if changes[i].Revision == 0 {
+		if changes[i].Revision.IsZero() {
 			return next
 		}
 
-		last = max(last, changes[i].Revision)
+		last = later(last, changes[i].Revision)
 	}
 
 	return last
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
 )
 
 const (
@@ -110,9 +111,9 @@
 
 // Peers are other instances that may have a list.
 type Peers interface {
-	// Newer returns a list if an instance that answers has one, or revision 0.
-	// The lists aren't numbered: after is 0, and any list has revision 1.
-	Newer(ctx context.Context, after uint64) (entries []Entry, revision uint64)
+	// Newer returns a list if an instance that answers has one, or the zero revision.
+	// The lists aren't numbered: after is zero, and any list has number 1.
+	Newer(ctx context.Context, after follower.Revision) (entries []Entry, revision follower.Revision)
 }
 
 // Roster holds the list of instances. Run, which is called once, is its only writer.
@@ -292,7 +293,7 @@
 		return
 	}
 
-	if entries, revision := r.Peers.Newer(ctx, 0); revision > 0 {
+	if entries, revision := r.Peers.Newer(ctx, follower.Revision{}); !revision.IsZero() {
 		r.log.Info().Str("event", "copy_taken").Str("collection", "instances").Int("items", len(entries)).Send()
 		r.setEntries(entries)
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
 )
 
 // fakeStore holds entries and fails while it is down.
@@ -220,12 +221,12 @@
 type fakePeers struct{ entries []Entry }
 
 // Newer implements Peers.
-func (p *fakePeers) Newer(_ context.Context, revision uint64) ([]Entry, uint64) {
-	if p.entries == nil || revision > 0 {
-		return nil, 0
+func (p *fakePeers) Newer(_ context.Context, revision follower.Revision) ([]Entry, follower.Revision) {
+	if p.entries == nil || !revision.IsZero() {
+		return nil, follower.Revision{}
 	}
 
-	return slices.Clone(p.entries), 1
+	return slices.Clone(p.entries), follower.Revision{Number: 1}
 }
 
 // Guards against an instance that starts while the store is down and assumes 64
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -84,10 +84,11 @@
 		replica.Configuration: f.configuration.Position, replica.Registrations: f.registrations.Position,
 	} {
 		label := fmt.Sprintf("{collection=%q}", name)
-		metrics.NewGauge("primrose_collection_revision"+label, func() float64 { return float64(position().Revision) })
+		metrics.NewGauge("primrose_collection_revision"+label, func() float64 { return float64(position().Revision.Number) })
 		metrics.NewGauge("primrose_collection_age_seconds"+label, func() float64 { return position().Age.Seconds() })
 	}
 
+	metrics.NewGauge("primrose_store_era", func() float64 { return float64(i.parts.Era.Current()) })
 	metrics.NewGauge("primrose_configuration_version", func() float64 {
 		v := i.parts.Directory.View()
 		if v == nil {
@@ -98,13 +99,21 @@
 	})
 }
 
+var storeRestores = metrics.NewCounter("primrose_store_restores_total")
+
+// storeRestored handles a return of the store from an older copy.
+func (i *Instance) storeRestored(era, before uint64) {
+	storeRestores.Inc()
+	i.log.Warn().Str("event", "store_restored").Uint64("era", era).Uint64("before", before).Send()
+}
+
 func pauseFor(bound time.Duration) time.Duration { return time.Duration(pauseShare * float64(bound)) }
 
 // configurationPeers reads the configuration from other instances.
 type configurationPeers struct{ client *replica.Client }
 
 // Newer implements follower.Peers.
-func (p configurationPeers) Newer(ctx context.Context, revision uint64) ([]*domain.RouteTable, uint64) {
+func (p configurationPeers) Newer(ctx context.Context, revision follower.Revision) ([]*domain.RouteTable, follower.Revision) {
 	tables, at := replica.Peers[domain.RouteTable]{Client: p.client, Collection: replica.Configuration}.Newer(ctx, revision)
 	out := make([]*domain.RouteTable, len(tables))
 
@@ -137,6 +146,10 @@
 // StoreRecovered implements follower.Sink.
 func (s configurationSink) StoreRecovered() {}
 
+// StoreRestored implements follower.Sink. The configuration in force stays so, as versions only
+// increase.
+func (s configurationSink) StoreRestored() {}
+
 func (s configurationSink) configure(t *domain.RouteTable) {
 	inForce := s.parts.Directory.Configure(t)
 	s.log.Info().Str("event", "configuration").Uint64("version", t.Version).Int("routes", len(t.Routes)).
@@ -210,6 +223,9 @@
 // StoreRecovered implements follower.Sink.
 func (s evacuationSink) StoreRecovered() {}
 
+// StoreRestored implements follower.Sink.
+func (s evacuationSink) StoreRestored() {}
+
 // registrationSink applies the searchers' registrations from the store.
 type registrationSink struct{ *Instance }
 
@@ -253,6 +269,10 @@
 		Int64("started", c.Registration.Started).Send()
 }
 
+// StoreRestored implements follower.Sink. Searchers whose registrations the store has lost register
+// again as after an outage.
+func (s registrationSink) StoreRestored() { s.StoreRecovered() }
+
 // StoreRecovered implements follower.Sink.
 func (s registrationSink) StoreRecovered() {
 	s.parts.Directory.StoreRecovered()
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -25,6 +25,7 @@
 
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/leaving"
@@ -130,6 +131,7 @@
 	Group          *http1.Group
 	Engine         *serving.Engine
 	Store          *platform.Store
+	Era            *follower.Era
 	Roster         *roster.Roster
 	GathererClient *gatherer.Client
 	GathererServer *gatherer.Server
@@ -153,8 +155,9 @@
 		},
 		newBudgets,
 		func(b *budgets) *http1.Group { return &http1.Group{Bodies: b.answers} },
-		func(log zerolog.Logger, s hosting.Settings, b *budgets) *platform.Store {
-			return platform.NewStore(log, s.StoreAddress, b.lists)
+		func() *follower.Era { return &follower.Era{} },
+		func(log zerolog.Logger, s hosting.Settings, era *follower.Era, b *budgets) *platform.Store {
+			return platform.NewStore(log, s.StoreAddress, era, b.lists)
 		},
 		func() restartHints { return make(restartHints, 1) },
 		func(s hosting.Settings) *quota.Table {
@@ -235,6 +238,7 @@
 
 func newInstance(log zerolog.Logger, logs *logline.Writer, s hosting.Settings, p parts) *Instance {
 	i := &Instance{log: log, logs: logs, settings: s, parts: p, stopping: make(chan struct{}), started: time.Now()}
+	p.Era.OnRestore = i.storeRestored
 	p.Roster.OnChange = i.setInstances
 	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.ReplicaClient, Collection: replica.Instances}
 	i.replicaServer = replica.Server{Log: log, Collections: i.collections(), Client: p.ReplicaClient}
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -30,9 +30,10 @@
 
 // newPositions returns the exchange of positions in the collections that are followed.
 func newPositions(log zerolog.Logger, s hosting.Settings, f *followers, q *quota.Table, k *serving.SignKeeper, b *budgets,
+	era *follower.Era,
 ) *replica.Positions {
 	p := &replica.Positions{
-		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP, Frames: b.frames, Quota: q, OnLimits: k.LimitsLearned,
+		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP, Frames: b.frames, Era: era, Quota: q, OnLimits: k.LimitsLearned,
 		Interval: follower.AskInterval(min(f.configuration.Bound, f.registrations.Bound)),
 		Followed: map[string]replica.Followed{
 			replica.Configuration: &replica.Collection[*domain.RouteTable]{Follower: &f.configuration},
@@ -82,33 +83,33 @@
 // the items, which may be newer: applying a change twice does no harm.
 func (i *Instance) collections() map[string]replica.ReadFunc {
 	return map[string]replica.ReadFunc{
-		replica.Configuration: func() (any, uint64) {
+		replica.Configuration: func() (any, follower.Revision) {
 			at := i.parts.Followers.configuration.Revision()
 
 			return i.parts.Directory.Configurations(), at
 		},
-		replica.Registrations: func() (any, uint64) {
+		replica.Registrations: func() (any, follower.Revision) {
 			at := i.parts.Followers.registrations.Revision()
 
 			list, settled := i.parts.Directory.Registrations()
 			if !settled {
-				return nil, 0
+				return nil, follower.Revision{}
 			}
 
 			return list, at
 		},
-		replica.Evacuations: func() (any, uint64) {
+		replica.Evacuations: func() (any, follower.Revision) {
 			at := i.parts.Followers.evacuations.Revision()
 
 			return i.parts.Directory.Evacuations(), at
 		},
-		replica.Instances: func() (any, uint64) {
+		replica.Instances: func() (any, follower.Revision) {
 			list := i.parts.Roster.Entries()
 			if list == nil {
-				return nil, 0
+				return nil, follower.Revision{}
 			}
 
-			return list, 1 // Every list has revision 1; see roster.Peers.
+			return list, follower.Revision{Number: 1} // Every list has it; see roster.Peers.
 		},
 	}
 }
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/http1"
 	"primrosespring.example/internal/jsonlist"
@@ -100,7 +101,7 @@
 
 // fetchNewest asks up to maxFetches instances at once and returns the newest copy that
 // is newer than the revision, or nil.
-func (c *Client) fetchNewest(ctx context.Context, collection string, revision uint64) *pb.CopyAnswer {
+func (c *Client) fetchNewest(ctx context.Context, collection string, revision follower.Revision) *pb.CopyAnswer {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 
@@ -118,7 +119,7 @@
 			if err != nil {
 				failed.Inc()
 				c.log.Info().Str("event", "copy_failed").Str("collection", collection).Str("peer", address).
-					Uint64("revision", revision).Err(err).Send()
+					EmbedObject(revision).Err(err).Send()
 
 				return
 			}
@@ -126,7 +127,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 
-			if a.GetRevision() > max(best.GetRevision(), revision) {
+			if at := revisionOf(a); at.After(revision) && at.After(revisionOf(best)) {
 				best = a
 			}
 		})
@@ -138,7 +139,7 @@
 }
 
 // fetch requests one copy over a new session.
-func (c *Client) fetch(ctx context.Context, address, collection string, revision uint64) (*pb.CopyAnswer, error) {
+func (c *Client) fetch(ctx context.Context, address, collection string, revision follower.Revision) (*pb.CopyAnswer, error) {
 	session, err := mux.Dial(ctx, c.dial, address)
 	if err != nil {
 		return nil, err
@@ -157,7 +158,7 @@
 		return nil, err
 	}
 
-	request := &pb.CopyRequest{Collection: collection, Revision: revision, PeerAddress: c.self}
+	request := &pb.CopyRequest{Collection: collection, Revision: revision.Number, Era: revision.Era, PeerAddress: c.self}
 	if err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_CopyRequest{CopyRequest: request}}, frame.MaxControlBytes); err != nil {
 		return nil, err
 	}
@@ -180,21 +181,21 @@
 	Collection string
 }
 
-// Newer returns the newest of the copies that a few instances answer with, or revision
-// 0 if none is newer than revision or the newest is invalid.
-func (p Peers[T]) Newer(ctx context.Context, revision uint64) (items []T, at uint64) {
+// Newer returns the newest of the copies that a few instances answer with, or the zero revision
+// if none is newer than revision or the newest is invalid.
+func (p Peers[T]) Newer(ctx context.Context, revision follower.Revision) (items []T, at follower.Revision) {
 	a := p.Client.fetchNewest(ctx, p.Collection, revision)
 	if a == nil {
-		return nil, 0
+		return nil, follower.Revision{}
 	}
 
 	items, err := jsonlist.Decode[T](bytes.NewReader(a.GetItems()))
 	if err != nil {
 		p.Client.log.Error().Str("event", "copy_refused").Str("collection", p.Collection).
-			Uint64("revision", a.GetRevision()).Err(err).Send()
+			EmbedObject(revisionOf(a)).Err(err).Send()
 
-		return nil, 0
+		return nil, follower.Revision{}
 	}
 
-	return items, a.GetRevision()
+	return items, revisionOf(a)
 }
--- a/primrosed/internal/replica/delta.go
+++ b/primrosed/internal/replica/delta.go
@@ -22,6 +22,7 @@
 type wireChange[T any] struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	// Item is missing if the item was removed.
 	Item *T `json:"item,omitempty"`
 }
@@ -34,21 +35,21 @@
 	mu sync.Mutex // Guards encoded.
 	// encoded is the last delta that was given: many instances ask for the same one.
 	encoded *pb.CollectionPosition
-	from    uint64
+	from    follower.Revision
 }
 
 // Tell adds the changes after a revision to this instance's position.
-func (c *Collection[T]) Tell(p *pb.CollectionPosition, revision uint64) error {
+func (c *Collection[T]) Tell(p *pb.CollectionPosition, revision follower.Revision) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	d := c.ChangesSince(revision)
-	if d.To <= revision {
+	if !d.To.After(revision) {
 		return nil
 	}
 
-	if c.encoded == nil || c.from != revision || c.encoded.GetRevision() != d.To || c.encoded.GetMissing() != d.Missing {
-		e := &pb.CollectionPosition{Revision: d.To, Missing: d.Missing}
+	if c.encoded == nil || c.from != revision || revisionOf(c.encoded) != d.To || c.encoded.GetMissing() != d.Missing {
+		e := &pb.CollectionPosition{Revision: d.To.Number, Era: d.To.Era, Missing: d.Missing}
 
 		if len(d.Changes) > 0 {
 			data, err := encodeChanges(d.Changes)
@@ -62,15 +63,16 @@
 		c.encoded, c.from = e, revision
 	}
 
-	p.Revision, p.Missing, p.Changes = c.encoded.GetRevision(), c.encoded.GetMissing(), c.encoded.GetChanges()
+	p.Revision, p.Era = c.encoded.GetRevision(), c.encoded.GetEra()
+	p.Missing, p.Changes = c.encoded.GetMissing(), c.encoded.GetChanges()
 
 	return nil
 }
 
 // Take passes on the changes after the revision from that another instance told in answer to a
 // question sent at the time asked.
-func (c *Collection[T]) Take(p *pb.CollectionPosition, from uint64, position follower.Position, asked time.Time) error {
-	d := follower.Delta[T]{From: from, To: p.GetRevision(), Missing: p.GetMissing()}
+func (c *Collection[T]) Take(p *pb.CollectionPosition, from follower.Revision, position follower.Position, asked time.Time) error {
+	d := follower.Delta[T]{From: from, To: revisionOf(p), Missing: p.GetMissing()}
 
 	if len(p.GetChanges()) > 0 {
 		changes, err := decodeChanges[T](p.GetChanges())
@@ -90,7 +92,7 @@
 	list := make([]wireChange[T], len(changes))
 
 	for i := range changes {
-		list[i] = wireChange[T]{Name: changes[i].Name, Revision: changes[i].Revision}
+		list[i] = wireChange[T]{Name: changes[i].Name, Revision: changes[i].Revision.Number, Era: changes[i].Revision.Era}
 		if !changes[i].Removed {
 			list[i].Item = &changes[i].Item
 		}
@@ -124,7 +126,9 @@
 	out := make([]follower.Change[T], len(list))
 
 	for i := range list {
-		out[i] = follower.Change[T]{Name: list[i].Name, Revision: list[i].Revision, Removed: list[i].Item == nil}
+		out[i] = follower.Change[T]{
+			Name: list[i].Name, Revision: follower.Revision{Era: list[i].Era, Number: list[i].Revision}, Removed: list[i].Item == nil,
+		}
 		if list[i].Item != nil {
 			out[i].Item = *list[i].Item
 		}
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -44,12 +44,12 @@
 type Followed interface {
 	Confirm(p follower.Position, asked time.Time) bool
 	Rely() follower.Position
-	Revision() uint64
+	Revision() follower.Revision
 	// Tell adds the changes after a revision to this instance's position.
-	Tell(p *pb.CollectionPosition, revision uint64) error
+	Tell(p *pb.CollectionPosition, revision follower.Revision) error
 	// Take passes on the changes after the revision from that another instance told, with its
 	// position, in answer to a question sent at the time asked.
-	Take(p *pb.CollectionPosition, from uint64, position follower.Position, asked time.Time) error
+	Take(p *pb.CollectionPosition, from follower.Revision, position follower.Position, asked time.Time) error
 }
 
 // LeavingSigns is what an instance knows of searchers that leave.
@@ -72,6 +72,8 @@
 	Frames *memory.Budget
 	// Interval is the time between two questions.
 	Interval time.Duration
+	// Era learns the eras of the store that other instances know of; nil if nobody wants them.
+	Era *follower.Era
 	// Followed holds the collections by name.
 	Followed map[string]Followed
 	// Quota asks the first reader that answers for permits; nil asks for none.
@@ -288,26 +290,29 @@
 	out := make([]*pb.CollectionPosition, 0, len(p.Followed))
 
 	for name, f := range p.Followed {
-		out = append(out, &pb.CollectionPosition{Collection: name, Revision: f.Revision()})
+		at := f.Revision()
+		out = append(out, &pb.CollectionPosition{Collection: name, Revision: at.Number, Era: at.Era})
 	}
 
 	return out
 }
 
-// revisionOf returns the revision of a collection in a list; 0 if it isn't there.
-func revisionOf(list []*pb.CollectionPosition, collection string) (revision uint64, ok bool) {
+// knownOf returns the revision of a collection in a list, if it is there.
+func knownOf(list []*pb.CollectionPosition, collection string) (revision follower.Revision, ok bool) {
 	for _, c := range list {
 		if c.GetCollection() == collection {
-			return c.GetRevision(), true
+			return revisionOf(c), true
 		}
 	}
 
-	return 0, false
+	return follower.Revision{}, false
 }
 
 // confirm passes the positions on, with the changes after the known revisions, and reports
 // whether every collection was confirmed.
 func (p *Positions) confirm(a *pb.PositionAnswer, known []*pb.CollectionPosition, asked time.Time) bool {
+	p.learnEras(a.GetPositions())
+
 	confirmed := 0
 
 	for _, c := range a.GetPositions() {
@@ -318,9 +323,11 @@
 
 		// An age that overflows is as good as none.
 		age := time.Duration(min(c.GetAgeMs(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
-		position := follower.Position{Changed: c.GetChangedRevision(), Age: age}
+		position := follower.Position{
+			Changed: follower.Revision{Era: c.GetChangedEra(), Number: c.GetChangedRevision()}, Age: age,
+		}
 
-		if from, ok := revisionOf(known, c.GetCollection()); ok && c.GetRevision() > from {
+		if from, ok := knownOf(known, c.GetCollection()); ok && revisionOf(c).After(from) {
 			if err := f.Take(c, from, position, asked); err != nil {
 				p.Log.Warn().Str("event", "changes_refused").Str("collection", c.GetCollection()).Err(err).Send()
 			}
@@ -334,6 +341,18 @@
 	return confirmed == len(p.Followed)
 }
 
+// learnEras takes the eras of another instance's positions, so that one that can't reach the store
+// learns of its return from an older copy.
+func (p *Positions) learnEras(list []*pb.CollectionPosition) {
+	if p.Era == nil {
+		return
+	}
+
+	for _, c := range list {
+		p.Era.Learn(max(c.GetEra(), c.GetChangedEra()))
+	}
+}
+
 // ask sends one question over the session to a reader, which it opens if there is none.
 func (p *Positions) ask(ctx context.Context, r domain.Instance, q *pb.PositionRequest) (*pb.PositionAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -384,14 +403,17 @@
 func (p *Positions) Handle(peer string, q *pb.PositionRequest, stream io.Writer) {
 	p.learnLeaving(peer, peer, q.GetLeaving())
 	p.learnSuspects(peer, peer, q.GetSuspects())
+	p.learnEras(q.GetKnown())
 
 	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
 
 	for name, f := range p.Followed {
 		at := f.Rely()
-		c := &pb.CollectionPosition{Collection: name, ChangedRevision: at.Changed, AgeMs: uint64(max(at.Age, 0).Milliseconds())}
+		c := &pb.CollectionPosition{
+			Collection: name, ChangedRevision: at.Changed.Number, ChangedEra: at.Changed.Era, AgeMs: uint64(max(at.Age, 0).Milliseconds()),
+		}
 
-		if known, ok := revisionOf(q.GetKnown(), name); ok && known > 0 {
+		if known, ok := knownOf(q.GetKnown(), name); ok && !known.IsZero() {
 			if err := f.Tell(c, known); err != nil {
 				p.Log.Warn().Str("event", "changes_not_told").Str("collection", name).Str("peer", peer).Err(err).Send()
 			}
--- a/primrosed/internal/replica/positions_test.go
+++ b/primrosed/internal/replica/positions_test.go
@@ -100,16 +100,16 @@
 	return revision, changed, true
 }
 
-func (v *modelView) List(ctx context.Context, _ bool) ([]int, uint64, error) {
+func (v *modelView) List(ctx context.Context, _ bool) ([]int, follower.Revision, error) {
 	revision, _, ok := v.begin(ctx)
 	if !ok {
-		return nil, 0, ctx.Err()
+		return nil, follower.Revision{}, ctx.Err()
 	}
 
-	return []int{revision}, uint64(revision), nil
+	return []int{revision}, at(uint64(revision)), nil
 }
 
-func (v *modelView) Watch(ctx context.Context, after uint64, wait time.Duration) ([]follower.Change[int], uint64, error) {
+func (v *modelView) Watch(ctx context.Context, after follower.Revision, wait time.Duration) ([]follower.Change[int], follower.Revision, error) {
 	v.store.mu.Lock()
 	v.store.calls++
 	v.store.mu.Unlock()
@@ -119,24 +119,24 @@
 	for {
 		revision, changed, ok := v.begin(ctx)
 		if !ok {
-			return nil, 0, ctx.Err()
+			return nil, follower.Revision{}, ctx.Err()
 		}
 
 		var changes []follower.Change[int]
-		for r := int(after) + 1; r <= revision; r++ {
-			changes = append(changes, follower.Change[int]{Revision: uint64(r), Item: r})
+		for r := int(after.Number) + 1; r <= revision; r++ {
+			changes = append(changes, follower.Change[int]{Revision: at(uint64(r)), Item: r})
 		}
 
 		if len(changes) > 0 {
-			return changes, uint64(revision), nil
+			return changes, at(uint64(revision)), nil
 		}
 
 		select {
 		case <-changed:
 		case <-end:
-			return nil, uint64(revision), nil
+			return nil, at(uint64(revision)), nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, follower.Revision{}, ctx.Err()
 		}
 	}
 }
@@ -157,6 +157,7 @@
 func (v *modelView) Replace(items []int)                  { v.learn(slices.Max(items)) }
 func (v *modelView) Apply(changes []follower.Change[int]) { v.learn(changes[len(changes)-1].Item) }
 func (v *modelView) StoreRecovered()                      {}
+func (v *modelView) StoreRestored()                       {}
 
 // modelInstance follows the store and confirms positions as a process does.
 type modelInstance struct {
@@ -175,24 +176,30 @@
 func (m modelSigns) All(now time.Time) []leaving.Sign     { return m.signs.All(now) }
 func (m modelSigns) Learn(_ string, signs []leaving.Sign) { m.signs.Learn(time.Now(), signs) }
 
+// testPeers returns n instances.
+func testPeers(n int) []domain.Instance {
+	peers := make([]domain.Instance, n)
+	for i := range peers {
+		peers[i] = domain.Instance{ID: fmt.Sprintf("e-%d", i), PeerAddress: fmt.Sprintf("127.0.0.1:%d", i+1)}
+	}
+
+	return peers
+}
+
 // startFleet starts n instances that are one another's readers.
 func startFleet(t *testing.T, network *network, s *modelStore, n int) []*modelInstance {
 	t.Helper()
 
-	fleet, peers := make([]*modelInstance, n), make([]domain.Instance, n)
-
-	for i := range fleet {
-		peers[i] = domain.Instance{ID: fmt.Sprintf("e-%d", i), PeerAddress: fmt.Sprintf("127.0.0.1:%d", i+1)}
-	}
+	fleet, peers := make([]*modelInstance, n), testPeers(n)
 
 	for i := range fleet {
 		in := &modelInstance{
 			view: &modelView{store: s, instance: i, t: t}, quota: quota.New(time.Now(), peers[i].ID, uint64(i+1), 0), leaving: &leaving.Signs{},
 		}
-		copies := map[string]ReadFunc{Configuration: func() (any, uint64) {
+		copies := map[string]ReadFunc{Configuration: func() (any, follower.Revision) {
 			at := in.follower.Revision()
 
-			return []int{int(at)}, at
+			return []int{int(at.Number)}, at
 		}}
 		in.follower = &follower.Follower[int]{
 			Log: zerolog.Nop(), Name: Configuration, Source: in.view, Sink: in.view, Bound: testBound, Pause: 900 * time.Millisecond, FollowOthers: true,
--- a/primrosed/internal/replica/replica.go
+++ b/primrosed/internal/replica/replica.go
@@ -4,7 +4,7 @@
 //
 // Copies bridge outages of the store: an instance that starts during one, or that the
 // store refuses, reads the collections from other instances. Nothing is sent while the
-// store answers. Each copy carries the store's revision, and only a newer one is used,
+// store answers. Each copy carries the store's era and revision, and only a newer one is used,
 // so that no instance returns to an older state. The newest copy wins and no instance
 // is authoritative: an operator's change is still acknowledged by the store alone.
 package replica
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"primrosespring.example/internal/follower"
 )
 
 // Names of the collections.
@@ -35,6 +37,17 @@
 	maxRequesters = 8
 )
 
+// revisioned is a message that carries a revision of the store.
+type revisioned interface {
+	GetEra() uint64
+	GetRevision() uint64
+}
+
+// revisionOf returns the revision that a message carries.
+func revisionOf(m revisioned) follower.Revision {
+	return follower.Revision{Era: m.GetEra(), Number: m.GetRevision()}
+}
+
 var (
 	given  = metrics.NewCounter(`primrose_copies_given_total`)
 	asked  = metrics.NewCounter(`primrose_copies_asked_total`)
--- a/primrosed/internal/replica/replica_test.go
+++ b/primrosed/internal/replica/replica_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosespring.example/internal/domain"
+	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/primrosed/internal/mux"
 )
@@ -81,13 +82,16 @@
 	return c
 }
 
+// at returns a revision of a store that states no era.
+func at(number uint64) follower.Revision { return follower.Revision{Number: number} }
+
 func registrations(revision uint64, ids ...string) map[string]ReadFunc {
 	list := make([]domain.Registration, len(ids))
 	for i, id := range ids {
 		list[i] = domain.Registration{ID: id, Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8, Draining: i > 0}
 	}
 
-	return map[string]ReadFunc{Registrations: func() (any, uint64) { return list, revision }}
+	return map[string]ReadFunc{Registrations: func() (any, follower.Revision) { return list, at(revision) }}
 }
 
 // inBubble runs f in a synctest bubble. yamux keeps timers in a pool, which must not
@@ -118,9 +122,9 @@
 		n.silent[third] = true
 
 		begin := time.Now()
-		items, at := Peers[domain.Registration]{n.add(self, nil, first, second, third, self), Registrations}.Newer(t.Context(), 10)
+		items, got := Peers[domain.Registration]{n.add(self, nil, first, second, third, self), Registrations}.Newer(t.Context(), at(10))
 		require.LessOrEqual(t, time.Since(begin), fetchTimeout)
-		require.Equal(t, uint64(30), at)
+		require.Equal(t, at(30), got)
 		require.Equal(t, []domain.Registration{
 			{ID: "b", Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8},
 			{ID: "c", Pool: "p", Address: "127.0.0.1:7", Slots: 2, Started: 5, Sequence: 8, Draining: true},
@@ -137,11 +141,11 @@
 		n.add(second, nil)
 
 		peers := Peers[domain.Registration]{n.add(self, nil, first, second), Registrations}
-		_, at := peers.Newer(t.Context(), 20)
-		require.Zero(t, at)
+		_, got := peers.Newer(t.Context(), at(20))
+		require.Zero(t, got)
 
-		_, at = peers.Newer(t.Context(), 19)
-		require.Equal(t, uint64(20), at)
+		_, got = peers.Newer(t.Context(), at(19))
+		require.Equal(t, at(20), got)
 	})
 }
 
@@ -150,12 +154,12 @@
 func TestBadCopiesAreRefused(t *testing.T) {
 	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
 		n := newNetwork(t)
-		n.add(first, map[string]ReadFunc{Registrations: func() (any, uint64) {
-			return []domain.Registration{{ID: "a", Pool: "p", Address: "somewhere", Slots: 1}}, 20
+		n.add(first, map[string]ReadFunc{Registrations: func() (any, follower.Revision) {
+			return []domain.Registration{{ID: "a", Pool: "p", Address: "somewhere", Slots: 1}}, at(20)
 		}})
 
-		items, at := Peers[domain.Registration]{n.add(self, nil, first), Registrations}.Newer(t.Context(), 0)
-		require.Zero(t, at)
+		items, got := Peers[domain.Registration]{n.add(self, nil, first), Registrations}.Newer(t.Context(), at(0))
+		require.Zero(t, got)
 		require.Nil(t, items)
 	})
 }
@@ -168,15 +172,15 @@
 		seed := Peers[domain.Registration]{n.add(first, nil, first, second), Registrations}
 		n.add(second, nil, first, second)
 
-		_, at := seed.Newer(t.Context(), 0)
-		require.Zero(t, at)
+		_, got := seed.Newer(t.Context(), at(0))
+		require.Zero(t, got)
 
 		old := Peers[domain.Registration]{n.add(third, registrations(40, "d"), first), Registrations}
-		_, at = old.Newer(t.Context(), 40)
-		require.Zero(t, at)
+		_, got = old.Newer(t.Context(), at(40))
+		require.Zero(t, got)
 
-		_, at = seed.Newer(t.Context(), 0)
-		require.Equal(t, uint64(40), at)
+		_, got = seed.Newer(t.Context(), at(0))
+		require.Equal(t, at(40), got)
 	})
 }
 
@@ -194,8 +198,8 @@
 		c := n.add(self, nil)
 		c.SetInstances(all)
 
-		_, at := Peers[domain.Registration]{c, Registrations}.Newer(t.Context(), 0)
-		require.Equal(t, uint64(20), at)
+		_, got := Peers[domain.Registration]{c, Registrations}.Newer(t.Context(), at(0))
+		require.Equal(t, at(20), got)
 		require.Len(t, n.dialled, maxFetches)
 	})
 }
--- a/primrosed/internal/replica/server.go
+++ b/primrosed/internal/replica/server.go
@@ -6,13 +6,14 @@
 
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/primrosed/internal/frame"
 )
 
 // ReadFunc returns this instance's copy of a collection: a slice of items and the
-// store's revision that they are at least as new as, or revision 0 if it has none.
-type ReadFunc func() (items any, revision uint64)
+// store's revision that they are at least as new as, or the zero revision if it has none.
+type ReadFunc func() (items any, revision follower.Revision)
 
 // Server serves copies to other instances.
 type Server struct {
@@ -43,7 +44,7 @@
 	if a.GetRevision() > 0 {
 		given.Inc()
 		s.Log.Info().Str("event", "copy_given").Str("collection", r.GetCollection()).Str("peer", peer).
-			Uint64("revision", a.GetRevision()).Uint64("peer_revision", r.GetRevision()).Int("bytes", len(a.GetItems())).Send()
+			EmbedObject(revisionOf(a)).Stringer("peer_revision", revisionOf(r)).Int("bytes", len(a.GetItems())).Send()
 	}
 }
 
@@ -55,11 +56,11 @@
 	}
 
 	items, revision := get()
-	if revision <= r.GetRevision() {
+	if !revision.After(revisionOf(r)) {
 		return &pb.CopyAnswer{}, nil
 	}
 
 	data, err := json.Marshal(items)
 
-	return &pb.CopyAnswer{Revision: revision, Items: data}, err
+	return &pb.CopyAnswer{Revision: revision.Number, Era: revision.Era, Items: data}, err
 }
