serving, platform: pass on no status that promises too much

Callers saw: a request that may run once, which a searcher had run and failed with a 503 of its own, was answered with this 503.

Cause: an answer without the searcher's statement that it didn't run the request is taken for one of a searcher that ran it, and is passed on unchanged, whatever its status tells the caller. Only the instance's own refusals were held to be true.

With the flag ignored, four of the five cases of TestFalseRefusalsAreNotPassedOn fail.

--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -48,7 +48,7 @@
 	replies  []*Reply             // By shard; nil if it hasn't answered.
 	// notRun counts the attempts that are known not to have run.
 	notRun int
-	// failedReply is the last answer of a searcher that ran the request and failed.
+	// failedReply is the last answer to pass on of a searcher that ran the request and failed.
 	failedReply *Reply
 	// lastErr is the last error of an attempt, cancellations excluded.
 	lastErr *domain.Error
@@ -330,7 +330,12 @@
 			return x.query.Answered(now, a.ID, reply.Load)
 		}
 
-		x.failedReply = reply
+		if reply.FalseRefusal {
+			x.attemptFailed(a, domain.Errorf(domain.FateRan, domain.CodeSearcherFailed, "check answer",
+				"status %d of a searcher that doesn't state that it didn't run the request", reply.Status).WithPeer(a.Searcher.ID))
+		} else {
+			x.failedReply = reply
+		}
 
 		return x.handleFailure(now, a, routing.Refused, domain.CodeSearcherFailed, domain.FateRan)
 	}
@@ -345,9 +350,7 @@
 	}
 
 	if e.Code != domain.CodeCancelled {
-		x.lastErr = e
-		x.logAttemptFailed(a, e)
-		countAttemptFailure(e.Code)
+		x.attemptFailed(a, e)
 	}
 
 	if e.Code == domain.CodeNotFound && x.engine.directory.Deny(a.Searcher.ID, a.Searcher.Incarnation, a.Searcher.Address) {
@@ -377,6 +380,13 @@
 	return x.handleFailure(now, a, routingOutcome(e), e.Code, e.Fate)
 }
 
+// attemptFailed logs and counts the error of an attempt; the caller holds mu.
+func (x *execution) attemptFailed(a scatter.Attempt, e *domain.Error) {
+	x.lastErr = e
+	x.logAttemptFailed(a, e)
+	countAttemptFailure(e.Code)
+}
+
 // handleFailure passes the failure of an attempt to the query. A request that must not
 // be repeated gets no further attempt unless this one is known not to have run.
 func (x *execution) handleFailure(now time.Time, a scatter.Attempt, o routing.Outcome, code domain.Code, fate domain.Fate) scatter.Step {
@@ -422,7 +432,7 @@
 
 // refusal returns the error of a request without an acceptable answer. The answer of
 // a searcher that ran the request and failed is passed on unchanged, unless the
-// request was gathered.
+// request was gathered or the answer would tell the caller that it didn't run.
 func (x *execution) refusal(included int) (*Response, error) {
 	if !x.entry.Route.Gathered() && x.failedReply != nil {
 		return &x.failedReply.Response, nil
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -102,6 +102,9 @@
 	Signature string
 	// Load is the load that the searcher reported, or nil.
 	Load *routing.Load
+	// FalseRefusal says that the status would tell the caller that the request didn't run, which
+	// the searcher doesn't state. Such an answer isn't passed on.
+	FalseRefusal bool
 }
 
 // Success reports whether the status is 2xx.
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -193,6 +193,50 @@
 	})
 }
 
+// Guards against an answer of a searcher that ran the request being passed on though its status tells
+// the caller that it didn't run. One that can be passed on is preferred, whichever came last.
+func TestFalseRefusalsAreNotPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		repeatable bool
+		statuses   []int
+		want       int // The status that is passed on; 0 for none.
+	}{
+		"once":                      {false, []int{http.StatusServiceUnavailable}, 0},
+		"each time, repeatable":     {true, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, 0},
+		"after another failure":     {true, []int{http.StatusInternalServerError, http.StatusServiceUnavailable}, http.StatusInternalServerError},
+		"before a success":          {true, []int{http.StatusServiceUnavailable, http.StatusOK}, http.StatusOK},
+		"not repeated though asked": {false, []int{http.StatusTooManyRequests, http.StatusOK}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t, 1, 1, 1, 2, singleRoute(c.repeatable))
+				calls := 0
+
+				for _, sv := range s.model.servers {
+					sv.respond = func(Call) (*Reply, *routing.Load, error) {
+						r := &Reply{Signature: "p"}
+						r.Status = c.statuses[min(calls, len(c.statuses)-1)]
+						r.FalseRefusal = r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+						calls++
+
+						return r, nil, nil
+					}
+				}
+
+				resp, err := s.engines[0].Serve(t.Context(), request("one", "r", time.Millisecond, 2*time.Second))
+				if c.want != 0 {
+					require.NoError(t, err)
+					require.Equal(t, c.want, resp.Status)
+
+					return
+				}
+
+				requireFate(t, domain.FateUnknown, err)
+			})
+		})
+	}
+}
+
 // Guards against attempts that continue after the caller closed its connection.
 func TestAttemptsEndWhenTheCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
