roster: count instances whose entries the store has lost

Twelve instances ran, and the store had the entries of nine, so that each took a ninth of the cap.

Cause: an instance took what a list lacks for gone at once, and looked at its own entry only with a heartbeat, one to two minutes apart. Both believe that an acknowledged entry lasts.

Change: an entry that a list lacks goes on aging as if it were there, so that an instance counts until it hasn't renewed its entry for six minutes. When the store's era rises, each instance writes its entry again within 1 s and reads the list every 2 s, never a stale one, for 10 s; without that sign it writes it once its lists have lacked it for 10 s. An instance that its list lacks counts itself.

TestLostEntriesCountUntilTheyExpire fails with liveness.go as it was, the two cases of TestLostEntriesAreWrittenAgain without their part of the change.

--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -59,17 +59,19 @@
 
 // Decide returns the plan of the instance self. connections is the lowest connection
 // limit of the searchers of gathered routes; zero sets no bound. Instances that see the
-// same fleet choose the same gatherers.
+// same fleet choose the same gatherers. An instance that its fleet lacks is one more.
 func Decide(fleet []Instance, self string, connections int) Plan {
-	p := Plan{Gatherers: max(len(fleet), 1), Instances: max(len(fleet), 1)}
+	i := slices.IndexFunc(fleet, func(in Instance) bool { return in.ID == self })
+
+	p := Plan{Gatherers: len(fleet), Instances: len(fleet)}
+	if i < 0 {
+		p.Gatherers, p.Instances = len(fleet)+1, len(fleet)+1
 
-	gatherers := limitByConnections(candidates(fleet), connections)
-	if len(gatherers) == 0 || len(gatherers) == len(fleet) {
 		return p
 	}
 
-	i := slices.IndexFunc(fleet, func(in Instance) bool { return in.ID == self })
-	if i < 0 {
+	gatherers := limitByConnections(candidates(fleet), connections)
+	if len(gatherers) == 0 || len(gatherers) == len(fleet) {
 		return p
 	}
 
--- a/internal/gathering/gathering_test.go
+++ b/internal/gathering/gathering_test.go
@@ -55,6 +55,14 @@
 	require.InDelta(t, 1.0/9, p.Share(), 1e-9)
 }
 
+// Guards against an instance that isn't in its list of instances, as after the store has lost its entry,
+// and takes as large a share as those that are.
+func TestMissingInstancesCountThemselves(t *testing.T) {
+	for _, n := range []int{0, 1, 9} {
+		require.InDelta(t, 1/float64(n+1), Decide(newFleet(n, 0), "new", 26).Share(), 1e-9)
+	}
+}
+
 // Guards against more gatherers than a searcher's connections allow, and against a
 // failure domain without a gatherer.
 func TestEqualInstancesAreBoundedByConnections(t *testing.T) {
--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -19,7 +19,9 @@
 
 // liveness tracks which instances still renew their entries. The age of an entry
 // counts from when this process saw it change, on the monotonic clock, since the
-// time of day may jump. The zero value is ready to use.
+// time of day may jump. An entry that a list lacks goes on aging as if it were there:
+// stale lists may lack entries, and a store that comes back from an older copy has lost
+// those written since, while their instances run. The zero value is ready to use.
 type liveness struct {
 	seen map[string]observation
 	// observedAt is when the last list was observed.
@@ -28,13 +30,12 @@
 
 // observation is the last change of an entry.
 type observation struct {
-	started   int64
-	heartbeat uint64
+	entry     Entry
 	changedAt time.Time
 }
 
 // observe takes a list and returns the entries of live instances, and the ids of
-// those whose entries should be removed. An entry that is new to this process
+// listed ones whose entries should be removed. An entry that is new to this process
 // counts as changed now.
 func (l *liveness) observe(now time.Time, self string, entries []Entry) (live []Entry, removable []string) {
 	var outage time.Duration
@@ -49,10 +50,11 @@
 		o, ok := l.seen[e.ID]
 		o.changedAt = o.changedAt.Add(outage)
 
-		if !ok || o.started != e.Started || o.heartbeat != e.Heartbeat {
-			o = observation{started: e.Started, heartbeat: e.Heartbeat, changedAt: now}
+		if !ok || o.entry.Started != e.Started || o.entry.Heartbeat != e.Heartbeat {
+			o.changedAt = now
 		}
 
+		o.entry = e
 		seen[e.ID] = o
 		age := now.Sub(o.changedAt)
 
@@ -64,6 +66,19 @@
 		}
 	}
 
+	for id, o := range l.seen {
+		if _, listed := seen[id]; listed {
+			continue
+		}
+
+		o.changedAt = o.changedAt.Add(outage)
+
+		if id == self || now.Sub(o.changedAt) < expireAfter {
+			seen[id] = o
+			live = append(live, o.entry)
+		}
+	}
+
 	l.seen = seen
 
 	return live, removable
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,7 +3,7 @@
 // the connections that a searcher accepts. Each instance writes an entry at its
 // start, renews it every few minutes, and reads the list periodically; a stale list
 // is enough. An instance that stops renewing its entry expires, and its entry is
-// removed later. The list doesn't tell whether a peer answers right now; its callers
+// removed later. One whose entry is missing counts for as long, and writes it again. The list doesn't tell whether a peer answers right now; its callers
 // detect that.
 package roster
 
@@ -37,6 +37,11 @@
 	retryInterval = time.Second
 	// roundTimeout bounds the calls of one round.
 	roundTimeout = 3 * time.Second
+	// restoreTime is how long after a return of the store from an older copy the list is read
+	// often and never stale, and restoreSpread the time over which the instances of a fleet
+	// write their entries again.
+	restoreTime   = refreshInterval
+	restoreSpread = time.Second
 	// firstRoundTimeout bounds those of the first round if there are peers to ask
 	// after it: an instance must serve within 2 s of its start.
 	firstRoundTimeout = 800 * time.Millisecond
@@ -104,7 +109,8 @@
 	CreateInstance(ctx context.Context, e Entry) error
 	// ReplaceInstance replaces the entry of that id.
 	ReplaceInstance(ctx context.Context, e Entry) error
-	ListInstances(ctx context.Context) ([]Entry, error)
+	// ListInstances returns the entries. A stale list may be seconds old and costs less.
+	ListInstances(ctx context.Context, stale bool) ([]Entry, error)
 	// RemoveInstance removes the entry of that id, if there is one.
 	RemoveInstance(ctx context.Context, id string) error
 }
@@ -125,7 +131,12 @@
 	roundStarted bool
 	// nextHeartbeat is when the next heartbeat is due.
 	nextHeartbeat time.Time
-	liveness      liveness
+	// createdAt is when the entry was created last, and settledAt when the list is settled after a
+	// return of the store.
+	createdAt, settledAt time.Time
+	// restored receives when the store has come back from an older copy.
+	restored chan struct{}
+	liveness liveness
 	// entries is the last list that differed from its predecessor.
 	entries atomic.Pointer[[]Entry]
 	// OnChange is called with a new list, which it must not change; it must be set
@@ -138,7 +149,16 @@
 
 // New returns a roster that assumes AssumedInstances instances.
 func New(log zerolog.Logger, s Store, self Entry) *Roster {
-	return &Roster{log: log, store: s, self: self}
+	return &Roster{log: log, store: s, self: self, restored: make(chan struct{}, 1)}
+}
+
+// Restored has the instance write its entry again, since the store has come back from an older copy
+// that may lack it, and read the list until those of all instances are back.
+func (r *Roster) Restored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
 }
 
 // Entries returns the last list, which must not be changed, or nil if there is none
@@ -167,7 +187,7 @@
 		changed, err := r.round(ctx, &registered)
 		wait := refreshInterval
 
-		if changed {
+		if changed || r.settling() {
 			wait = settleInterval
 		}
 
@@ -193,12 +213,32 @@
 
 		select {
 		case <-t.C:
+		case <-r.restored:
+			t.Stop()
+
+			registered, r.settledAt = false, time.Now().Add(restoreTime)
+
+			r.await(ctx, rand.N(restoreSpread))
 		case <-ctx.Done():
 			t.Stop()
 		}
 	}
 }
 
+// settling reports whether the store has come back from an older copy lately.
+func (r *Roster) settling() bool { return time.Now().Before(r.settledAt) }
+
+// await waits for d or until ctx ends.
+func (r *Roster) await(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // round registers the instance if that is due, reads the list, and reports
 // whether it has changed or lacks this instance.
 func (r *Roster) round(ctx context.Context, registered *bool) (bool, error) {
@@ -217,14 +257,14 @@
 			return false, err
 		}
 
-		*registered = true
+		*registered, r.createdAt = true, time.Now()
 	}
 
 	if err := r.heartbeat(ctx, registered); err != nil {
 		return false, err
 	}
 
-	entries, err := r.store.ListInstances(ctx)
+	entries, err := r.store.ListInstances(ctx, !r.settling())
 	if err != nil {
 		return false, err
 	}
@@ -238,8 +278,12 @@
 		entries[i] = r.self
 	}
 
-	// A stale list may lack the instances that started together with this one.
+	// A stale list may lack the instances that started together with this one, but not for long.
 	unsettled := !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == r.self.ID })
+	if unsettled && time.Since(r.createdAt) >= refreshInterval {
+		*registered = false
+	}
+
 	live, removable := r.liveness.observe(time.Now(), r.self.ID, entries)
 	changed := r.setEntries(live)
 	r.remove(ctx, removable)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -25,6 +25,8 @@
 	lists   int
 	// staleLists is the number of first lists that are from before all entries.
 	staleLists int
+	// freshLists counts the lists that weren't to be stale.
+	freshLists int
 	replaced   []Entry
 	removed    []string
 }
@@ -70,7 +72,7 @@
 }
 
 // ListInstances implements Store.
-func (s *fakeStore) ListInstances(context.Context) ([]Entry, error) {
+func (s *fakeStore) ListInstances(_ context.Context, stale bool) ([]Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -80,6 +82,10 @@
 
 	s.lists++
 
+	if !stale {
+		s.freshLists++
+	}
+
 	if s.lists <= s.staleLists {
 		return nil, nil
 	}
@@ -300,6 +306,77 @@
 	})
 }
 
+// Guards against instances that take too large a part of what all share, since the store has come back
+// from an older copy without the entries of others: they run all the same, whether they reach the
+// store or not. Those that have ended expire.
+func TestLostEntriesCountUntilTheyExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{entries: []Entry{{ID: "cut off"}, {ID: "known"}}}
+		lists := start(t, s, Entry{ID: "a"})
+
+		time.Sleep(time.Minute)
+		s.set(func() { s.entries = nil })
+		time.Sleep(expireAfter - time.Minute - time.Second)
+		require.Equal(t, []string{"a", "cut off", "known"}, ids(last(lists())))
+
+		time.Sleep(time.Second + refreshInterval)
+		require.Equal(t, []string{"a"}, ids(last(lists())))
+	})
+}
+
+// Guards against an entry that is missing until the next heartbeat, one to two minutes later, so that
+// instances which start meanwhile don't count on this one; and against a fleet that knows only
+// minutes later of instances which started shortly before the store's return from an older copy.
+func TestLostEntriesAreWrittenAgain(t *testing.T) {
+	for name, told := range map[string]bool{"told of the return": true, "by its own list": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{}
+				r := New(zerolog.New(io.Discard), s, Entry{ID: "a"})
+				r.OnChange = func([]Entry) {}
+
+				ctx, cancel := context.WithCancel(t.Context())
+
+				var wg sync.WaitGroup
+
+				wg.Go(func() { r.Run(ctx) })
+
+				defer wg.Wait()
+				defer cancel()
+
+				time.Sleep(30*time.Second + time.Millisecond)
+
+				within := 2*refreshInterval + settleInterval
+
+				for range 2 {
+					before := 0
+
+					s.set(func() { s.entries, before = nil, s.lists })
+
+					if told {
+						r.Restored()
+
+						within = restoreSpread + time.Millisecond
+					}
+
+					time.Sleep(within)
+					s.set(func() { require.Equal(t, []string{"a"}, ids(s.entries)) })
+
+					if told {
+						time.Sleep(restoreTime)
+						s.set(func() {
+							require.LessOrEqual(t, s.lists-before-s.freshLists, 1, "the one after that time may be stale")
+							require.InDelta(t, float64(restoreTime/settleInterval), float64(s.freshLists), 1)
+
+							s.freshLists = 0
+						})
+					}
+				}
+			})
+		})
+	}
+}
+
 func last(lists [][]Entry) []Entry { return lists[len(lists)-1] }
 
 func ids(entries []Entry) []string {
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -105,6 +105,7 @@
 func (i *Instance) storeRestored(era, before uint64) {
 	storeRestores.Inc()
 	i.log.Warn().Str("event", "store_restored").Uint64("era", era).Uint64("before", before).Send()
+	i.parts.Roster.Restored()
 }
 
 func pauseFor(bound time.Duration) time.Duration { return time.Duration(pauseShare * float64(bound)) }
