directory: keep searchers gone after the store's return from a copy

Callers could see: requests at a searcher that had left without a word before the store's return from an older copy.

Cause: an equal sequence counts as the same registration, so that the one that the copy has of a removed searcher made it usable again until the store removed it once more. One with a lower sequence was ignored for good, though its searcher may run and change it no more.

Change: for 5 s after the return a registration that isn't newer than the removed one doesn't bring its searcher back; if the store has it still, the searcher renews it and is used again.

Evidence: TestSearchersStayGoneAfterARestore; without the change two removed searchers are usable in it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -166,7 +166,7 @@
 			if c.Removed {
 				applied[i] = d.registry.remove(now, c.ID)
 			} else {
-				applied[i] = d.registry.put(c.Registration)
+				applied[i] = d.registry.put(now, c.Registration)
 			}
 
 			changed = changed || applied[i]
@@ -283,10 +283,23 @@
 	d.registry.recoveredAt = time.Now()
 }
 
-// Expire stops the use of searchers whose registration grace has ended, and deletes old
-// tombstones.
+// StoreRestored records that the store has come back from an older copy. Missing registrations are
+// treated as by StoreRecovered. Searchers that were gone before aren't used by the registrations that
+// the copy has of them, unless these are still there after RestoreTime; the caller calls Expire then
+// too.
+func (d *Directory) StoreRestored() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.registry.restoredAt = time.Now()
+	d.registry.recoveredAt = d.registry.restoredAt
+}
+
+// Expire stops the use of searchers whose registration grace has ended, starts that of searchers whose
+// restored registrations have lasted, and deletes old tombstones.
 func (d *Directory) Expire() {
 	d.update(func(now time.Time) bool {
+		d.registry.settle(now)
 		d.registry.prune(now.Add(-tombstoneTTL))
 
 		return true
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -125,6 +125,40 @@
 	})
 }
 
+// Guards against requests to searchers that were gone or draining before the store's return from an
+// older copy, which has them as they were; and against one that runs and isn't used for good, since
+// its registration changes no more.
+func TestSearchersStayGoneAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := configured()
+		d.ReplaceSearchers([]domain.Registration{registration("gone", nil), registration("back", nil), registration("runs", nil)})
+		put(d, registration("drains", func(r *domain.Registration) { r.Draining, r.Sequence = true, 9 }))
+
+		for _, id := range []string{"gone", "back", "runs"} {
+			remove(d, id)
+		}
+
+		time.Sleep(3 * time.Second)
+		d.StoreRestored()
+		d.ReplaceSearchers([]domain.Registration{
+			registration("gone", nil), registration("back", nil), registration("drains", nil),
+			registration("runs", func(r *domain.Registration) { r.Sequence-- }),
+		})
+		require.Empty(t, searchers(d))
+
+		put(d, registration("back", func(r *domain.Registration) { r.Sequence++ }))
+		require.True(t, d.Usable("back"), "it registers again")
+
+		time.Sleep(3 * time.Second)
+		remove(d, "gone")
+		time.Sleep(RestoreTime - 3*time.Second)
+		d.Expire()
+		require.False(t, d.Usable("gone"))
+		require.False(t, d.Usable("drains"))
+		require.True(t, d.Usable("runs"), "the store would have removed it")
+	})
+}
+
 // Guards against requests to another process at a searcher's former address.
 func TestRegistryDeniesReusedAddresses(t *testing.T) {
 	d := configured()
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -20,11 +20,19 @@
 // register again within about two seconds.
 const RegistrationGrace = 2 * time.Second
 
+// RestoreTime is how long after the store's return from an older copy the registration of a
+// searcher that was gone before may be one that nobody renews: the store removes it within that
+// time.
+const RestoreTime = 5 * time.Second
+
 // record is a registered searcher, or the tombstone of one.
 type record struct {
 	registration domain.Registration
 	// removedAt is when the registration was removed; zero if it wasn't.
 	removedAt time.Time
+	// restored says that the store has the registration again, since it has come back from a
+	// copy from before the removal.
+	restored bool
 	// denied says that another searcher answered at the registered address.
 	denied bool
 	// leaving says that the searcher itself said, in an answer, that it leaves; told that
@@ -48,16 +56,23 @@
 // registry holds the registrations. The Directory's lock guards it.
 type registry struct {
 	records map[string]*record
-	// recoveredAt is when the store last recovered from an outage.
-	recoveredAt time.Time
+	// recoveredAt is when the store last recovered from an outage, or came back from an older
+	// copy, and restoredAt when it did the latter.
+	recoveredAt, restoredAt time.Time
 	// evacuated holds the failure domains whose searchers get no requests.
 	evacuated map[string]bool
 }
 
 // put stores a registration unless it is outdated, and reports whether anything but the
 // sequence changed.
-func (r *registry) put(reg domain.Registration) bool {
+func (r *registry) put(now time.Time, reg domain.Registration) bool {
 	rec, ok := r.records[reg.ID]
+	if ok && r.isRestored(now, rec, reg) {
+		rec.restored = true
+
+		return false
+	}
+
 	if ok && !reg.Supersedes(rec.registration) {
 		return false
 	}
@@ -72,7 +87,7 @@
 	}
 
 	before, removed := rec.registration, !rec.removedAt.IsZero()
-	rec.removedAt = time.Time{}
+	rec.removedAt, rec.restored = time.Time{}, false
 	rec.registration = reg
 
 	if before.Started != reg.Started || before.Address != reg.Address {
@@ -91,7 +106,13 @@
 // remove turns a registration into a tombstone and reports whether it wasn't one yet.
 func (r *registry) remove(now time.Time, id string) bool {
 	rec, ok := r.records[id]
-	if !ok || !rec.removedAt.IsZero() {
+	if !ok {
+		return false
+	}
+
+	rec.restored = false
+
+	if !rec.removedAt.IsZero() {
 		return false
 	}
 
@@ -100,6 +121,32 @@
 	return true
 }
 
+// isRestored reports whether the registration of a searcher that is gone is one of before its
+// removal, which the store's return from an older copy has brought back.
+func (r *registry) isRestored(now time.Time, rec *record, reg domain.Registration) bool {
+	return r.restoring(now) && !rec.removedAt.IsZero() && rec.removedAt.Before(r.restoredAt) &&
+		reg.Started == rec.registration.Started && reg.Sequence <= rec.registration.Sequence
+}
+
+// restoring reports whether the store has come back from an older copy within RestoreTime.
+func (r *registry) restoring(now time.Time) bool {
+	return !r.restoredAt.IsZero() && now.Before(r.restoredAt.Add(RestoreTime))
+}
+
+// settle registers the searchers again that are still registered RestoreTime after the store's return
+// from an older copy: they run.
+func (r *registry) settle(now time.Time) {
+	if r.restoring(now) {
+		return
+	}
+
+	for _, rec := range r.records {
+		if rec.restored {
+			rec.removedAt, rec.restored = time.Time{}, false
+		}
+	}
+}
+
 // replace stores all registrations of list, removes those that it lacks, and reports
 // whether anything changed.
 func (r *registry) replace(now time.Time, list []domain.Registration) bool {
@@ -108,7 +155,7 @@
 
 	for _, reg := range list {
 		listed[reg.ID] = true
-		changed = r.put(reg) || changed
+		changed = r.put(now, reg) || changed
 	}
 
 	for id := range r.records {
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -270,14 +270,21 @@
 		Int64("started", c.Registration.Started).Send()
 }
 
-// StoreRestored implements follower.Sink. Searchers whose registrations the store has lost register
-// again as after an outage.
-func (s registrationSink) StoreRestored() { s.StoreRecovered() }
-
 // StoreRecovered implements follower.Sink.
 func (s registrationSink) StoreRecovered() {
 	s.parts.Directory.StoreRecovered()
-	time.AfterFunc(directory.RegistrationGrace, func() {
+	s.expireAfter(directory.RegistrationGrace)
+}
+
+// StoreRestored implements follower.Sink.
+func (s registrationSink) StoreRestored() {
+	s.parts.Directory.StoreRestored()
+	s.expireAfter(directory.RegistrationGrace)
+	s.expireAfter(directory.RestoreTime)
+}
+
+func (s registrationSink) expireAfter(d time.Duration) {
+	time.AfterFunc(d, func() {
 		s.parts.Directory.Expire()
 		s.viewChanged()
 	})
