directory, hosted: keep evacuations that the store has lost

Callers could see: requests at searchers of an evacuated failure domain after the store's return from an older copy, until the operator had written the evacuation again.

Cause: the list that follows the return replaces the evacuations in force, and the copy may be of before them.

Change: the evacuations in force at a return stay so for 10 s beside those that the store has.

TestEvacuationsOutlastARestore fails without the change.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,6 +11,10 @@
 	"primrosespring.example/internal/domain"
 )
 
+// EvacuationGrace is for how long after the store's return from an older copy the evacuations of
+// before stay in force. The operator writes what the store has lost again.
+const EvacuationGrace = 10 * time.Second
+
 // tombstoneTTL is how long a removed searcher is kept as a tombstone, so that a delayed
 // write of its old registration isn't taken for a new searcher. The store delays writes
 // by up to about 6 s.
@@ -69,6 +73,10 @@
 	changes  uint64
 	// listed says that ReplaceSearchers has been called.
 	listed bool
+	// evacuations are the failure domains that the store says to be evacuated; retained are those
+	// of before its return from an older copy, until retainedUntil.
+	evacuations, retained map[string]bool
+	retainedUntil         time.Time
 }
 
 // View returns the current view, or nil before the first configuration.
@@ -230,14 +238,45 @@
 }
 
 // SetEvacuations stops the use of the searchers of these failure domains, and of no others for that
-// reason. It returns the ids of the searchers that are used again.
+// reason but those that RetainEvacuations keeps. It returns the ids of the searchers that are used
+// again.
 func (d *Directory) SetEvacuations(list []domain.Evacuation) (returned []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	evacuated := make(map[string]bool, len(list))
+	d.evacuations = make(map[string]bool, len(list))
 	for _, e := range list {
-		evacuated[e.FailureDomain] = true
+		d.evacuations[e.FailureDomain] = true
+	}
+
+	return d.evacuate(time.Now())
+}
+
+// RetainEvacuations keeps the evacuations in force for EvacuationGrace, whatever the store says: it has
+// come back from an older copy that may lack them. The caller calls ExpireEvacuations then.
+func (d *Directory) RetainEvacuations() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.retained, d.retainedUntil = d.registry.evacuated, time.Now().Add(EvacuationGrace)
+}
+
+// ExpireEvacuations ends the evacuations that RetainEvacuations kept and that the store doesn't have
+// again. It returns the ids of the searchers that are used again.
+func (d *Directory) ExpireEvacuations() (returned []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.evacuate(time.Now())
+}
+
+// evacuate puts the evacuations in force; the caller holds mu.
+func (d *Directory) evacuate(now time.Time) (returned []string) {
+	evacuated := make(map[string]bool, len(d.evacuations))
+	maps.Copy(evacuated, d.evacuations)
+
+	if now.Before(d.retainedUntil) {
+		maps.Copy(evacuated, d.retained)
 	}
 
 	before := d.registry.evacuated
@@ -245,7 +284,6 @@
 		return nil
 	}
 
-	now := time.Now()
 	d.registry.evacuated = evacuated
 	d.rebuild(now)
 
@@ -265,8 +303,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	out := make([]domain.Evacuation, 0, len(d.registry.evacuated))
-	for _, fd := range slices.Sorted(maps.Keys(d.registry.evacuated)) {
+	return evacuations(d.registry.evacuated)
+}
+
+// StatedEvacuations returns the failure domains that the store says to be evacuated, in order.
+func (d *Directory) StatedEvacuations() []domain.Evacuation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return evacuations(d.evacuations)
+}
+
+func evacuations(failureDomains map[string]bool) []domain.Evacuation {
+	out := make([]domain.Evacuation, 0, len(failureDomains))
+	for _, fd := range slices.Sorted(maps.Keys(failureDomains)) {
 		out = append(out, domain.Evacuation{FailureDomain: fd})
 	}
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -356,3 +356,44 @@
 	require.False(t, d.Usable("a2"))
 	require.Empty(t, d.SetEvacuations(nil))
 }
+
+// Guards against requests to searchers of an evacuated failure domain, since the store has come back from
+// a copy of before the evacuation and the operator hasn't written it again yet; and against one that
+// stays in force for good though nobody wrote it again.
+func TestEvacuationsOutlastARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := configured()
+		put(d, registration("s", func(r *domain.Registration) { r.FailureDomain = "a" }))
+		put(d, registration("u", func(r *domain.Registration) { r.FailureDomain = "b" }))
+
+		evacuate := func(list ...string) {
+			var out []domain.Evacuation
+			for _, fd := range list {
+				out = append(out, domain.Evacuation{FailureDomain: fd})
+			}
+
+			require.Empty(t, d.SetEvacuations(out))
+		}
+
+		evacuate("a", "b")
+		d.RetainEvacuations()
+		evacuate()
+		require.Empty(t, searchers(d))
+		require.Empty(t, d.StatedEvacuations())
+
+		time.Sleep(time.Second)
+		evacuate("a")
+		time.Sleep(EvacuationGrace - 2*time.Second)
+
+		// The store comes back from a copy a second time.
+		d.RetainEvacuations()
+		time.Sleep(time.Second)
+		require.Empty(t, d.ExpireEvacuations())
+		require.Empty(t, searchers(d))
+
+		time.Sleep(EvacuationGrace - time.Second)
+		require.Equal(t, []string{"u"}, d.ExpireEvacuations())
+		require.False(t, d.Usable("s"))
+		require.True(t, d.Usable("u"))
+	})
+}
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -185,7 +185,7 @@
 
 // Apply implements follower.Sink.
 func (s evacuationSink) Apply(changes []follower.Change[domain.Evacuation]) {
-	list := s.parts.Directory.Evacuations()
+	list := s.parts.Directory.StatedEvacuations()
 
 	for _, c := range changes {
 		list = slices.DeleteFunc(list, func(e domain.Evacuation) bool { return e.FailureDomain == c.Name })
@@ -197,35 +197,46 @@
 	s.set(list)
 }
 
-// set puts the evacuations in force. Load returns slowly to searchers that are used again, which
-// may have become cold.
+// set puts the evacuations that the store states in force.
 func (s evacuationSink) set(list []domain.Evacuation) {
-	before := len(s.parts.Directory.Evacuations())
-	returned := s.parts.Directory.SetEvacuations(list)
+	before := s.parts.Directory.Evacuations()
+	s.changed(before, s.parts.Directory.SetEvacuations(list))
+	s.evacuationsListed.Store(true)
+	s.viewChanged()
+}
 
+// changed logs a change of the evacuations in force. Load returns slowly to searchers that are used
+// again, which may have become cold.
+func (s evacuationSink) changed(before []domain.Evacuation, returned []string) {
 	for _, id := range returned {
 		s.parts.Table.SlowStart(id)
 	}
 
-	s.evacuationsListed.Store(true)
-
-	if before > 0 || len(list) > 0 {
-		names := make([]string, len(list))
-		for i, e := range list {
-			names[i] = e.FailureDomain
-		}
+	now := s.parts.Directory.Evacuations()
+	if slices.Equal(before, now) {
+		return
+	}
 
-		s.log.Info().Str("event", "evacuations").Strs("failure_domains", names).Int("searchers_returned", len(returned)).Send()
+	names := make([]string, len(now))
+	for i, e := range now {
+		names[i] = e.FailureDomain
 	}
 
-	s.viewChanged()
+	s.log.Info().Str("event", "evacuations").Strs("failure_domains", names).Int("searchers_returned", len(returned)).Send()
 }
 
 // StoreRecovered implements follower.Sink.
 func (s evacuationSink) StoreRecovered() {}
 
 // StoreRestored implements follower.Sink.
-func (s evacuationSink) StoreRestored() {}
+func (s evacuationSink) StoreRestored() {
+	s.parts.Directory.RetainEvacuations()
+	time.AfterFunc(directory.EvacuationGrace, func() {
+		before := s.parts.Directory.Evacuations()
+		s.changed(before, s.parts.Directory.ExpireEvacuations())
+		s.viewChanged()
+	})
+}
 
 // registrationSink applies the searchers' registrations from the store.
 type registrationSink struct{ *Instance }
