quota: hand out no more than the whole of a cap

Cause: an allocator hands out the sum of the shares that it is lent, and trusts that the sum is one at most. For searchers' limits it was bounded, for the caps of member organisations it wasn't.

Change: the sum is bounded by the whole. It is a second line of defence beside the roster's: it needs one allocator that has all loans.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -274,7 +274,8 @@
 	}
 }
 
-// lentShares returns the shares that this instance may hand out.
+// lentShares returns the shares that this instance may hand out: never more than the whole, though its
+// backers may know too few instances and own more together.
 func (t *Table) lentShares(now time.Time) Shares {
 	sum := t.freeShares(now)
 
@@ -289,5 +290,5 @@
 		sum.Direct += b.shares.Direct
 	}
 
-	return sum
+	return sum.atMost(Shares{Gathered: 1, Direct: 1})
 }
--- a/internal/quota/member_test.go
+++ b/internal/quota/member_test.go
@@ -241,6 +241,36 @@
 	}
 }
 
+// Guards against caps that are exceeded since the instances know too few others, so that their shares
+// add up to more than the whole, which one allocator sees.
+func TestCapsHoldWhenInstancesAreMissing(t *testing.T) {
+	for _, n := range []int{8, 27, 82} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			w := newMemberWorld(uint64(n), n, 83, 50)
+			share := 1 / (0.6 * float64(n))
+
+			for _, k := range w.nodes {
+				k.table.SetShares(w.now, Shares{Gathered: share, Direct: share}, true)
+			}
+
+			o := w.members[0]
+			o.factor, o.entries = 5, nil
+
+			for i := range w.nodes {
+				o.entries = append(o.entries, i)
+			}
+
+			w.play(6 * time.Second)
+			w.reset()
+			w.play(15 * time.Second)
+			w.requireCaps(t)
+
+			all, _, _ := w.admitted()
+			require.GreaterOrEqual(t, all, 0.95)
+		})
+	}
+}
+
 // Guards against caps that are exceeded while instances restart, stand still, are cut off from one
 // another, ask different allocators, or messages are late or lost, with members that turn hot.
 func TestCapsHoldProperty(t *testing.T) {
