budget: refund attempts that still count, and no others

Cause: Window.Return subtracted from the present bucket without a lower bound. A refund of nothing became an extra attempt of a later request, and one of an attempt that had left the window outlasted it.

Change: the oldest attempt that still counts is taken from the window, none if there is none.

Evidence: TestRefundsAreNoCredit, which fails before the change (a fourth attempt is allowed where three are).

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -101,15 +101,21 @@
 	return true
 }
 
-// Return refunds an attempt that didn't reach a searcher. For an extra attempt it
-// reverses Take; after a first attempt, the next one is the first to arrive and
-// so isn't extra.
+// Return reverses Take for an attempt that turned out not to be extra. The oldest one that
+// still counts is taken from the window, so that no other is forgotten before its time.
 func (w *Window) Return(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.roll(now)
-	w.extras[w.current%(buckets+1)]--
+
+	for n := w.current - buckets; n <= w.current; n++ {
+		if e := &w.extras[(n+buckets+1)%(buckets+1)]; n >= 0 && *e > 0 {
+			*e--
+
+			return
+		}
+	}
 }
 
 // Observe records the outcome of an attempt at the pool: an answer, or else a
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -117,3 +117,26 @@
 	require.True(t, w.Take(now))
 	require.False(t, w.Take(now))
 }
+
+// Guards against refunds that become extra attempts of later requests, by more refunds than there
+// were attempts, or by one that forgets an attempt that still counts.
+func TestRefundsAreNoCredit(t *testing.T) {
+	var w Window
+
+	now := time.Unix(1000, 0)
+	w.SetLimit(Limit{Ratio: 0.2, Slack: 4, Window: 10 * time.Second}, 1) // slackShare of 4, rounded down, is 3.
+
+	for range 5 {
+		w.Return(now)
+	}
+
+	for n := range 3 {
+		require.True(t, w.Take(now.Add(time.Duration(n)*time.Second)))
+	}
+
+	require.False(t, w.Take(now.Add(3*time.Second)))
+	w.Return(now.Add(8 * time.Second))
+	require.True(t, w.Take(now.Add(8*time.Second)))
+	require.False(t, w.Take(now.Add(11*time.Second)), "those of 1, 2 and 8 s count, whichever was refunded")
+	require.True(t, w.Take(now.Add(12*time.Second)))
+}
