scatter: pay for the attempts that arrive, less the first

Cause: a first attempt that never reached its searcher was refunded, though it had cost nothing, on the assumption that another one follows and arrives first. While all searchers of a shard are down none follows, and each request left an extra attempt to others.

Change: a query keeps what it has paid for each shard. An attempt costs nothing if none before it has reached a searcher; what was paid is refunded down to the attempts that may have arrived, less one.

TestExtraAttemptsArePaidOnceProperty fails with the refund as it was (-1 paid for one arrival).

--- a/internal/scatter/canary.go
+++ b/internal/scatter/canary.go
@@ -77,14 +77,14 @@
 			if q.sendFirst(now, shard, s) != nil || sh.ticket != 0 {
 				return true
 			}
-		case sh.held && q.mayAttempt(sh) && q.budget.Take(shard, budget.Retry):
+		case sh.held && q.mayAttempt(sh) && q.pay(shard, budget.Retry):
 			if a, _ := q.send(now, shard, Retry, overrunFactor*q.timeLeft(now), s); a != nil {
 				sh.held = false
 
 				return true
 			}
 
-			q.budget.Return(shard)
+			q.refund(shard)
 		}
 	}
 
--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -105,14 +105,14 @@
 		kind = budget.LateHedge
 	}
 
-	if maxLatency > 0 && q.budget.Take(shard, kind) {
+	if maxLatency > 0 && q.pay(shard, kind) {
 		if a, _ := q.send(now, shard, Hedge, maxLatency, s); a != nil {
 			q.cancelAtSearcher(now, shard, a.Searcher.ID, s)
 
 			return
 		}
 
-		q.budget.Return(shard)
+		q.refund(shard)
 	}
 
 	sh.hedgeBlocked = true
@@ -167,7 +167,7 @@
 		return
 	}
 
-	if !q.budget.Take(shard, budget.Retry) {
+	if !q.pay(shard, budget.Retry) {
 		if o := q.params.Objective; !o.IsZero() && !now.Before(o) {
 			// Past the objective, the caller learns at once that the searchers are
 			// overloaded, rather than at the deadline.
@@ -182,7 +182,7 @@
 	}
 
 	if a, refusal := q.send(now, shard, Retry, overrunFactor*q.timeLeft(now), s); a == nil {
-		q.budget.Return(shard)
+		q.refund(shard)
 
 		if !q.awaitPermit(sh, refusal) {
 			q.markMissing(sh, q.missingCode(sh, refusal))
@@ -235,12 +235,53 @@
 	return n
 }
 
-// MarkUnsent records that nothing of an attempt reached its searcher and returns the
-// attempt to the shard's budget. It must be called before Failed. Many searchers that
+// MarkUnsent records that nothing of an attempt reached its searcher, so that it isn't one of
+// those that the shard's budget pays for. It must be called before Failed. Many searchers that
 // stop at the same time and refuse connections would otherwise use up the budget.
 func (q *Query) MarkUnsent(id uint32) {
 	if int(id) < len(q.attempts) && !q.attempts[id].ended {
 		q.attempts[id].unsent = true
-		q.budget.Return(q.attempts[id].shard)
+		q.refund(q.attempts[id].shard)
+	}
+}
+
+// arrivals counts the attempts of a shard that have reached a searcher or may reach one. All but
+// one are extra attempts.
+func (q *Query) arrivals(sh *shardState) int {
+	n := 0
+
+	for _, id := range sh.attemptIDs[:sh.sent] {
+		if !q.attempts[id].unsent {
+			n++
+		}
+	}
+
+	return n
+}
+
+// pay takes one more attempt from the shard's budget, and reports whether it may be sent. It
+// costs nothing if none before it has reached a searcher.
+func (q *Query) pay(shard uint32, k budget.Kind) bool {
+	sh := &q.shards[shard]
+	if sh.paid >= q.arrivals(sh) {
+		return true
+	}
+
+	if !q.budget.Take(shard, k) {
+		return false
+	}
+
+	sh.paid++
+
+	return true
+}
+
+// refund returns to the shard's budget what was paid for attempts that aren't extra, as they or
+// those before them haven't reached a searcher.
+func (q *Query) refund(shard uint32) {
+	sh := &q.shards[shard]
+
+	for extra := max(q.arrivals(sh)-1, 0); sh.paid > extra; sh.paid-- {
+		q.budget.Return(shard)
 	}
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -176,6 +176,8 @@
 	attemptIDs  [domain.MaxAttempts]uint32
 	sent        int
 	outstanding int
+	// paid counts the attempts that the budget has paid for.
+	paid int
 	// shed counts the attempts that a searcher refused without running them, or that never
 	// reached it, if Params.RetryShed is set.
 	shed int
@@ -290,9 +292,8 @@
 
 		q.router.Discard(now, a.Searcher, a.SendBy)
 
-		if a.Reason != First {
-			q.budget.Return(a.Shard)
-		}
+		q.attempts[a.ID].unsent = true
+		q.refund(a.Shard)
 	}
 
 	s.Send = nil
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -427,3 +427,86 @@
 		require.Equal(t, alive >= 0, q.Included() == 1, "%d searchers, number %d lives, %d tried", searchers, alive, tried)
 	})
 }
+
+// payments is a Budget that counts what each shard has paid for, net of refunds.
+type payments struct {
+	budget.Shared
+
+	net []int
+}
+
+// Take implements Budget.
+func (p *payments) Take(shard uint32, _ budget.Kind) bool {
+	p.net[shard]++
+
+	return true
+}
+
+// Return implements Budget.
+func (p *payments) Return(shard uint32) { p.net[shard]-- }
+
+// Guards against extra attempts beyond the budget: a first attempt that never reached its searcher was
+// refunded, though it had cost nothing, so that each request to a shard that is down left an extra
+// attempt to others. What is paid is the number of attempts that arrive, less the first one.
+func TestExtraAttemptsArePaidOnceProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const shards = 3
+
+		rules := domain.Rules{TimeoutMS: 1000, MaxAttempts: 3, ExtraLoadPermille: 500, MinCoveragePermille: 1000, Hedging: rapid.Bool().Draw(t, "hedging")}
+		p := &payments{Shared: budget.Shared{Budget: &budget.Budget{}}, net: make([]int, shards)}
+		now := start
+		q := New(Params{
+			Service: testService(shards, 3, rules), Deadline: now.Add(time.Second), Eligible: func(uint32, string) bool { return true },
+			RetryShed: rapid.Bool().Draw(t, "retry shed"), Canary: rapid.Bool().Draw(t, "canary"),
+		}, &countingRouter{reserved: make(map[string]int)}, &hedging.Delayer{}, p)
+
+		arrived, open := make([]int, shards), []Attempt(nil)
+
+		for s := q.Start(now); ; {
+			open = append(open, s.Send...)
+
+			for _, id := range s.Cancel {
+				n := slices.IndexFunc(open, func(a Attempt) bool { return a.ID == id })
+				arrived[open[n].Shard]++ // It may have arrived.
+				open = slices.Delete(open, n, n+1)
+			}
+
+			if s.Done {
+				break
+			}
+
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "time")) * time.Millisecond)
+
+			if len(open) == 0 || rapid.IntRange(0, 3).Draw(t, "wait") == 0 {
+				now = s.Wake
+				s = q.Advance(now)
+
+				continue
+			}
+
+			n := rapid.IntRange(0, len(open)-1).Draw(t, "attempt")
+			a := open[n]
+			open = slices.Delete(open, n, n+1)
+
+			switch rapid.IntRange(0, 4).Draw(t, "result") {
+			case 0:
+				arrived[a.Shard]++
+				s = q.Answered(now, a.ID, nil)
+			case 1:
+				arrived[a.Shard]++
+				s = q.Failed(now, a.ID, routing.Shed, domain.CodeOverloaded)
+			default:
+				q.MarkUnsent(a.ID)
+				s = q.Failed(now, a.ID, routing.Unreachable, domain.CodeSearcherUnavailable)
+			}
+		}
+
+		for _, a := range open {
+			arrived[a.Shard]++ // It may have arrived.
+		}
+
+		for i := range shards {
+			require.Equal(t, max(arrived[i]-1, 0), p.net[i], "shard %d, %d arrivals", i, arrived[i])
+		}
+	})
+}
