follower: a test changes its fake source under its lock

TestProof/after_its_last_answer set scriptedSource.silent while the follower read it, a race of the test: `go test -race ./internal/follower -run '^TestProof$'` failed each time. The checks are unchanged.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -18,7 +18,7 @@
 
 // scriptedSource is a Source with scripted answers. It records the calls.
 type scriptedSource struct {
-	mu    sync.Mutex // Guards calls, fail and batches.
+	mu    sync.Mutex // Guards calls, fail, silent and batches.
 	calls []string
 	// fail holds the error codes of the next calls; an empty code succeeds.
 	fail []domain.Code
@@ -37,9 +37,11 @@
 	if len(s.fail) > 0 && !s.silent {
 		code, s.fail = s.fail[0], s.fail[1:]
 	}
+
+	silent := s.silent
 	s.mu.Unlock()
 
-	if s.silent {
+	if silent {
 		<-ctx.Done()
 
 		return ctx.Err()
@@ -60,6 +62,14 @@
 	return slices.Clone(s.calls)
 }
 
+// setSilent begins or ends a silence.
+func (s *scriptedSource) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.silent = silent
+}
+
 // succeed ends the failures.
 func (s *scriptedSource) succeed() {
 	s.mu.Lock()
--- a/internal/follower/proof_test.go
+++ b/internal/follower/proof_test.go
@@ -69,7 +69,7 @@
 			f := start(t, s)
 			time.Sleep(10 * time.Second)
 
-			s.silent = true
+			s.setSilent(true)
 			time.Sleep(testProof)
 			require.False(t, f.Proven())
 		})
