--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -61,6 +61,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, status(send(strings.Repeat("a:\r\n", 200))), "each line takes more than its text")
 	leave <- struct{}{}
 	require.Equal(t, http.StatusNoContent, status(first))
+	// The caller may have the answer before the server has ended the request.
+	require.Eventually(t, func() bool { return timer.Heads.Used() == 0 }, time.Minute, time.Millisecond, "the memory is returned while the connection is kept")
 
 	second := send(large)
 	<-entered
