follower: a new era counts as a change

An instance that was told of a new era in which nothing had changed kept a last change of the era before. Its position confirms nothing to instances of the new era then, so that those that ask it would read the store themselves until the next change.

TestPositionsAreOfTheirEra fails before the change (last change 1/8 at 2/6).

--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -81,6 +81,20 @@
 	require.Equal(t, Revision{2, 6}, f.Revision())
 }
 
+// Guards against an instance whose position confirms nothing to others for good, since it was told of
+// a new era in which nothing had changed: its last change must not be one of the era before.
+func TestPositionsAreOfTheirEra(t *testing.T) {
+	f := namedFollower(&recordingSink{})
+	f.logList([]int{10}, Revision{1, 8}, true)
+	f.progress.copied(Revision{1, 8})
+	f.take(delivery[int]{delta: Delta[int]{From: Revision{1, 8}, To: Revision{2, 6}}})
+	require.Equal(t, Revision{2, 6}, f.Position().Revision)
+	require.Equal(t, Revision{2, 6}, f.Position().Changed)
+
+	f.progress.answered(Revision{2, 9}, Revision{}, time.Now())
+	require.Equal(t, Revision{2, 6}, f.Position().Changed)
+}
+
 // Guards against a state that counts as the newest by the word of an instance that hasn't noticed the
 // store's return from an older copy, or by a revision that was given out before it.
 func TestPositionsOfAnotherEraConfirmNothing(t *testing.T) {
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -103,11 +103,15 @@
 }
 
 // told records the changes up to the revision next that another instance told; changed is that
-// of the last one.
+// of the last one. A new era counts as a change.
 func (p *progress) told(next, changed Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	if next.Era > p.revision.Era {
+		changed = later(changed, next)
+	}
+
 	p.revision, p.changed = later(p.revision, next), later(p.changed, changed)
 }
 
