replica: tell the version in force to instances that start

Cause: the other instances keep the version in force, but a process that starts has the store's copy only, and the lost version isn't among the changes of the store's new era.

Change: the answer to the question for positions states the version in force. An instance that has an older one for two answers in a row takes the configuration of the instance that answered.

TestLaterConfigurationsOfOthersAreTaken; with a copy at the first sign instead of the second it fails (16 copies where 1 is due).

--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -89,14 +89,7 @@
 	}
 
 	metrics.NewGauge("primrose_store_era", func() float64 { return float64(i.parts.Era.Current()) })
-	metrics.NewGauge("primrose_configuration_version", func() float64 {
-		v := i.parts.Directory.View()
-		if v == nil {
-			return 0
-		}
-
-		return float64(v.Table.Version)
-	})
+	metrics.NewGauge("primrose_configuration_version", func() float64 { return float64(configurationSink{i}.version()) })
 }
 
 var storeRestores = metrics.NewCounter("primrose_store_restores_total")
@@ -151,7 +144,36 @@
 // increase.
 func (s configurationSink) StoreRestored() {}
 
+// catchUp takes the configuration in force at another instance.
+func (s configurationSink) catchUp(ctx context.Context, address string) {
+	tables, err := replica.Peers[domain.RouteTable]{Client: s.parts.ReplicaClient, Collection: replica.Configuration}.From(ctx, address)
+	if err != nil {
+		s.log.Info().Str("event", "copy_failed").Str("collection", replica.Configuration).Str("peer", address).Err(err).Send()
+
+		return
+	}
+
+	for i := range tables {
+		s.configure(&tables[i]) //nolint:contextcheck // The sessions of a plan outlast this exchange.
+	}
+}
+
+// version returns the version in force, or 0 if there is none.
+func (s configurationSink) version() uint64 {
+	v := s.parts.Directory.View()
+	if v == nil {
+		return 0
+	}
+
+	return v.Table.Version
+}
+
+// configure puts a configuration in force if it is newer. The store's and other instances' may come at
+// the same time.
 func (s configurationSink) configure(t *domain.RouteTable) {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+
 	inForce := s.parts.Directory.Configure(t)
 	s.log.Info().Str("event", "configuration").Uint64("version", t.Version).Int("routes", len(t.Routes)).
 		Int("pools", len(t.Pools)).Bool("in_force", inForce).Send()
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -95,6 +95,8 @@
 	parts    parts
 	health   balancer.Health
 	started  time.Time
+	// configuring is held while a configuration is put in force.
+	configuring sync.Mutex
 	// evacuationsListed says that the evacuations in force are known.
 	evacuationsListed atomic.Bool
 	// ready reports the first complete view.
@@ -243,6 +245,7 @@
 	p.Roster.Peers = replica.Peers[roster.Entry]{Client: p.ReplicaClient, Collection: replica.Instances}
 	i.replicaServer = replica.Server{Log: log, Collections: i.collections(), Client: p.ReplicaClient}
 	p.Positions.Signs = leavingSigns{i}
+	p.Positions.InForce, p.Positions.CatchUp = configurationSink{i}.version, configurationSink{i}.catchUp
 	p.Positions.Suspects, p.Notifier.Suspects = suspects{i}, suspects{i}
 	p.Followers.configuration.Sink = configurationSink{i}
 	p.Followers.registrations.Sink = registrationSink{i}
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -181,6 +181,27 @@
 	Collection string
 }
 
+// From returns the copy of the instance at an address, which has none if it returns no items.
+func (p Peers[T]) From(ctx context.Context, address string) ([]T, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+
+	asked.Inc()
+
+	a, err := p.Client.fetch(ctx, address, p.Collection, follower.Revision{})
+	if err != nil {
+		failed.Inc()
+
+		return nil, err
+	}
+
+	if a.GetRevision() == 0 {
+		return nil, nil
+	}
+
+	return jsonlist.Decode[T](bytes.NewReader(a.GetItems()))
+}
+
 // Newer returns the newest of the copies that a few instances answer with, or the zero revision
 // if none is newer than revision or the newest is invalid.
 func (p Peers[T]) Newer(ctx context.Context, revision follower.Revision) (items []T, at follower.Revision) {
--- a/primrosed/internal/replica/era_test.go
+++ b/primrosed/internal/replica/era_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -343,3 +345,72 @@
 		})
 	}
 }
+
+// Guards against an instance that starts after the store's return from an older copy and works with an
+// older configuration than the others, whose version the store has lost, until the operator writes it
+// again; and against copies each time that a reader is a little ahead.
+func TestLaterConfigurationsOfOthersAreTaken(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		var (
+			versions [3]atomic.Uint64
+			taken    [3]atomic.Int64
+			done     sync.WaitGroup
+		)
+
+		n, peers := newNetwork(t), testPeers(len(versions))
+		ctx, stop := context.WithCancel(t.Context())
+
+		defer done.Wait()
+		defer stop()
+
+		for i := range peers {
+			client := NewClient(zerolog.Nop(), peers[i].PeerAddress, n.dial, nil, nil)
+			server := Server{Log: zerolog.Nop(), Collections: map[string]ReadFunc{Configuration: func() (any, follower.Revision) {
+				return []uint64{versions[i].Load()}, at(1)
+			}}}
+			p := &Positions{
+				Log: zerolog.Nop(), Self: peers[i].ID, Dial: n.dial, Interval: follower.AskInterval(testBound), InForce: versions[i].Load,
+				CatchUp: func(ctx context.Context, address string) {
+					list, err := Peers[uint64]{Client: client, Collection: Configuration}.From(ctx, address)
+					require.NoError(t, err)
+					versions[i].Store(list[0])
+					taken[i].Add(1)
+				},
+			}
+			p.SetReaders(placement.NewSet(peers).Readers(peers[i].ID))
+			n.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.Nop(), nil, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+				if f.GetPositionRequest() != nil {
+					p.Handle(peer, f.GetPositionRequest(), stream)
+				} else {
+					server.Handle(peer, f.GetCopyRequest(), stream)
+				}
+			})
+			versions[i].Store(4)
+			done.Go(func() { p.Run(ctx) })
+		}
+
+		readers := placement.NewSet(peers).Readers(peers[0].ID)
+		reader := slices.IndexFunc(peers, func(in domain.Instance) bool { return in.ID == readers[0].ID })
+		restarted := (reader + 1) % len(peers)
+
+		time.Sleep(testBound)
+		versions[restarted].Store(3)
+		time.Sleep(testBound)
+		require.Equal(t, uint64(4), versions[restarted].Load())
+		require.Equal(t, int64(1), taken[restarted].Load())
+
+		// A change that the reader knows first arrives with the same answer.
+		for v := uint64(5); v < 20; v++ {
+			versions[reader].Store(v)
+			time.Sleep(follower.AskInterval(testBound))
+
+			for i := range versions {
+				versions[i].Store(v)
+			}
+
+			time.Sleep(follower.AskInterval(testBound))
+		}
+
+		require.Equal(t, int64(1), taken[restarted].Load())
+	})
+}
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -76,6 +76,10 @@
 	Era *follower.Era
 	// Followed holds the collections by name.
 	Followed map[string]Followed
+	// InForce returns the version of the configuration in force here, and CatchUp takes the one of
+	// another instance, which is later; nil if versions aren't told.
+	InForce func() uint64
+	CatchUp func(ctx context.Context, address string)
 	// Quota asks the first reader that answers for permits; nil asks for none.
 	Quota *quota.Table
 	// Signs takes and tells which searchers leave; nil if there is none.
@@ -92,6 +96,9 @@
 	avoided  map[string]time.Time
 	// reader is the id of the reader that answered last; empty if none did.
 	reader string
+	// ahead is the version in force at a reader that was later than this instance's in the last
+	// round; 0 if there was none.
+	ahead uint64
 }
 
 // SetReaders replaces the instances to ask, in their order.
@@ -175,7 +182,8 @@
 		}
 	}()
 
-	confirmedBy := ""
+	confirmedBy, ahead := "", uint64(0)
+	defer func() { p.ahead = ahead }()
 
 	for _, r := range *readers {
 		if r.ID == p.Self {
@@ -214,6 +222,8 @@
 		p.learnLeaving(r.PeerAddress, r.ID, answer.GetLeaving())
 		p.learnSuspects(r.PeerAddress, r.ID, answer.GetSuspects())
 
+		ahead = max(ahead, p.catchUp(ctx, r.PeerAddress, answer.GetConfigurationVersion()))
+
 		if p.confirm(answer, request.GetKnown(), asked) && confirmedBy == "" {
 			confirmedBy = r.ID
 		}
@@ -226,6 +236,22 @@
 	return confirmedBy
 }
 
+// catchUp takes the configuration of another instance if a later version than this one's has been in
+// force there since the last round. It isn't among the changes that the store has: the store has come
+// back from an older copy, and this instance has started since. It returns the version if that is so, or
+// may be.
+func (p *Positions) catchUp(ctx context.Context, address string, version uint64) (ahead uint64) {
+	if p.InForce == nil || version <= p.InForce() {
+		return 0
+	}
+
+	if p.ahead >= version {
+		p.CatchUp(ctx, address)
+	}
+
+	return version
+}
+
 // allocate gives this instance permits of its own share, which it uses itself if no reader
 // before it answers.
 func (p *Positions) allocate() {
@@ -407,6 +433,10 @@
 
 	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
 
+	if p.InForce != nil {
+		a.ConfigurationVersion = p.InForce()
+	}
+
 	for name, f := range p.Followed {
 		at := f.Rely()
 		c := &pb.CollectionPosition{
