--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -133,8 +133,8 @@
 	return !r.restoredAt.IsZero() && now.Before(r.restoredAt.Add(RestoreTime))
 }
 
-// settle registers the searchers again that are still registered RestoreTime after the store's return
-// from an older copy: they run.
+// settle brings back the searchers whose restored registrations the store still has RestoreTime after its
+// return from an older copy: they renew them.
 func (r *registry) settle(now time.Time) {
 	if r.restoring(now) {
 		return
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,8 +3,8 @@
 // the connections that a searcher accepts. Each instance writes an entry at its
 // start, renews it every few minutes, and reads the list periodically; a stale list
 // is enough. An instance that stops renewing its entry expires, and its entry is
-// removed later. One whose entry is missing counts for as long, and writes it again. The list doesn't tell whether a peer answers right now; its callers
-// detect that.
+// removed later. One whose entry is missing counts for as long, and writes it again. The
+// list doesn't tell whether a peer answers right now; its callers detect that.
 package roster
 
 import (
