replica: tests serve addresses under the lock of their network

The race detector found that two new tests wrote the network's map while instances dialled. With the change the package passes under it twice.

--- a/primrosed/internal/replica/era_test.go
+++ b/primrosed/internal/replica/era_test.go
@@ -20,7 +20,6 @@
 	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
 	"primrosespring.example/internal/placement"
-	"primrosespring.example/primrosed/internal/mux"
 )
 
 // storeChange is a change in the history of a restorableStore; an empty value is a removal.
@@ -251,7 +250,7 @@
 			Followed: map[string]Followed{Registrations: &Collection[item]{Follower: fo}},
 		}
 		p.SetReaders(placement.NewSet(peers).Readers(peers[i].ID))
-		n.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.Nop(), nil, func(_ context.Context, peer string, m *pb.PeerFrame, stream *yamux.Stream) {
+		n.serve(peers[i].PeerAddress, func(_ context.Context, peer string, m *pb.PeerFrame, stream *yamux.Stream) {
 			p.Handle(peer, m.GetPositionRequest(), stream)
 		})
 		f.views, f.followers = append(f.views, v), append(f.followers, fo)
@@ -378,7 +377,7 @@
 				},
 			}
 			p.SetReaders(placement.NewSet(peers).Readers(peers[i].ID))
-			n.instances[peers[i].PeerAddress] = mux.NewServer(zerolog.Nop(), nil, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+			n.serve(peers[i].PeerAddress, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
 				if f.GetPositionRequest() != nil {
 					p.Handle(peer, f.GetPositionRequest(), stream)
 				} else {
--- a/primrosed/internal/replica/replica_test.go
+++ b/primrosed/internal/replica/replica_test.go
@@ -72,16 +72,21 @@
 	c := NewClient(zerolog.New(io.Discard), address, n.dial, nil, seeds)
 	s := &Server{Log: zerolog.New(io.Discard), Collections: collections, Client: c}
 
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	n.instances[address] = mux.NewServer(zerolog.New(io.Discard), nil, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
+	n.serve(address, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
 		s.Handle(peer, f.GetCopyRequest(), stream)
 	})
 
 	return c
 }
 
+// serve has an address answered by handle.
+func (n *network) serve(address string, handle mux.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.instances[address] = mux.NewServer(zerolog.Nop(), nil, handle)
+}
+
 // at returns a revision of a store that states no era.
 func at(number uint64) follower.Revision { return follower.Revision{Number: number} }
 
