mux: a test waits until the memory of closed streams is returned

TestPeersAreBounded hung at times: it opened streams while the server still held the memory of frames whose streams had been closed just before, so that a new one was refused, truly, and the test waited for good for it to be served.

--- a/primrosed/internal/mux/mux_test.go
+++ b/primrosed/internal/mux/mux_test.go
@@ -123,6 +123,9 @@
 		require.NoError(t, stream.Close())
 	}
 
+	// The server ends a stream some time after its other end.
+	require.Eventually(t, func() bool { return frames.Used() == 0 }, time.Minute, time.Millisecond, "the memory of the frames is returned")
+
 	open := func() error {
 		stream, err := session.OpenStream()
 		require.NoError(t, err)
