--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -73,10 +73,10 @@
 // instance is one process of the project.
 type instance struct {
 	name, zone, front, ready string
+	settings                 string
 	cmd                      *exec.Cmd
 	log                      string
 	exited                   chan struct{}
-	endedAt                  time.Time
 }
 
 func newDrill(program, record string) (*drill, error) {
@@ -154,6 +154,8 @@
 	args := append([]string{"searcher", "--id", s.id, "--address", s.address, "--slots", strconv.Itoa(s.slots)}, s.args...)
 	cmd := exec.Command(os.Args[0], args...)
 
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return err
@@ -293,7 +295,7 @@
 		ip := d.net + strconv.Itoa(11+i)
 		in := &instance{
 			name: "frontend-" + strconv.Itoa(i+1), zone: zones[i%len(zones)], front: ip + ":" + strconv.Itoa(freePort(ip)),
-			ready: ip + ":" + strconv.Itoa(freePort(ip)), exited: make(chan struct{}),
+			ready: ip + ":" + strconv.Itoa(freePort(ip)),
 		}
 		settings := fmt.Sprintf(`nodeName=%s
 role=entry
@@ -350,30 +352,13 @@
 			return err
 		}
 
-		in.log = filepath.Join(d.dir, in.name+".log")
-
-		log, err := os.Create(in.log)
-		if err != nil {
-			return err
-		}
-
-		in.cmd = exec.Command(d.program, "hosted", "--metrics-port", strconv.Itoa(metricsPort))
-		in.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PRIMROSESPRING_NODE_FILE=" + path}
-		in.cmd.Stdout, in.cmd.Stderr = log, log
+		in.settings, in.log = path, filepath.Join(d.dir, in.name+".log")
 
-		if err := in.cmd.Start(); err != nil {
+		if err := d.run(in); err != nil {
 			return err
 		}
 
 		d.instances = append(d.instances, in)
-		d.say("instance %s starts, callers connect to %s", in.name, in.front)
-
-		go func() {
-			_ = in.cmd.Wait()
-			in.endedAt = time.Now()
-			d.say("instance %s has ended: %s", in.name, in.cmd.ProcessState)
-			close(in.exited)
-		}()
 	}
 
 	for _, in := range d.instances {
@@ -387,6 +372,36 @@
 	return nil
 }
 
+// run starts the process of an instance.
+func (d *drill) run(in *instance) error {
+	log, err := os.OpenFile(in.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+
+	cmd := exec.Command(d.program, "hosted", "--metrics-port", strconv.Itoa(metricsPort))
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PRIMROSESPRING_NODE_FILE=" + in.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+
+	exited := make(chan struct{})
+	in.cmd, in.exited = cmd, exited
+	d.say("instance %s starts, callers connect to %s", in.name, in.front)
+
+	go func() {
+		_ = cmd.Wait()
+		d.say("instance %s has ended: %s", in.name, cmd.ProcessState)
+		close(exited)
+	}()
+
+	return nil
+}
+
 func isReady(address string) bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,8 +17,10 @@
 
 // cases are the cases by name. Each reports whether a rule was broken.
 var cases = map[string]func(d *drill) (broken bool, err error){
-	"crash": runCrash,
-	"drain": runDrain,
+	"crash":   runCrash,
+	"drain":   runDrain,
+	"revoke":  runRevoke,
+	"weights": runWeights,
 }
 
 func main() {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -49,6 +50,16 @@
 	changed  chan struct{} // Closed and replaced at each change.
 	// waiting holds the connections of the watches that wait, by kind.
 	waiting map[string]map[net.Conn]bool
+	// era rises at each return from a copy; the history before floor is gone.
+	era, floor uint64
+	away       bool
+	open       map[net.Conn]bool
+}
+
+// snapshot is a copy of all objects.
+type snapshot struct {
+	revision uint64
+	kinds    map[string]map[string]object
 }
 
 type connKey struct{}
@@ -56,7 +67,7 @@
 func newStore(addr string) (*store, error) {
 	s := &store{
 		revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{}),
-		waiting: make(map[string]map[net.Conn]bool),
+		waiting: make(map[string]map[net.Conn]bool), era: 3, open: make(map[net.Conn]bool),
 	}
 
 	l, err := net.Listen("tcp", addr)
@@ -65,7 +76,7 @@
 	}
 
 	s.addr = l.Addr().String()
-	s.server = &http.Server{Handler: s, ConnContext: withConn}
+	s.server = &http.Server{Handler: s, ConnContext: withConn, ConnState: s.connState}
 
 	go func() { _ = s.server.Serve(l) }()
 
@@ -97,6 +108,59 @@
 	return time.Now()
 }
 
+// connState closes the connections that are opened while the store is away.
+func (s *store) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if state == http.StateClosed {
+		delete(s.open, c)
+
+		return
+	}
+
+	s.open[c] = true
+
+	if s.away {
+		_ = c.Close()
+	}
+}
+
+// copy returns a copy of all objects.
+func (s *store) copy() snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	c := snapshot{revision: s.revision, kinds: make(map[string]map[string]object)}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+
+	return c
+}
+
+// restore has the store go away for a time and come back from a copy, in a new era.
+func (s *store) restore(c snapshot, away time.Duration) {
+	s.mu.Lock()
+	s.away = true
+
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+
+	time.Sleep(away)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.away = false
+	s.era++
+	s.revision, s.floor, s.kinds, s.events = c.revision, c.revision, c.kinds, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // cutWatch closes the connection of one watch of a kind that waits, and reports whether there was
 // one.
 func (s *store) cutWatch(kind string) bool {
@@ -155,6 +219,15 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	away := s.away
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	s.mu.Unlock()
+
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	kind, name := parts[0], ""
 
@@ -208,6 +281,14 @@
 	for over := false; ; {
 		s.mu.Lock()
 
+		if from < s.floor || from > s.revision {
+			delete(s.waiting[kind], conn)
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+
+			return
+		}
+
 		events := []event{}
 		for _, e := range s.events {
 			if e.kind == kind && e.at > from {
