--- a/review/standin3/drain.go
+++ b/review/standin3/drain.go
@@ -13,7 +13,7 @@
 // removed.
 func runDrain(d *drill) (bool, error) {
 	for i := range 4 {
-		if err := d.addSearcher("desk-"+strconv.Itoa(i+1), "desk", "zone-a", 4, "--least-ms", "110", "--most-ms", "330", "--queue", "16"); err != nil {
+		if err := d.addSearcher("desk-"+strconv.Itoa(i+1), "desk", "zone-a", 6, "--least-ms", "110", "--most-ms", "330", "--queue", "16"); err != nil {
 			return false, err
 		}
 	}
@@ -45,7 +45,7 @@
 	stop := make(chan struct{})
 
 	for _, in := range d.instances {
-		for range 5 {
+		for range 7 {
 			wg.Go(func() {
 				c := &client{d: d, in: in, timeout: 15 * time.Second}
 				defer c.close()
@@ -54,7 +54,7 @@
 					select {
 					case <-stop:
 						return
-					case <-time.After(50 * time.Millisecond):
+					case <-time.After(30 * time.Millisecond):
 					}
 
 					r := c.do("POST", "/desk/1", "claim")
