follower: an answer proves nothing before its era is settled

Cause: a list of the store counted as proof that its keys are the newest. After a return it shows the copy, and a process that starts sees an era but no change of it. What others had in force came after two answers of a reader, and never to the first reader. Instances that ran before renewed their proof by the copy as well.

Only answers of a settled era renew a proof. Instances that start ask the readers and two others what the store may have lost, and are told the evacuations in force with their era.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -74,9 +74,9 @@
 	// listed says that ReplaceSearchers has been called.
 	listed bool
 	// evacuations are the failure domains that the store says to be evacuated; retained are those
-	// of before its return from an older copy, until retainedUntil.
-	evacuations, retained map[string]bool
-	retainedUntil         time.Time
+	// of before its return from an older copy, with the time until which they stay so.
+	evacuations map[string]bool
+	retained    map[string]time.Time
 }
 
 // View returns the current view, or nil before the first configuration.
@@ -258,7 +258,66 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.retained, d.retainedUntil = d.registry.evacuated, time.Now().Add(EvacuationGrace)
+	d.retain(d.registry.evacuated, time.Now().Add(EvacuationGrace))
+}
+
+// retain keeps evacuations in force until then at least; the caller holds mu.
+func (d *Directory) retain(failureDomains map[string]bool, until time.Time) {
+	if d.retained == nil {
+		d.retained = make(map[string]time.Time)
+	}
+
+	for fd := range failureDomains {
+		if until.After(d.retained[fd]) {
+			d.retained[fd] = until
+		}
+	}
+}
+
+// EvacuationInForce is an evacuation, which stays in force until a time whatever the store says; zero if only
+// the store's word keeps it.
+type EvacuationInForce struct {
+	domain.Evacuation
+
+	Until time.Time
+}
+
+// EvacuationsInForce returns the evacuations in force, in order.
+func (d *Directory) EvacuationsInForce() []EvacuationInForce {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	now := time.Now()
+
+	var out []EvacuationInForce
+
+	for _, e := range evacuations(d.registry.evacuated) {
+		until := d.retained[e.FailureDomain]
+		if !now.Before(until) {
+			until = time.Time{}
+		}
+
+		out = append(out, EvacuationInForce{e, until})
+	}
+
+	return out
+}
+
+// LearnEvacuations keeps evacuations in force until the times that they state: other instances keep them, and
+// this one may have started after the store had lost them. It reports whether that changes the searchers in use; the caller then
+// calls ExpireEvacuations at their ends.
+func (d *Directory) LearnEvacuations(list []EvacuationInForce) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for _, e := range list {
+		d.retain(map[string]bool{e.FailureDomain: true}, e.Until)
+	}
+
+	before := d.registry.evacuated
+	d.evacuate(time.Now())
+
+	return !maps.Equal(before, d.registry.evacuated)
 }
 
 // ExpireEvacuations ends the evacuations that RetainEvacuations kept and that the store doesn't have
@@ -275,8 +334,12 @@
 	evacuated := make(map[string]bool, len(d.evacuations))
 	maps.Copy(evacuated, d.evacuations)
 
-	if now.Before(d.retainedUntil) {
-		maps.Copy(evacuated, d.retained)
+	for fd, until := range d.retained {
+		if now.Before(until) {
+			evacuated[fd] = true
+		} else {
+			delete(d.retained, fd)
+		}
 	}
 
 	before := d.registry.evacuated
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -397,3 +397,34 @@
 		require.True(t, d.Usable("u"))
 	})
 }
+
+// Guards against evacuations that an instance learns from others ending with the store's list, which lacks
+// them, or lasting for good.
+func TestEvacuationsOfOthersAreKeptForTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d Directory
+
+		d.SetEvacuations(nil)
+
+		until := time.Now().Add(3 * time.Second)
+		told := []EvacuationInForce{{domain.Evacuation{FailureDomain: "a"}, until}}
+
+		require.True(t, d.LearnEvacuations(told))
+		require.False(t, d.LearnEvacuations(told), "it is known")
+		require.Equal(t, told, d.EvacuationsInForce())
+
+		d.SetEvacuations([]domain.Evacuation{{FailureDomain: "b"}})
+		require.Equal(t, []domain.Evacuation{{FailureDomain: "a"}, {FailureDomain: "b"}}, d.Evacuations())
+
+		d.RetainEvacuations()
+		time.Sleep(3 * time.Second)
+		d.ExpireEvacuations()
+		require.Len(t, d.Evacuations(), 2, "a return keeps what was in force")
+
+		d.SetEvacuations(nil)
+		time.Sleep(EvacuationGrace)
+		d.ExpireEvacuations()
+		require.Empty(t, d.Evacuations())
+		require.Empty(t, d.EvacuationsInForce())
+	})
+}
--- a/internal/follower/delta.go
+++ b/internal/follower/delta.go
@@ -250,8 +250,15 @@
 }
 
 // follows reports whether others tell this instance the changes, so that it needs no watch: it
-// neither reads for others nor is the collection about to be unconfirmed.
-func (f *Follower[T]) follows() bool { return f.FollowOthers && f.Bound > 0 && !f.reads() }
+// neither reads for others nor is the collection about to be unconfirmed, nor has it to find out whether
+// the store's era is settled.
+func (f *Follower[T]) follows() bool {
+	if in, ok := f.Settlement.consultIn(); ok && in <= 0 {
+		return false
+	}
+
+	return f.FollowOthers && f.Bound > 0 && !f.reads()
+}
 
 // awaitChanges applies the changes that others tell until this instance has to read the store
 // itself, and reports whether it has to at once: others lack changes, or a hint suggests that
@@ -266,7 +273,12 @@
 	var hints <-chan struct{}
 
 	for f.follows() && ctx.Err() == nil {
-		left := time.NewTimer(max(share(maxAgeShare, f.Bound)-f.progress.unconfirmed(), 0))
+		wait := share(maxAgeShare, f.Bound) - f.progress.unconfirmed()
+		if in, ok := f.Settlement.consultIn(); ok {
+			wait = min(wait, in)
+		}
+
+		left := time.NewTimer(max(wait, 0))
 
 		select {
 		case d := <-f.deliveries():
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -125,6 +125,12 @@
 	// An answer then shows only what was so when its call was sent, as it may have been held
 	// up on its way, the watches of readers are short, and the first list isn't a stale one.
 	Proof time.Duration
+	// Settlement says whether what the store has lost in a return from an older copy has been written
+	// again. Until then no answer renews the proof; nil if nothing is lost.
+	Settlement *Settlement
+	// InForce reports whether an item that the store has is the one that the sink has in force, and not an
+	// older one; nil if they never differ.
+	InForce func(item T) bool
 	// Pause is the time between two watches, so that changes in quick succession
 	// cost one call.
 	Pause time.Duration
@@ -156,6 +162,9 @@
 	// log holds the latest changes for other instances, items the collection by name.
 	log   changeLog[T]
 	items map[string]T
+	// copied says that the items are those of another instance, which may have others in force than the
+	// store.
+	copied bool
 	// progress is how far the sink has the store's changes.
 	progress progress
 	// askedAt is when the peers were last asked.
@@ -181,8 +190,36 @@
 // Position returns how far the collection has been followed.
 func (f *Follower[T]) Position() Position { return f.progress.position() }
 
-// Proven reports whether the collection was the newest one within Proof.
-func (f *Follower[T]) Proven() bool { return f.Position().Age <= f.Proof }
+// Proven reports whether the collection was the newest one within Proof, and lacked nothing that the
+// store had acknowledged before.
+func (f *Follower[T]) Proven() bool { return f.ProofAge() <= f.Proof }
+
+// ProofAge returns how long ago the collection was last proven to be the newest one.
+func (f *Follower[T]) ProofAge() time.Duration { return f.progress.proofAge() }
+
+// prove records what an answer of the store has shown.
+func (f *Follower[T]) prove(ctx context.Context) {
+	f.progress.prove(f.Settlement)
+
+	if f.Settlement != nil && f.whole() {
+		f.Settlement.record(ctx)
+	}
+}
+
+// whole reports whether the store has every item that is in force.
+func (f *Follower[T]) whole() bool {
+	if f.copied {
+		return false
+	}
+
+	for _, item := range f.items {
+		if f.InForce != nil && !f.InForce(item) {
+			return false
+		}
+	}
+
+	return len(f.items) > 0
+}
 
 // shownAt returns when the answer to a call shows the collection to have been complete.
 func (f *Follower[T]) shownAt(sent, answered time.Time) time.Time {
@@ -256,12 +293,14 @@
 		timeout = firstListTimeout
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	f.Settlement.consult(ctx)
+
+	listCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	sent := time.Now()
 
-	items, revision, err := f.Source.List(ctx, stale)
+	items, revision, err := f.Source.List(listCtx, stale)
 	if err != nil {
 		return err
 	}
@@ -276,7 +315,9 @@
 	f.storeRestored(revision)
 	f.Sink.Replace(items)
 	f.logList(items, revision, stale)
+	f.copied = false
 	f.progress.listed(revision, stale, f.shownAt(sent, time.Now()))
+	f.prove(ctx)
 	f.Log.Info().Str("event", "store_listed").Str("collection", f.Name).Int("items", len(items)).
 		EmbedObject(revision).Bool("stale", stale).Send()
 
@@ -301,6 +342,7 @@
 	f.storeRestored(revision)
 	f.Sink.Replace(items)
 	f.logList(items, revision, true)
+	f.copied = true
 	f.progress.copied(revision)
 	f.Log.Info().Str("event", "copy_taken").Str("collection", f.Name).Int("items", len(items)).
 		EmbedObject(revision).Stringer("before", before).Send()
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -25,8 +25,13 @@
 type progress struct {
 	mu                sync.Mutex // Guards the fields below.
 	revision, changed Revision
-	// currentAt is when the collection was last known to be complete; zero if it never was.
-	currentAt time.Time
+	// currentAt is when the collection was last known to be complete, in currentEra; zero if it never
+	// was.
+	currentAt  time.Time
+	currentEra uint64
+	// provenAt is when it was last known to be complete and to lack nothing that the store has lost; zero
+	// if it never was.
+	provenAt time.Time
 	// listedAt is when the collection was last listed. A stale list isn't known to be
 	// complete, but the watch that follows it has its time to show what is missing.
 	listedAt time.Time
@@ -77,7 +82,7 @@
 	p.heardAt = p.listedAt
 
 	if !stale {
-		p.currentAt = at
+		p.currentAt, p.currentEra = at, revision.Era
 	}
 }
 
@@ -98,10 +103,32 @@
 	p.revision, p.changed = later(p.revision, next), later(p.changed, changed)
 
 	if at.After(p.currentAt) {
-		p.currentAt = at
+		p.currentAt, p.currentEra = at, next.Era
 	}
 }
 
+// prove records that the collection was complete when that was last shown, if its era is settled.
+func (p *progress) prove(s *Settlement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if !p.currentAt.IsZero() && s.Covers(p.currentEra, p.currentAt) {
+		p.provenAt = p.currentAt
+	}
+}
+
+// proofAge returns how long ago the collection was last proven to be the newest one.
+func (p *progress) proofAge() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.provenAt.IsZero() {
+		return unknownAge
+	}
+
+	return elapsed(p.provenAt)
+}
+
 // told records the changes up to the revision next that another instance told; changed is that
 // of the last one. A new era counts as a change.
 func (p *progress) told(next, changed Revision) {
@@ -134,7 +161,7 @@
 	}
 
 	if !o.Changed.After(p.revision) && at.After(p.currentAt) {
-		p.currentAt = at
+		p.currentAt, p.currentEra = at, p.revision.Era
 	}
 
 	p.notify()
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -59,7 +59,10 @@
 		maxAge = min(maxAge, share(proofConfirmShare, f.Proof))
 	}
 
-	return f.progress.confirm(p, asked, maxAge)
+	heard := f.progress.confirm(p, asked, maxAge)
+	f.progress.prove(f.Settlement)
+
+	return heard
 }
 
 // Rely records that another instance relies on this one to read the store, and returns
@@ -112,14 +115,16 @@
 func (f *Follower[T]) watch(ctx context.Context, lostAt *time.Time) error {
 	p := f.planWatch(!lostAt.IsZero())
 
-	ctx, cancel := context.WithTimeout(ctx, p.wait+p.grace)
+	f.Settlement.consult(ctx)
+
+	watchCtx, cancel := context.WithTimeout(ctx, p.wait+p.grace)
 	defer cancel()
 
 	supervision := f.superviseWatch(cancel, p.relies)
 	revision := f.Revision()
 	sent := time.Now()
 
-	changes, next, err := f.Source.Watch(ctx, revision, p.wait)
+	changes, next, err := f.Source.Watch(watchCtx, revision, p.wait)
 	if reason := supervision(); reason != notRestarted {
 		f.restarted(reason, revision, time.Since(sent))
 
@@ -141,9 +146,14 @@
 
 	f.logChanges(changes, next)
 
+	if f.lastCount > 0 && f.whole() {
+		f.Settlement.written(next.Era, time.Now())
+	}
+
 	// A watch that has used up its wait leaves nothing to collect in a pause.
 	f.skipPause = f.Bound > 0 && f.lastCount == 0 && time.Since(sent) >= p.wait
 	f.progress.answered(next, lastRevision(changes, next), f.shownAt(sent, answeredAt(sent, p.wait, len(changes))))
+	f.prove(ctx)
 
 	return nil
 }
--- a/primrosed/internal/hosted/follow.go
+++ b/primrosed/internal/hosted/follow.go
@@ -14,6 +14,7 @@
 	"primrosespring.example/internal/follower"
 	"primrosespring.example/internal/hosting"
 	"primrosespring.example/internal/quota"
+	"primrosespring.example/internal/roster"
 	"primrosespring.example/platform"
 	"primrosespring.example/primrosed/internal/replica"
 )
@@ -41,7 +42,9 @@
 }
 
 // newFollowers returns followers without sinks.
-func newFollowers(log zerolog.Logger, s hosting.Settings, st *platform.Store, c *replica.Client, hints restartHints) *followers {
+func newFollowers(log zerolog.Logger, s hosting.Settings, st *platform.Store, c *replica.Client, hints restartHints, d *directory.Directory,
+	r *roster.Roster,
+) *followers {
 	bound, pause := s.Bounds.ConfigurationDelay, pauseFor(s.Bounds.ConfigurationDelay)
 	proof := time.Duration(proofShare * float64(s.Bounds.Revocation))
 
@@ -51,12 +54,22 @@
 
 	link := &follower.Link{}
 
+	var settlement *follower.Settlement
+	if proof > 0 {
+		settlement = &follower.Settlement{Log: log, Records: eraRecords{Store: st, self: s.Instance.ID, started: r.Started()}}
+	}
+
 	return &followers{
 		configuration: follower.Follower[*domain.RouteTable]{
 			Link: link, Log: log, Name: replica.Configuration, Source: platform.Configurations{Store: st},
 			Bound: bound, Pause: pause, Proof: proof, Peers: configurationPeers{c}, FollowOthers: true,
 			ItemName: func(*domain.RouteTable) string { return platform.ConfigurationName },
-			SameItem: func(a, b *domain.RouteTable) bool { return a.Version == b.Version },
+			SameItem: func(a, b *domain.RouteTable) bool { return a.Version == b.Version }, Settlement: settlement,
+			InForce: func(t *domain.RouteTable) bool {
+				v := d.View()
+
+				return v == nil || t.Version >= v.Table.Version
+			},
 		},
 		registrations: follower.Follower[domain.Registration]{
 			Link: link, Log: log, Name: replica.Registrations, Source: platform.Registrations{Store: st},
@@ -89,6 +102,17 @@
 	}
 
 	metrics.NewGauge("primrose_store_era", func() float64 { return float64(i.parts.Era.Current()) })
+
+	if settlement := f.configuration.Settlement; settlement != nil {
+		metrics.NewGauge("primrose_store_era_settled", func() float64 {
+			if _, _, settled := settlement.Settled(); settled {
+				return 1
+			}
+
+			return 0
+		})
+	}
+
 	metrics.NewGauge("primrose_configuration_version", func() float64 { return float64(configurationSink{i}.version()) })
 }
 
@@ -253,6 +277,11 @@
 // StoreRestored implements follower.Sink.
 func (s evacuationSink) StoreRestored() {
 	s.parts.Directory.RetainEvacuations()
+	s.expireRetained()
+}
+
+// expireRetained ends the evacuations that are retained now when they are no longer.
+func (s evacuationSink) expireRetained() {
 	time.AfterFunc(directory.EvacuationGrace, func() {
 		before := s.parts.Directory.Evacuations()
 		s.changed(before, s.parts.Directory.ExpireEvacuations())
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -247,6 +247,10 @@
 	p.Positions.Signs = leavingSigns{i}
 	p.Positions.InForce, p.Positions.CatchUp = configurationSink{i}.version, configurationSink{i}.catchUp
 	p.Positions.Suspects, p.Notifier.Suspects = suspects{i}, suspects{i}
+	if s.Bounds.Evacuation > 0 {
+		p.Positions.Evacuations = evacuationKeeper{i}
+	}
+
 	p.Followers.configuration.Sink = configurationSink{i}
 	p.Followers.registrations.Sink = registrationSink{i}
 	p.Followers.evacuations.Sink = evacuationSink{i}
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/follower"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -30,10 +31,11 @@
 
 // newPositions returns the exchange of positions in the collections that are followed.
 func newPositions(log zerolog.Logger, s hosting.Settings, f *followers, q *quota.Table, k *serving.SignKeeper, b *budgets,
-	era *follower.Era,
+	era *follower.Era, c *replica.Client,
 ) *replica.Positions {
 	p := &replica.Positions{
 		Log: log, Self: s.Instance.ID, Dial: http1.DialTCP, Frames: b.frames, Era: era, Quota: q, OnLimits: k.LimitsLearned,
+		Settlement: f.configuration.Settlement, Others: c.All,
 		Interval: follower.AskInterval(min(f.configuration.Bound, f.registrations.Bound)),
 		Followed: map[string]replica.Followed{
 			replica.Configuration: &replica.Collection[*domain.RouteTable]{Follower: &f.configuration},
@@ -114,6 +116,43 @@
 	}
 }
 
+// evacuationKeeper gives and takes the evacuations that the store may have lost. It implements
+// replica.EvacuationKeeper.
+type evacuationKeeper struct{ *Instance }
+
+// InForce implements replica.EvacuationKeeper.
+func (k evacuationKeeper) InForce() (list []directory.EvacuationInForce, era uint64) {
+	at := k.parts.Followers.evacuations.Revision()
+
+	return k.parts.Directory.EvacuationsInForce(), at.Era
+}
+
+// Learn implements replica.EvacuationKeeper. The evacuations of an earlier era than the one that this instance
+// has read are those of before the store's return.
+func (k evacuationKeeper) Learn(list []directory.EvacuationInForce, era uint64) bool {
+	at := k.parts.Followers.evacuations.Revision()
+	if at.IsZero() {
+		return false
+	}
+
+	if era < at.Era {
+		for i := range list {
+			list[i].Until = time.Now().Add(directory.EvacuationGrace)
+		}
+	}
+
+	before := k.parts.Directory.Evacuations()
+
+	if k.parts.Directory.LearnEvacuations(list) {
+		s := evacuationSink(k)
+		s.changed(before, nil)
+		s.viewChanged()
+		s.expireRetained()
+	}
+
+	return true
+}
+
 // servePeers serves the sessions of other instances until the listener is closed.
 func (i *Instance) servePeers(ctx context.Context, s *mux.Server, l net.Listener) {
 	if err := s.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
--- a/primrosed/internal/hosted/proof.go
+++ b/primrosed/internal/hosted/proof.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"primrosespring.example/internal/roster"
+	"primrosespring.example/platform"
 )
 
 const (
@@ -34,7 +38,7 @@
 			return
 		}
 
-		age := i.parts.Followers.configuration.Position().Age
+		age := i.parts.Followers.configuration.ProofAge()
 		v := i.parts.Directory.View()
 		now := v == nil || !v.Table.KeysRequired || age <= time.Duration(unreadyShare*float64(proof))
 
@@ -54,3 +58,33 @@
 			Int64("bound_ms", proof.Milliseconds()).Send()
 	}
 }
+
+// eraRecords keeps in the store which of its eras is settled. It implements follower.Records.
+type eraRecords struct {
+	*platform.Store
+
+	self string
+	// started is the start of this process in Unix milliseconds, as in its entry.
+	started int64
+}
+
+// newFleetSpan is the time, in Unix milliseconds, within which the instances of a new fleet start.
+const newFleetSpan = 2000
+
+// NewFleet implements follower.Records.
+func (r eraRecords) NewFleet(ctx context.Context) (bool, error) {
+	entries, err := r.ListInstances(ctx, false)
+	if err != nil {
+		return false, err
+	}
+
+	return isNewFleet(entries, r.self, r.started), nil
+}
+
+// isNewFleet reports whether the instances have all started now, and this one has no entry of an earlier
+// process.
+func isNewFleet(entries []roster.Entry, self string, started int64) bool {
+	return !slices.ContainsFunc(entries, func(e roster.Entry) bool {
+		return e.ID == self && e.Started != started || e.Started < started-newFleetSpan || e.Started > started+newFleetSpan
+	})
+}
--- a/primrosed/internal/replica/client.go
+++ b/primrosed/internal/replica/client.go
@@ -86,14 +86,21 @@
 	c.requesters = c.requesters[max(len(c.requesters)-maxRequesters, 0):]
 }
 
-// choose returns up to maxFetches random peer addresses to ask.
-func (c *Client) choose() []string {
+// All returns every peer address known, in a slice of its own: listed ones may be incomplete, and those of
+// the settings out of date.
+func (c *Client) All() []string {
 	c.mu.Lock()
 	all := slices.Concat(c.seeds, c.listed, c.requesters)
 	c.mu.Unlock()
 
 	slices.Sort(all)
-	all = slices.DeleteFunc(slices.Compact(all), func(a string) bool { return a == c.self })
+
+	return slices.DeleteFunc(slices.Compact(all), func(a string) bool { return a == c.self })
+}
+
+// choose returns up to maxFetches random peer addresses to ask.
+func (c *Client) choose() []string {
+	all := c.All()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 
 	return all[:min(len(all), maxFetches)]
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -80,6 +80,12 @@
 	// another instance, which is later; nil if versions aren't told.
 	InForce func() uint64
 	CatchUp func(ctx context.Context, address string)
+	// Settlement knows whether the store holds all that it had acknowledged; nil if nobody asks.
+	Settlement *follower.Settlement
+	// Evacuations takes and tells the evacuations that the store may have lost; nil if there are none.
+	Evacuations EvacuationKeeper
+	// Others returns the peer addresses of other instances; nil if only the readers are known.
+	Others func() []string
 	// Quota asks the first reader that answers for permits; nil asks for none.
 	Quota *quota.Table
 	// Signs takes and tells which searchers leave; nil if there is none.
@@ -99,6 +105,8 @@
 	// ahead is the version in force at a reader that was later than this instance's in the last
 	// round; 0 if there was none.
 	ahead uint64
+	// witnesses counts the answers of other instances about what the store may have lost.
+	witnesses int
 }
 
 // SetReaders replaces the instances to ask, in their order.
@@ -166,6 +174,7 @@
 	}
 
 	p.dropOthers(*readers)
+	p.recover(ctx, *readers)
 
 	// allocated says that a reader has answered a question for permits.
 	allocated := p.Quota == nil
@@ -202,7 +211,7 @@
 			request.Permits = allocator.EncodeQuestion(&question)
 		}
 
-		answer, err := p.ask(ctx, r, request)
+		answer, err := p.ask(ctx, r.PeerAddress, request)
 		if err == nil && !allocated && answer.GetPermits() != nil {
 			if answer.GetPermits().GetBacked() || !p.Quota.Capped() {
 				allocated, err = true, p.takePermits(r, asked, answer.GetPermits())
@@ -222,6 +231,8 @@
 		p.learnLeaving(r.PeerAddress, r.ID, answer.GetLeaving())
 		p.learnSuspects(r.PeerAddress, r.ID, answer.GetSuspects())
 
+		p.learnRecovery(ctx, r.PeerAddress, answer, asked)
+
 		ahead = max(ahead, p.catchUp(ctx, r.PeerAddress, answer.GetConfigurationVersion()))
 
 		if p.confirm(answer, request.GetKnown(), asked) && confirmedBy == "" {
@@ -348,7 +359,7 @@
 		}
 
 		// An age that overflows is as good as none.
-		age := time.Duration(min(c.GetAgeMs(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
+		age := milliseconds(c.GetAgeMs())
 		position := follower.Position{
 			Changed: follower.Revision{Era: c.GetChangedEra(), Number: c.GetChangedRevision()}, Age: age,
 		}
@@ -379,21 +390,21 @@
 	}
 }
 
-// ask sends one question over the session to a reader, which it opens if there is none.
-func (p *Positions) ask(ctx context.Context, r domain.Instance, q *pb.PositionRequest) (*pb.PositionAnswer, error) {
+// ask sends one question over the session to an instance, which it opens if there is none.
+func (p *Positions) ask(ctx context.Context, address string, q *pb.PositionRequest) (*pb.PositionAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 
 	positionsAsked.Inc()
 
-	session := p.sessions[r.PeerAddress]
+	session := p.sessions[address]
 	if session == nil || session.IsClosed() {
 		var err error
-		if session, err = mux.Dial(ctx, p.Dial, r.PeerAddress); err != nil {
+		if session, err = mux.Dial(ctx, p.Dial, address); err != nil {
 			return nil, err
 		}
 
-		p.sessions[r.PeerAddress] = session
+		p.sessions[address] = session
 	}
 
 	stream, err := session.OpenStream()
@@ -413,13 +424,13 @@
 		return nil, err
 	}
 
-	f, err := frame.Read(stream, r.PeerAddress, frame.MaxControlBytes, p.Frames)
+	f, err := frame.Read(stream, address, frame.MaxControlBytes, p.Frames)
 	if err != nil {
 		return nil, err
 	}
 
 	if f.GetPositionAnswer() == nil {
-		return nil, &frame.Error{Peer: r.PeerAddress, Reason: "not an answer to a question for positions"}
+		return nil, &frame.Error{Peer: address, Reason: "not an answer to a question for positions"}
 	}
 
 	return f.GetPositionAnswer(), nil
@@ -431,12 +442,17 @@
 	p.learnSuspects(peer, peer, q.GetSuspects())
 	p.learnEras(q.GetKnown())
 
-	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
+	if q.GetRecoveryOnly() {
+		a := &pb.PositionAnswer{}
+		p.addRecovery(a)
+		p.answer(peer, a, stream)
 
-	if p.InForce != nil {
-		a.ConfigurationVersion = p.InForce()
+		return
 	}
 
+	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
+	p.addRecovery(a)
+
 	for name, f := range p.Followed {
 		at := f.Rely()
 		c := &pb.CollectionPosition{
@@ -452,6 +468,11 @@
 		a.Positions = append(a.Positions, c)
 	}
 
+	p.answer(peer, a, stream)
+}
+
+// answer sends an answer.
+func (p *Positions) answer(peer string, a *pb.PositionAnswer, stream io.Writer) {
 	err := frame.Write(stream, &pb.PeerFrame{Body: &pb.PeerFrame_PositionAnswer{PositionAnswer: a}}, frame.MaxControlBytes)
 	if err != nil {
 		p.Log.Info().Str("event", "position_not_given").Str("peer", peer).Err(err).Send()
--- /dev/null
+++ b/primrosed/internal/replica/recovery.go
@@ -0,0 +1,162 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"primrosespring.example/internal/directory"
+	"primrosespring.example/internal/domain"
+	pb "primrosespring.example/internal/gen/primrosespring/v1"
+)
+
+const (
+	// otherWitnesses is how many instances beside the readers are asked in a round about what the store
+	// may have lost: the readers may have started just now as well.
+	otherWitnesses = 2
+	// evacuationWitnesses is how many answers an instance that has started gets about evacuations.
+	evacuationWitnesses = 3
+)
+
+// EvacuationKeeper keeps evacuations in force after the store's return from an older copy.
+type EvacuationKeeper interface {
+	// InForce returns the evacuations in force, and the store's era in which they were read.
+	InForce() (list []directory.EvacuationInForce, era uint64)
+	// Learn takes those of another instance, and reports whether it could: this one has read the
+	// store's.
+	Learn(list []directory.EvacuationInForce, era uint64) bool
+}
+
+// unsettled reports whether it isn't known whether the store holds all that it had acknowledged.
+func (p *Positions) unsettled() bool {
+	if p.Settlement == nil {
+		return false
+	}
+
+	_, _, settled := p.Settlement.Settled()
+
+	return !settled
+}
+
+// recover asks other instances what they know that the store may have lost, while this one can't tell:
+// it may have started after a return of the store from an older copy.
+func (p *Positions) recover(ctx context.Context, readers []domain.Instance) {
+	needsEvacuations := p.Evacuations != nil && p.witnesses < evacuationWitnesses
+
+	if !p.unsettled() && !needsEvacuations {
+		return
+	}
+
+	for _, address := range p.chooseWitnesses(readers) {
+		asked := time.Now()
+
+		answer, err := p.ask(ctx, address, &pb.PositionRequest{RecoveryOnly: true})
+		if err != nil {
+			continue
+		}
+
+		p.learnRecovery(ctx, address, answer, asked)
+
+		if !p.unsettled() && p.witnesses >= evacuationWitnesses {
+			return
+		}
+	}
+}
+
+// chooseWitnesses returns the peer addresses of the other readers and of a few other instances.
+func (p *Positions) chooseWitnesses(readers []domain.Instance) []string {
+	var out []string
+
+	for _, r := range readers {
+		if r.ID != p.Self && !time.Now().Before(p.avoided[r.ID]) {
+			out = append(out, r.PeerAddress)
+		}
+	}
+
+	if p.Others == nil {
+		return out
+	}
+
+	others := slices.DeleteFunc(p.Others(), func(a string) bool { return slices.Contains(out, a) })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+
+	return append(out, others[:min(len(others), otherWitnesses)]...)
+}
+
+// learnRecovery takes what another instance knows that the store may have lost, and that the era is
+// settled. That counts here only once this instance has in force what the other one has.
+func (p *Positions) learnRecovery(ctx context.Context, address string, a *pb.PositionAnswer, asked time.Time) {
+	if p.Evacuations != nil && p.Evacuations.Learn(decodeEvacuations(a.GetEvacuations(), asked), a.GetEvacuationsEra()) {
+		p.witnesses++
+	}
+
+	if !p.unsettled() {
+		return
+	}
+
+	if p.InForce != nil && a.GetConfigurationVersion() > p.InForce() {
+		p.CatchUp(ctx, address)
+
+		return
+	}
+
+	if era := a.GetSettledEra(); era > 0 {
+		p.Settlement.Learn(era, time.Now().Add(-milliseconds(a.GetSettledMs())))
+	}
+}
+
+// addRecovery adds what learnRecovery takes to an answer.
+func (p *Positions) addRecovery(a *pb.PositionAnswer) {
+	if p.InForce != nil {
+		a.ConfigurationVersion = p.InForce()
+	}
+
+	if p.Settlement != nil {
+		if era, since, ok := p.Settlement.Settled(); ok {
+			a.SettledEra, a.SettledMs = era, uint64(max(since, 0).Milliseconds())
+		}
+	}
+
+	if p.Evacuations != nil {
+		list, era := p.Evacuations.InForce()
+		a.Evacuations, a.EvacuationsEra = encodeEvacuations(list), era
+	}
+}
+
+func encodeEvacuations(list []directory.EvacuationInForce) []*pb.EvacuationInForce {
+	out := make([]*pb.EvacuationInForce, 0, len(list))
+
+	for _, e := range list {
+		remaining := max(time.Until(e.Until), 0)
+		out = append(out, &pb.EvacuationInForce{FailureDomain: e.FailureDomain, RemainingMs: uint64(remaining.Milliseconds())})
+	}
+
+	return out
+}
+
+// decodeEvacuations returns the evacuations told in answer to a question of that time. None is kept for
+// longer than instances keep their own.
+func decodeEvacuations(list []*pb.EvacuationInForce, asked time.Time) []directory.EvacuationInForce {
+	out := make([]directory.EvacuationInForce, 0, len(list))
+
+	for _, e := range list {
+		if e.GetFailureDomain() == "" {
+			continue
+		}
+
+		v := directory.EvacuationInForce{Evacuation: domain.Evacuation{FailureDomain: e.GetFailureDomain()}}
+		if ms := e.GetRemainingMs(); ms > 0 {
+			v.Until = asked.Add(min(milliseconds(ms), directory.EvacuationGrace))
+		}
+
+		out = append(out, v)
+	}
+
+	return out
+}
+
+// milliseconds returns a duration, of an hour at most: a longer one is as good as that.
+func milliseconds(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(time.Hour/time.Millisecond))) * time.Millisecond
+}
