follower, directory: removals of before an outage hold

Cause: any failed call began an outage, and its end excused each removal of the 2 s before it, though that removal had been read and was in force. A watch that the store cut off, and that was answered again after 0.2 s, was one; each further one moved the excuse on. A return from an older copy excused removals of before as well.

On the code before, TestOutages fails for one cut-off watch, for three in a row and where others are answered, and TestRemovalsOfBeforeAnOutageHold in all its cases.

Change: an outage is a second or more in which the store answered nobody, as far as the instance knows. Only removals that become known within 2 s of its end are excused, until that end, and no later outage excuses them again. store_regained has quiet_ms and outage.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -386,9 +386,9 @@
 	return out
 }
 
-// StoreRecovered records that the store answers again after an outage. Registrations
-// that are removed within RegistrationGrace before or after this call are used until
-// RegistrationGrace after it; the caller calls Expire then.
+// StoreRecovered records that the store answers again after an outage. Searchers whose registrations are
+// removed within RegistrationGrace from this call on are used until its end; the caller calls Expire then. A
+// removal that was known before isn't due to the outage.
 func (d *Directory) StoreRecovered() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -428,3 +428,39 @@
 		require.Empty(t, d.EvacuationsInForce())
 	})
 }
+
+// Guards against requests to a searcher that was removed before an outage of the store, or a return from an older
+// copy, began: the removal was in force, and isn't due to it. Guards also against an outage that excuses a removal
+// once more.
+func TestRemovalsOfBeforeAnOutageHold(t *testing.T) {
+	for name, end := range map[string]func(d *Directory){
+		"outage": (*Directory).StoreRecovered, "return from a copy": (*Directory).StoreRestored,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := configured()
+				d.ReplaceSearchers([]domain.Registration{registration("s", nil), registration("u", nil)})
+				remove(d, "s")
+				time.Sleep(RegistrationGrace / 2)
+				end(d)
+				put(d, registration("u", func(r *domain.Registration) { r.Sequence, r.Draining = 20, true }))
+				require.False(t, d.Usable("s"), "the view is built anew")
+			})
+		})
+	}
+
+	t.Run("two outages", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := configured()
+			d.ReplaceSearchers([]domain.Registration{registration("s", nil)})
+			d.StoreRecovered()
+			remove(d, "s")
+			require.True(t, d.Usable("s"))
+			time.Sleep(RegistrationGrace - time.Millisecond)
+			d.StoreRecovered()
+			time.Sleep(time.Millisecond)
+			d.Expire()
+			require.False(t, d.Usable("s"))
+		})
+	})
+}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -28,8 +28,9 @@
 // record is a registered searcher, or the tombstone of one.
 type record struct {
 	registration domain.Registration
-	// removedAt is when the registration was removed; zero if it wasn't.
-	removedAt time.Time
+	// removedAt is when the registration was removed; zero if it wasn't. Until excusedUntil the searcher is
+	// used all the same: the removal became known just after an outage of the store.
+	removedAt, excusedUntil time.Time
 	// restored says that the store has the registration again, since it has come back from a
 	// copy from before the removal.
 	restored bool
@@ -87,7 +88,7 @@
 	}
 
 	before, removed := rec.registration, !rec.removedAt.IsZero()
-	rec.removedAt, rec.restored = time.Time{}, false
+	rec.removedAt, rec.excusedUntil, rec.restored = time.Time{}, time.Time{}, false
 	rec.registration = reg
 
 	if before.Started != reg.Started || before.Address != reg.Address {
@@ -118,6 +119,10 @@
 
 	rec.removedAt = now
 
+	if !r.recoveredAt.IsZero() {
+		rec.excusedUntil = r.recoveredAt.Add(RegistrationGrace)
+	}
+
 	return true
 }
 
@@ -177,14 +182,7 @@
 		return false
 	}
 
-	return rec.removedAt.IsZero() || r.inGrace(now, rec)
-}
-
-// inGrace reports whether the removal may be due to an outage of the store, and the
-// searcher still has time to register again.
-func (r *registry) inGrace(now time.Time, rec *record) bool {
-	return !r.recoveredAt.IsZero() && rec.removedAt.After(r.recoveredAt.Add(-RegistrationGrace)) &&
-		now.Before(r.recoveredAt.Add(RegistrationGrace))
+	return rec.removedAt.IsZero() || now.Before(rec.excusedUntil)
 }
 
 // pools returns the usable searchers of each pool, sorted by id. Those that one other instance
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,7 +54,8 @@
 	// Apply applies the changes of one watch, in their order.
 	Apply(changes []Change[T])
 	// StoreRecovered is called when the store answers again after an outage, before
-	// the first change that was read since.
+	// the first change that was read since. A call that fails while the store answers others, or
+	// answers this instance again at once, is none.
 	StoreRecovered()
 	// StoreRestored is called when the store has come back from an older copy, before the
 	// first state that was read since. What was written to the store shortly before its
@@ -90,6 +91,9 @@
 	// good while others change. Searchers register again within 2 s of an outage.
 	minHintPause = 200 * time.Millisecond
 	maxShortened = 12
+	// minOutage is the least time in which the store must have answered nobody for an outage. What expires
+	// in the store takes longer to do so.
+	minOutage = time.Second
 	// backlogThreshold is the number of changes in one watch from which more are
 	// expected, since the store answers with some hundreds at most. No pause follows.
 	backlogThreshold = 100
@@ -272,6 +276,7 @@
 		case ctx.Err() == nil:
 			if lostAt.IsZero() {
 				lostAt = time.Now()
+				f.progress.lose()
 				f.Log.Warn().Str("event", "store_lost").Str("collection", f.Name).EmbedObject(f.Revision()).Err(err).Send()
 			}
 
@@ -501,9 +506,15 @@
 		return
 	}
 
+	quiet := f.progress.regain()
+
 	f.Log.Info().Str("event", "store_regained").Str("collection", f.Name).
-		Int64("lost_for_ms", time.Since(*lostAt).Milliseconds()).Send()
-	f.Sink.StoreRecovered()
+		Int64("lost_for_ms", time.Since(*lostAt).Milliseconds()).Int64("quiet_ms", quiet.Milliseconds()).
+		Bool("outage", quiet >= minOutage).Send()
+
+	if quiet >= minOutage {
+		f.Sink.StoreRecovered()
+	}
 
 	*lostAt, f.outdated = time.Time{}, false
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -22,8 +22,10 @@
 	calls []string
 	// fail holds the error codes of the next calls; an empty code succeeds.
 	fail []domain.Code
-	// silent makes calls hang until their context ends.
-	silent bool
+	// silent makes calls hang until their context ends, failing has them refused at once.
+	silent, failing bool
+	// cuts is how many more watches are cut off after they have waited for a while.
+	cuts   int
 	events chan Change[int]
 	// batches are the sizes of the first answers to watches; events follow them.
 	batches []int
@@ -38,6 +40,10 @@
 		code, s.fail = s.fail[0], s.fail[1:]
 	}
 
+	if s.failing {
+		code = domain.CodeStoreUnavailable
+	}
+
 	silent := s.silent
 	s.mu.Unlock()
 
@@ -70,6 +76,39 @@
 	s.silent = silent
 }
 
+// setFailing begins or ends a time in which calls are refused.
+func (s *scriptedSource) setFailing(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.failing = failing
+}
+
+// cutOff cuts off the next watches, after cutAfter each.
+func (s *scriptedSource) cutOff(watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.cuts = watches
+}
+
+// cutAfter is how long a watch waits until it is cut off.
+const cutAfter = 150 * time.Millisecond
+
+// isCut waits and reports whether the watch is cut off.
+func (s *scriptedSource) isCut(wait time.Duration) bool {
+	s.mu.Lock()
+	cut := s.cuts > 0
+	s.cuts = max(s.cuts-1, 0)
+	s.mu.Unlock()
+
+	if cut {
+		time.Sleep(min(cutAfter, wait))
+	}
+
+	return cut
+}
+
 // succeed ends the failures.
 func (s *scriptedSource) succeed() {
 	s.mu.Lock()
@@ -107,6 +146,10 @@
 		return nil, Revision{}, err
 	}
 
+	if s.isCut(wait) {
+		return nil, Revision{}, domain.Errorf(domain.FateUnknown, domain.CodeStoreUnavailable, "watch", "cut off")
+	}
+
 	if n := s.nextBatch(); n > 0 {
 		return make([]Change[int], n), at(revision.Number + uint64(n)), nil
 	}
@@ -362,3 +405,73 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an outage in name only, in whose wake removed searchers are used again: one waiting watch that
+// the store cut off, several in a row, and a store that answers the other instances all the while. An outage that
+// the others notice as well is one, also if they see its end first, and so is one that ends a watch in silence.
+func TestOutages(t *testing.T) {
+	const bound = 3 * time.Second
+
+	type play struct {
+		f *Follower[int]
+		s *scriptedSource
+	}
+
+	for name, c := range map[string]struct {
+		disturb func(p play)
+		outage  bool
+	}{
+		"one watch is cut off": {func(p play) { p.s.cutOff(1) }, false},
+		"some in a row":        {func(p play) { p.s.cutOff(3) }, false},
+		"others are answered": {func(p play) {
+			p.s.setFailing(true)
+
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				p.f.Confirm(Position{Changed: at(7)}, time.Now())
+				p.f.Rely()
+			}
+
+			p.s.setFailing(false)
+		}, false},
+		"nobody is answered": {func(p play) {
+			p.s.setFailing(true)
+			time.Sleep(3 * time.Second)
+			p.f.Confirm(Position{Changed: at(7)}, time.Now())
+			p.f.Rely()
+			p.s.setFailing(false)
+		}, true},
+		"silence": {func(p play) {
+			p.s.setSilent(true)
+			time.Sleep(3 * time.Second)
+			p.s.setSilent(false)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s, r := &scriptedSource{events: make(chan Change[int], 1)}, &recordingSink{}
+				f := newFollower(s, r)
+				f.Bound, f.FollowOthers = bound, true
+
+				go f.Run(ctx)
+
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					f.Rely()
+				}
+
+				c.disturb(play{f, s})
+
+				for range 20 {
+					time.Sleep(100 * time.Millisecond)
+					f.Rely()
+				}
+
+				require.Equal(t, c.outage, slices.Contains(r.lines(), "store recovered"), "%v", r.lines())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/follower/position.go
+++ b/internal/follower/position.go
@@ -42,6 +42,12 @@
 	toldAt time.Time
 	// reliedUntil is until when other instances rely on this one.
 	reliedUntil time.Time
+	// aliveAt is until when the store held a call that it then cut off.
+	aliveAt time.Time
+	// While this instance has lost the store, quietSince is when the store last answered anybody as far as
+	// is known, and longestQuiet the longest time in which it hasn't; quietSince is zero otherwise.
+	quietSince   time.Time
+	longestQuiet time.Duration
 	// news receives when a field changes that may end a backoff.
 	news chan struct{}
 }
@@ -160,6 +166,11 @@
 		p.heardAt = at
 	}
 
+	if !p.quietSince.IsZero() && at.After(p.quietSince) {
+		p.longestQuiet = max(p.longestQuiet, at.Sub(p.quietSince))
+		p.quietSince = at
+	}
+
 	if !o.Changed.After(p.revision) && at.After(p.currentAt) {
 		p.currentAt, p.currentEra = at, p.revision.Era
 	}
@@ -169,6 +180,45 @@
 	return true
 }
 
+// alive records that the store held a call until then.
+func (p *progress) alive(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.aliveAt = until
+}
+
+// lose records that a call of this instance has failed.
+func (p *progress) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.longestQuiet, p.quietSince = 0, time.Time{}
+
+	for _, at := range []time.Time{p.aliveAt, p.currentAt, p.heardAt} {
+		if at.After(p.quietSince) {
+			p.quietSince = at
+		}
+	}
+
+	// A process that starts doesn't know for how long the store has been away.
+	if p.quietSince.IsZero() {
+		p.quietSince = time.Now().Add(-minOutage)
+	}
+}
+
+// regain records that this instance has the store again, or needs no answer of its own, and returns the longest
+// time in which the store answered nobody.
+func (p *progress) regain() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	quiet := max(p.longestQuiet, time.Since(p.quietSince))
+	p.quietSince, p.longestQuiet = time.Time{}, 0
+
+	return quiet
+}
+
 // rely records that another instance relies on this one until then.
 func (p *progress) rely(until time.Time) {
 	p.mu.Lock()
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -132,6 +132,11 @@
 	}
 
 	if err != nil {
+		// The store held a watch that was cut off while it waited, but not one that it didn't answer in time.
+		if ran := time.Since(sent); ran >= recoveryWait && watchCtx.Err() == nil {
+			f.progress.alive(sent.Add(min(ran, p.wait)))
+		}
+
 		return err
 	}
 
