platform: a number's form hides no version

Cause: whole numbers were decoded into integers, for which encoding/json refuses the whole document at 0.75, 3.0 and 3e0, and floats at 1e999; and one entry that didn't pass the checks refused the version. Conversions beyond a type's range differ between processors.

A route that is left out keeps its host and path, as its requests would reach another service by a shorter prefix; they are refused as not run. Weights are float64; parts without weight get nothing by rounding, and equal shares if none has any.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,7 +28,7 @@
 	Service *domain.Service
 	// Pools holds the pool name of each shard.
 	Pools  []string
-	Weight uint32
+	Weight float64
 }
 
 // Entry is a route with its targets.
@@ -481,7 +481,7 @@
 
 // newTarget returns a target with one shard for each of the named pools. pools holds
 // their searchers; shards holds the shards that targets of this view have in common.
-func (v *View) newTarget(r *domain.Route, names []string, weight uint32, pools map[string][]domain.Registration,
+func (v *View) newTarget(r *domain.Route, names []string, weight float64, pools map[string][]domain.Registration,
 	shards map[string]domain.Shard,
 ) Target {
 	s := &domain.Service{Name: r.Name, Version: v.Table.Version, Rules: rules(r)}
--- a/internal/domain/route.go
+++ b/internal/domain/route.go
@@ -24,10 +24,10 @@
 	Connections uint32 `json:"connections"`
 }
 
-// WeightedPool is one alternative of a traffic split.
+// WeightedPool is one alternative of a traffic split. Only the proportions of the weights count.
 type WeightedPool struct {
-	Pool   string `json:"pool"`
-	Weight uint32 `json:"weight"`
+	Pool   string  `json:"pool"`
+	Weight float64 `json:"weight"`
 }
 
 // Route sends the requests of one host and path prefix to searchers.
@@ -59,6 +59,9 @@
 	TopRecords int `json:"top_records,omitempty"`
 	// MinCoverage is the least share of shards that a gathered answer must include.
 	MinCoverage float64 `json:"min_coverage,omitempty"`
+	// Unusable says that the configuration has the route, but in a form that can't be used. Its requests
+	// are refused, and don't match a shorter prefix.
+	Unusable bool `json:"unusable,omitempty"`
 }
 
 // Validate returns an error for the first invalid field.
@@ -70,6 +73,8 @@
 		return invalid("host", "must not be empty")
 	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
 		return invalid("path_prefix", "%q must begin and end with a slash", r.PathPrefix)
+	case r.Unusable:
+		return nil
 	case r.Timeout <= 0:
 		return invalid("timeout", "is %s; must be positive", r.Timeout)
 	case r.MaxAttempts == 0:
@@ -82,6 +87,12 @@
 		return invalid("shards", "has %d entries; at most %d are allowed", len(r.Shards), MaxShards)
 	}
 
+	for _, w := range r.Split {
+		if !(w.Weight >= 0) || math.IsInf(w.Weight, 0) {
+			return invalid("split", "the weight of %s is %g; must be a number of at least 0", w.Pool, w.Weight)
+		}
+	}
+
 	return nil
 }
 
@@ -112,7 +123,7 @@
 	}
 
 	for _, w := range r.Split {
-		b = binary.LittleEndian.AppendUint32(append(append(b, w.Pool...), 0), w.Weight)
+		b = binary.LittleEndian.AppendUint64(append(append(b, w.Pool...), 0), math.Float64bits(w.Weight))
 	}
 
 	for _, name := range r.Shards {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -43,6 +43,8 @@
 	ackTimeout        = 2500 * time.Millisecond
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	// maxPeerIdle bounds the idle timeout that a peer states.
+	maxPeerIdle = 24 * time.Hour
 	// tcpUserTimeout is the TCP_USER_TIMEOUT socket option of Linux; package
 	// syscall doesn't name it.
 	tcpUserTimeout = 18
@@ -331,8 +333,8 @@
 				continue
 			}
 
-			if s, err := strconv.Atoi(text); err == nil && s > 0 {
-				return time.Duration(s) * time.Second
+			if s, err := strconv.ParseFloat(text, 64); err == nil && s > 0 {
+				return time.Duration(min(s, maxPeerIdle.Seconds()) * float64(time.Second))
 			}
 		}
 	}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -179,6 +179,8 @@
 	// minRetryAfter is the shortest time after which a refused caller is told to
 	// retry.
 	minRetryAfter = 50 * time.Millisecond
+	// unusablePause is that time for a route that can't be used until its configuration is replaced.
+	unusablePause = time.Second
 )
 
 // Engine serves requests. It is safe for concurrent use.
@@ -320,6 +322,14 @@
 			"version %d has no route for %s%s", view.Table.Version, r.Host, r.Path)
 	}
 
+	if entry.Route.Unusable {
+		err := domain.Errorf(domain.FateNotRun, domain.CodeNoConfiguration, "match route",
+			"version %d has route %s in a form that can't be used", view.Table.Version, entry.Route.Name)
+		err.RetryAfter = unusablePause + rand.N(unusablePause/2)
+
+		return nil, err
+	}
+
 	r, member, err := e.identify(view, entry.Route, r)
 	if err != nil {
 		return nil, err
@@ -357,8 +367,8 @@
 	}
 }
 
-// chooseTarget returns the index of a target, chosen in proportion to the weights.
-// Multiples of the golden ratio modulo 1 are spread evenly, so every short run of
+// chooseTarget returns the index of a target, chosen in proportion to the weights; targets without any share the
+// requests equally. Multiples of the golden ratio modulo 1 are spread evenly, so every short run of
 // requests keeps to the weights as well.
 func (e *Engine) chooseTarget(entry *directory.Entry) int {
 	if len(entry.Targets) == 1 {
@@ -367,21 +377,35 @@
 
 	const goldenRatio = 0.6180339887498949
 
+	weight := func(i int) float64 { return entry.Targets[i].Weight }
+
 	var total float64
 	for i := range entry.Targets {
-		total += float64(entry.Targets[i].Weight)
+		total += weight(i)
+	}
+
+	if total == 0 {
+		weight, total = func(int) float64 { return 1 }, float64(len(entry.Targets))
 	}
 
 	position := float64(e.splitSeq.Add(1)) * goldenRatio
 	rest := (position - float64(uint64(position))) * total
+	chosen := 0
 
+	// Rounding may leave a rest after the last target: it is that of the last one with a weight.
 	for i := range entry.Targets {
-		if rest -= float64(entry.Targets[i].Weight); rest < 0 {
-			return i
+		if weight(i) == 0 {
+			continue
+		}
+
+		chosen = i
+
+		if rest -= weight(i); rest < 0 {
+			break
 		}
 	}
 
-	return len(entry.Targets) - 1
+	return chosen
 }
 
 // delayer returns the hedging delays of a route.
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -345,6 +345,65 @@
 	})
 }
 
+// Guards against parts of a split that get more than their share, or anything, since their weights are fractions, the
+// last one has none, or none has any.
+func TestSplitsFollowOddWeights(t *testing.T) {
+	for name, c := range map[string]struct {
+		weights []float64
+		want    []int
+	}{
+		"fractions":      {[]float64{0.75, 0.25}, []int{75, 25}},
+		"tiny ones":      {[]float64{3e-200, 1e-200}, []int{75, 25}},
+		"huge ones":      {[]float64{1e300, 1e300}, []int{50, 50}},
+		"none":           {[]float64{0, 0}, []int{50, 50}},
+		"the last none":  {[]float64{0.1, 0.7, 0}, []int{13, 87, 0}},
+		"the first none": {[]float64{0, 0.3}, []int{0, 100}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := &directory.Entry{Targets: make([]directory.Target, len(c.weights))}
+			for i, w := range c.weights {
+				entry.Targets[i].Weight = w
+			}
+
+			e := &Engine{}
+			got := make([]int, len(c.weights))
+
+			for range 10_000 {
+				got[e.chooseTarget(entry)]++
+			}
+
+			for i := range got {
+				require.InDelta(t, c.want[i], float64(got[i])/100, 1)
+
+				if c.weights[i] == 0 && c.want[i] == 0 {
+					require.Zero(t, got[i])
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests on a route that can't be used which go to the searchers of the route with the next shorter
+// prefix, or are told that there is no such route.
+func TestUnusableRoutesAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1, 1, 1, singleRoute(true), domain.Route{Name: "odd", Host: "h", PathPrefix: "/one/odd/", Unusable: true})
+
+		r := request("one", "r", time.Millisecond, time.Second)
+		r.Path = "/one/odd/x"
+		_, err := s.engines[0].Serve(t.Context(), r)
+
+		e := requireFate(t, domain.FateNotRun, err)
+		require.Equal(t, domain.CodeNoConfiguration, e.Code)
+		require.GreaterOrEqual(t, e.RetryAfter, unusablePause)
+		require.Empty(t, s.model.arrivals)
+
+		r.Path = "/one/x"
+		_, err = s.engines[0].Serve(t.Context(), r)
+		require.NoError(t, err)
+	})
+}
+
 // Guards against a wrong error code before a configuration is known or for a path
 // without a route, and against a match of a shorter prefix than the longest.
 func TestRoutesAreMatched(t *testing.T) {
