scatter, serving: a late answer loses no step; a panic ends one query

Cause: Query.Answered filled a step and returned the step of Advance instead. The attempts of the lost step were never begun, and the new step cancelled them by ids that the driver doesn't have. Each answer past the objective lost its own cancellations as well, so that slower attempts ran on. A held shard without attempts left was missing without a reason and counted twice. What follows an attempt's result wasn't contained.

TestLateCanariesEndTheQuery, TestAnswersPastTheObjectiveCancelTheirHedge and the wider TestQueryProperties fail on the code before; TestPanicsEndTheirQueryOnly ended its process in its three cases.

Change: an answer past the objective expires the other shards in its own step; a missing shard always has a reason; a panic in a step, a check of a searcher or a request ends that query with an error that promises nothing.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -1,9 +1,9 @@
 // Package contain keeps a panic in the handling of one message from ending the
 // process with every other request in it.
 //
-// It is for code that decodes the bytes of a peer and holds no lock. Code that changes
-// shared state isn't contained: after a panic the state can't be trusted, and a
-// restarted process reads it again from the platform's store.
+// It is for code that decodes the bytes of a peer, and for that of one request, whose state
+// is dropped then. Code that keeps state for others isn't contained: after a panic that
+// can't be trusted, and a restarted process reads it again from the platform's store.
 package contain
 
 import (
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -3,12 +3,15 @@
 // steps (attempts to send and to cancel, the end of the query, the next wake-up time).
 // It does no I/O and starts no goroutines, so that tests can replay a query.
 //
-// The code that drives the query calls exactly one of Answered, Failed and
-// FailedPermanently for every attempt that a step sends, unless a later step cancels
-// the attempt. Either way its reservation at the Router is released once.
+// The code that drives the query calls exactly one of Answered, Failed, FailedWithSearcher
+// and FailedPermanently for every attempt that a step sends, unless a later step cancels
+// the attempt. Either way its reservation at the Router is released once. No step cancels
+// an attempt that hasn't been sent by it or by one before, and every step has to be
+// carried out whole.
 package scatter
 
 import (
+	"cmp"
 	"time"
 
 	"primrosespring.example/internal/budget"
@@ -335,13 +338,13 @@
 		q.unsettled--
 		q.cancelShard(now, a.shard, &s)
 
-		if q.included == 1 {
+		if q.included == 1 && !q.pastObjective(now) {
 			q.resume(now, &s)
 		}
 	}
 
 	if q.pastObjective(now) {
-		return q.Advance(now)
+		q.expire()
 	}
 
 	return q.finish(now, s)
@@ -439,11 +442,7 @@
 	var s Step
 
 	if !now.Before(q.params.Deadline) || (!q.partialAt.IsZero() && !now.Before(q.partialAt)) || q.pastObjective(now) {
-		for i := range q.shards {
-			if sh := &q.shards[i]; !sh.settled() {
-				q.markMissing(sh, q.timeoutCode(sh))
-			}
-		}
+		q.expire()
 
 		return q.finish(now, s)
 	}
@@ -471,6 +470,19 @@
 	return q.finish(now, s)
 }
 
+// expire marks the shards as missing that haven't answered in time.
+func (q *Query) expire() {
+	if q.done {
+		return
+	}
+
+	for i := range q.shards {
+		if sh := &q.shards[i]; !sh.settled() {
+			q.markMissing(sh, q.timeoutCode(sh))
+		}
+	}
+}
+
 // pastObjective reports whether the objective has passed and the coverage is
 // acceptable, so that waiting for more shards would cost more than they add.
 func (q *Query) pastObjective(now time.Time) bool {
@@ -621,8 +633,10 @@
 	}
 }
 
+// markMissing settles a shard without an answer. A shard that was held has had no failure of its own: searchers have
+// ended under the query.
 func (q *Query) markMissing(sh *shardState, code domain.Code) {
-	sh.missing = code
+	sh.missing = cmp.Or(code, domain.CodeSearcherUnavailable)
 	q.snapshotGone = q.snapshotGone || code == domain.CodeSnapshotGone
 	q.unsettled--
 }
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -58,30 +58,38 @@
 var start = time.Unix(1_000_000, 0)
 
 // Guards against reservations that are never released or released twice, shards that
-// are counted twice or not at all, more attempts than the rules allow, and queries that
-// end twice or never, in any order of answers, failures and timers.
+// are counted twice or not at all, more attempts than the rules allow, steps that are lost or
+// cancel what they never sent, and queries that end twice or never, in any order of answers,
+// failures and timers, before and after the objective.
 func TestQueryProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rules := domain.Rules{
 			TimeoutMS: 200, MaxAttempts: rapid.Uint32Range(1, 4).Draw(t, "max attempts"), ExtraLoadPermille: 500,
-			MinCoveragePermille: 500, PartialWaitMS: rapid.SampledFrom([]uint32{0, 20}).Draw(t, "partial wait"),
+			MinCoveragePermille: rapid.SampledFrom([]uint32{1, 500, 750, 1000}).Draw(t, "coverage"), PartialWaitMS: rapid.SampledFrom([]uint32{0, 20}).Draw(t, "partial wait"),
 		}
 		rules.Hedging = rules.MaxAttempts > 1 && rapid.Bool().Draw(t, "hedging")
 		svc := testService(rapid.IntRange(1, 5).Draw(t, "shards"), rapid.IntRange(1, 3).Draw(t, "searchers"), rules)
 		deadline := start.Add(rules.Timeout())
 		r := &countingRouter{reserved: make(map[string]int)}
+
+		var objective time.Time
+		if d := rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond}).Draw(t, "objective"); d > 0 {
+			objective = start.Add(d)
+		}
+
 		q := New(Params{
-			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true },
-			EndEarly: rapid.Bool().Draw(t, "end early"), RetryShed: false,
+			Service: svc, Deadline: deadline, Eligible: func(uint32, string) bool { return true }, Objective: objective,
+			EndEarly: rapid.Bool().Draw(t, "end early"), RetryShed: rapid.Bool().Draw(t, "retry shed"),
 			Canary: rapid.Bool().Draw(t, "canary"), CanaryShard: rapid.Uint32().Draw(t, "canary shard"),
 			MaxLostSearchers: rapid.IntRange(0, 3).Draw(t, "lost searchers"),
 			HedgeFrom:        start.Add(rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, time.Second}).Draw(t, "hedge from")),
-		}, r, &hedging.Delayer{}, budget.Shared{Budget: &budget.Budget{}})
+		}, r, &hedging.Delayer{}, drawnBudget{firstShardBudget: &firstShardBudget{}, pays: rapid.Bool().Draw(t, "pays")})
 
 		var running []uint32
 
 		now, wake, done, ended := start, time.Time{}, 0, map[uint32]bool{}
-		sent := make([]int, len(svc.PartitionMap.Shards))
+		sent, notRun := make([]int, len(svc.PartitionMap.Shards)), make([]int, len(svc.PartitionMap.Shards))
+		shardOf := make(map[uint32]uint32)
 		apply := func(s Step) {
 			for _, id := range s.Cancel {
 				require.Contains(t, running, id, "a cancelled attempt has been sent and hasn't ended")
@@ -92,7 +100,9 @@
 
 			// The driver cancels before it sends.
 			for _, a := range s.Send {
+				require.Len(t, shardOf, int(a.ID), "the driver keeps the attempts by their ids")
 				running = append(running, a.ID)
+				shardOf[a.ID] = a.Shard
 				sent[a.Shard]++
 			}
 
@@ -122,13 +132,20 @@
 			running = slices.DeleteFunc(running, func(o uint32) bool { return o == id })
 			ended[id] = true
 
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
-			case 4:
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 4, 5:
 				apply(q.FailedWithSearcher(now, id, routing.Unreachable, domain.CodeSearcherUnavailable))
 			case 0:
+				notRun[shardOf[id]]++
 				apply(q.Failed(now, id, routing.Shed, domain.CodeOverloaded))
 			case 1:
 				apply(q.Failed(now, id, routing.Unreachable, domain.CodeSearcherUnavailable))
+			case 2:
+				notRun[shardOf[id]]++
+				q.MarkUnsent(id)
+				apply(q.Failed(now, id, routing.Unreachable, domain.CodeSearcherUnavailable))
+			case 3:
+				apply(q.FailedPermanently(now, id, routing.Refused, domain.CodeSearcherFailed))
 			default:
 				apply(q.Answered(now, id, nil))
 			}
@@ -141,8 +158,8 @@
 			require.Zero(t, n, "reservations at %s", id)
 		}
 
-		for _, n := range sent {
-			require.LessOrEqual(t, n, int(rules.MaxAttempts))
+		for shard, n := range sent {
+			require.LessOrEqual(t, n, int(rules.MaxAttempts)+notRun[shard])
 		}
 
 		c := q.Coverage()
@@ -275,6 +292,16 @@
 // Insufficient implements Budget.
 func (*firstShardBudget) Insufficient(uint32, float64) bool { return false }
 
+// drawnBudget allows extra attempts for all shards, or for none.
+type drawnBudget struct {
+	*firstShardBudget
+
+	pays bool
+}
+
+// Take implements Budget.
+func (b drawnBudget) Take(uint32, budget.Kind) bool { return b.pays }
+
 // levelBudget returns a fixed level.
 type levelBudget struct {
 	*firstShardBudget
@@ -510,3 +537,52 @@
 		}
 	})
 }
+
+// Guards against an instance that exits since a step is lost: the canary of a query under which a searcher has ended
+// answers after the objective, when the coverage suffices. The attempts that wait for the first answer were added to a
+// step that nobody carried out, and the next one cancelled them; what the lost step cancelled ran on.
+func TestLateCanariesEndTheQuery(t *testing.T) {
+	rules := domain.Rules{TimeoutMS: 1000, MaxAttempts: 3, ExtraLoadPermille: 500, MinCoveragePermille: 500}
+	svc := testService(2, 2, rules)
+	r := &countingRouter{reserved: make(map[string]int)}
+	q := New(Params{
+		Service: svc, Deadline: start.Add(time.Second), Objective: start.Add(100 * time.Millisecond), EndEarly: true, RetryShed: true,
+		Eligible: func(uint32, string) bool { return true }, MaxLostSearchers: 2,
+	}, r, &hedging.Delayer{}, drawnBudget{pays: true})
+
+	s := q.Start(start)
+	require.Len(t, s.Send, 2)
+
+	s = q.FailedWithSearcher(start.Add(10*time.Millisecond), s.Send[1].ID, routing.Unreachable, domain.CodeSearcherUnavailable)
+	require.Equal(t, []uint32{0}, s.Cancel)
+	require.Len(t, s.Send, 1)
+	canary := s.Send[0]
+
+	s = q.Answered(start.Add(150*time.Millisecond), canary.ID, nil)
+	require.True(t, s.Done)
+	require.Empty(t, s.Send)
+	require.Empty(t, s.Cancel)
+	require.Equal(t, 1, q.Included())
+
+	for id, n := range r.reserved {
+		require.Zero(t, n, "reservations at %s", id)
+	}
+}
+
+// Guards against an attempt that goes on at its searcher after its hedge has answered, past the objective.
+func TestAnswersPastTheObjectiveCancelTheirHedge(t *testing.T) {
+	rules := domain.Rules{TimeoutMS: 1000, MaxAttempts: 2, ExtraLoadPermille: 500, MinCoveragePermille: 500, Hedging: true}
+	q := New(Params{
+		Service: testService(2, 2, rules), Deadline: start.Add(time.Second), Objective: start.Add(10 * time.Millisecond), EndEarly: true,
+		Eligible: func(uint32, string) bool { return true },
+	}, &routing.Table{}, &hedging.Delayer{}, drawnBudget{pays: true})
+
+	q.Start(start)
+
+	s := q.Advance(start.Add(200 * time.Millisecond))
+	require.Len(t, s.Send, 2)
+
+	s = q.Answered(start.Add(210*time.Millisecond), s.Send[0].ID, nil)
+	require.True(t, s.Done)
+	require.ElementsMatch(t, []uint32{0, 1, 3}, s.Cancel)
+}
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -52,6 +52,8 @@
 	failedReply *Reply
 	// lastErr is the last error of an attempt, cancellations excluded.
 	lastErr *domain.Error
+	// failure ended the query without an outcome; nil if nothing did.
+	failure *domain.Error
 	// suspicion is what is known of requests that end searchers.
 	suspicion suspicion
 }
@@ -219,7 +221,7 @@
 
 	x.query = scatter.New(p, classRouter{x.engine.routing, route.Name, x.priority()}, x.engine.delayer(route.Name), x.engine.shardBudgets(x.target, route.Gathered()))
 	x.timer = time.AfterFunc(time.Until(x.deadline), x.advance)
-	x.perform(x.query.Start(time.Now()))
+	x.step(func() scatter.Step { return x.query.Start(time.Now()) })
 }
 
 // permitWait returns until when a request may wait for a permit: it must leave time for the
@@ -232,6 +234,42 @@
 	return x.req.Received.Add(x.deadline.Sub(x.req.Received) / 2)
 }
 
+// step takes a step of the query and carries it out; the caller holds mu. A panic ends this query and no other: its
+// state is its own, and what it shares is changed by calls that release their locks.
+func (x *execution) step(next func() scatter.Step) {
+	if x.failure != nil {
+		return
+	}
+
+	err := contain.Call(x.engine.log, "process query", x.req.ID, func() error {
+		x.perform(next())
+
+		return nil
+	})
+
+	if errors.As(err, &x.failure) {
+		x.abandon()
+	}
+}
+
+// abandon ends a query whose state can't be trusted: its attempts are cancelled and their reservations released, as far
+// as possible. The caller holds mu.
+func (x *execution) abandon() {
+	for _, cancel := range x.cancels {
+		cancel()
+	}
+
+	_ = contain.Call(x.engine.log, "cancel query", x.req.ID, func() error {
+		x.query.Cancel(time.Now())
+
+		return nil
+	})
+
+	if !x.ended {
+		x.finish()
+	}
+}
+
 // perform sends and cancels attempts as the step demands; the caller holds mu.
 func (x *execution) perform(s scatter.Step) {
 	for _, id := range s.Cancel {
@@ -273,7 +311,7 @@
 	defer x.mu.Unlock()
 
 	if !x.ended {
-		x.perform(x.query.Advance(time.Now()))
+		x.step(func() scatter.Step { return x.query.Advance(time.Now()) })
 	}
 }
 
@@ -282,8 +320,13 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
+	if x.ended {
+		return
+	}
+
+	x.step(func() scatter.Step { return x.query.Cancel(time.Now()) })
+
 	if !x.ended {
-		x.perform(x.query.Cancel(time.Now()))
 		x.finish()
 	}
 }
@@ -309,7 +352,7 @@
 	defer x.mu.Unlock()
 
 	x.cancels[a.ID]()
-	x.perform(x.handleResult(a, reply, load, err, ended)) //nolint:contextcheck // Further attempts end with x.ctx.
+	x.step(func() scatter.Step { return x.handleResult(a, reply, load, err, ended) }) //nolint:contextcheck // Further attempts end with x.ctx.
 }
 
 // handleResult passes the result of an attempt to the query and to routing; the caller
@@ -418,6 +461,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
+	if x.failure != nil {
+		return nil, x.failure
+	}
+
 	included := x.query.Included()
 
 	switch {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"primrosespring.example/internal/budget"
+	"primrosespring.example/internal/contain"
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/hedging"
@@ -240,7 +241,20 @@
 
 // Serve answers one request. It returns early if ctx ends, which means that the
 // caller closed its connection. Errors are *domain.Error.
-func (e *Engine) Serve(ctx context.Context, r *Request) (*Response, error) {
+func (e *Engine) Serve(ctx context.Context, r *Request) (resp *Response, err error) {
+	failure := contain.Call(e.log, "serve", r.ID, func() error {
+		resp, err = e.serve(ctx, r)
+
+		return nil
+	})
+	if failure != nil {
+		return nil, failure
+	}
+
+	return resp, err
+}
+
+func (e *Engine) serve(ctx context.Context, r *Request) (*Response, error) {
 	x, err := e.begin(r)
 	if err != nil {
 		if x != nil {
--- a/internal/serving/suspects.go
+++ b/internal/serving/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"primrosespring.example/internal/contain"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/quarantine"
 	"primrosespring.example/internal/scatter"
@@ -147,7 +148,14 @@
 	ctx, cancel := context.WithTimeout(x.ctx, endCheckTimeout)
 	defer cancel()
 
-	return s.Ended(ctx, a.Searcher)
+	ended := false
+	_ = contain.Call(x.engine.log, "check searcher", a.Searcher.ID, func() error {
+		ended = s.Ended(ctx, a.Searcher)
+
+		return nil
+	})
+
+	return ended
 }
 
 // strike handles the failure of an attempt whose searcher has ended; the caller holds mu. The
--- a/internal/serving/suspects_test.go
+++ b/internal/serving/suspects_test.go
@@ -223,3 +223,54 @@
 		}
 	})
 }
+
+// Guards against a process that ends with every request in it when the processing of one query panics: the query ends
+// with an error that promises nothing, its attempts are cancelled, and the next request is served.
+func TestPanicsEndTheirQueryOnly(t *testing.T) {
+	for name, breakEngine := range map[string]func(e *Engine){
+		"in a step": func(e *Engine) { e.settings.Suspects.Tell = func() <-chan struct{} { panic("broken") } },
+		"in a check": func(e *Engine) {
+			e.settings.Suspects.Ended = func(context.Context, *domain.Searcher) bool { panic("broken") }
+		},
+		"before it starts": func(e *Engine) { e.settings.Suspects.Table = nil; e.settings.Gatherers = brokenGatherers{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeadlySystem(t, 2, 2, 1, time.Minute, gatheredRoute("q", 2, 150*time.Millisecond, 2*time.Second, 0.5))
+				e := d.engines[0]
+				suspects, gatherers := e.settings.Suspects, e.settings.Gatherers
+
+				breakEngine(e)
+
+				deadly := request("q", "r1", 10*time.Millisecond, time.Second)
+				deadly.Target = "/q/deadly"
+
+				began := time.Now()
+				_, err := e.Serve(t.Context(), deadly)
+				require.Less(t, time.Since(began), time.Second, "it doesn't wait for its deadline")
+
+				var failure *domain.Error
+
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, domain.FateUnknown, failure.Fate)
+
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+
+				e.settings.Suspects, e.settings.Gatherers = suspects, gatherers
+
+				resp, err := e.Serve(t.Context(), request("q", "r2", 10*time.Millisecond, time.Second))
+				require.NoError(t, err)
+				require.Equal(t, 200, resp.Status)
+			})
+		})
+	}
+}
+
+// brokenGatherers is a Gatherers that panics.
+type brokenGatherers struct{}
+
+// Gather implements Gatherers.
+func (brokenGatherers) Gather(context.Context, *Request, *domain.Route) (*Response, string, bool, error) {
+	panic("broken")
+}
