budget, replica: a process that starts takes over what was used

Cause: a process that starts doesn't know what its predecessor used; only the slack grew over a window, the share of the requests was there at once. And a window counted the requests of 10 to 10.5 s against extra attempts of 10 s.

Change: an instance that starts asks two others for their use of each budget and counts it for the time before its start. The requests of the oldest bucket don't count.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -172,7 +172,62 @@
 	slack := slackShare * float64(w.limit.Slack) * w.share
 	age := min(float64(now.Sub(w.since))/float64(w.limit.Window), 1)
 
-	return w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)) + age*slack
+	return w.limit.Ratio*ratioShare*float64(w.sum(&w.requests)-w.requests[w.oldest()]) + age*slack
+}
+
+// oldest returns the index of the oldest bucket. The extra attempts in it count, as some are within a window of now,
+// but not its requests: others are not.
+func (w *Window) oldest() int64 { return (w.current + 1) % (buckets + 1) }
+
+// Use is what a Window has counted in its buckets, the newest last.
+type Use struct {
+	Requests, Extras []uint32
+}
+
+// Use returns what counts now.
+func (w *Window) Use(now time.Time) Use {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.roll(now)
+
+	u := Use{Requests: make([]uint32, 0, buckets+1), Extras: make([]uint32, 0, buckets+1)}
+
+	for n := range int64(buckets + 1) {
+		i := (w.oldest() + n) % (buckets + 1)
+		u.Requests, u.Extras = append(u.Requests, uint32(w.requests[i])), append(u.Extras, uint32(w.extras[i]))
+	}
+
+	return u
+}
+
+// TakeOver counts what another instance used before this process started, as if this one's predecessor had used the
+// same: they share the load, and nobody else knows. Of several instances' uses of a bucket, that with the most extra
+// attempts counts.
+func (w *Window) TakeOver(now time.Time, u Use) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.limit.Window <= 0 || len(u.Requests) != buckets+1 || len(u.Extras) != buckets+1 {
+		return
+	}
+
+	w.roll(now)
+
+	length := w.limit.Window / buckets
+	inBucket := now.Sub(w.origin) % length
+
+	for ago := range int64(buckets + 1) {
+		// Those that begin after the start are this process's own.
+		if !now.Add(-inBucket - time.Duration(ago)*length).Before(w.since) {
+			continue
+		}
+
+		i := (w.current - ago + buckets + 1) % (buckets + 1)
+		if n := int(u.Extras[buckets-ago]); n > w.extras[i] {
+			w.extras[i], w.requests[i] = n, max(int(u.Requests[buckets-ago]), w.requests[i])
+		}
+	}
 }
 
 func (w *Window) sum(counts *[buckets + 1]int) int {
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -140,3 +140,62 @@
 	require.False(t, w.Take(now.Add(11*time.Second)), "those of 1, 2 and 8 s count, whichever was refunded")
 	require.True(t, w.Take(now.Add(12*time.Second)))
 }
+
+// Guards against a process that starts and uses once more, in the same window, what its predecessor has used: both
+// the slack and the share of the requests. Another instance with the same load tells it.
+func TestRestartedWindowsTakeOver(t *testing.T) {
+	const instances = 3
+
+	limit := Limit{Ratio: 0.2, Slack: 30, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	other, window := &Window{}, &Window{}
+	other.SetLimit(limit, 1.0/instances)
+	window.SetLimit(limit, 1.0/instances)
+
+	var requests, extras []time.Duration
+
+	// Extra attempts are wanted from 12 s on; the process starts again at 15 s, and is told half a second later.
+	for at := time.Duration(0); at < 40*time.Second; at += 30 * time.Millisecond {
+		now := start.Add(at)
+
+		if at == 15*time.Second {
+			window = NewWindow(now)
+			window.SetLimit(limit, 1.0/instances)
+		}
+
+		if at == 15*time.Second+510*time.Millisecond {
+			window.TakeOver(now, other.Use(now))
+			window.TakeOver(now, Use{Requests: []uint32{9}, Extras: []uint32{9}})
+		}
+
+		other.Request(now)
+		window.Request(now)
+
+		requests = append(requests, at)
+
+		for at > 12*time.Second && other.Take(now) {
+		}
+
+		for at > 12*time.Second && window.Take(now) {
+			extras = append(extras, at)
+		}
+	}
+
+	within := func(list []time.Duration, from time.Duration) (n int) {
+		for _, at := range list {
+			if at >= from && at < from+limit.Window {
+				n++
+			}
+		}
+
+		return n
+	}
+
+	for _, from := range extras {
+		asked := max(within(requests, from), within(requests, from-limit.Window))
+		allowed := limit.Ratio*float64(asked) + float64(limit.Slack)/instances
+		require.LessOrEqual(t, float64(within(extras, from)), allowed, "from %s on", from)
+	}
+
+	require.Greater(t, float64(within(extras, 27*time.Second)), 0.8*limit.Ratio*float64(within(requests, 27*time.Second)), "it is used again")
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -462,18 +463,59 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
+	p := e.budgetOf(pool)
+
+	if used := p.gathered && gathered || p.direct && !gathered; !used {
+		p.gathered, p.direct = p.gathered || gathered, p.direct || !gathered
+		p.SetLimit(e.settings.ExtraAttempts, p.share(e.shares))
+	}
+
+	return p.Window
+}
+
+// budgetOf returns the budget of a pool; the caller holds mu.
+func (e *Engine) budgetOf(pool string) *poolBudget {
 	p, ok := e.budgets[pool]
 	if !ok {
 		p = &poolBudget{Window: budget.NewWindow(e.started)}
 		e.budgets[pool] = p
 	}
 
-	if used := p.gathered && gathered || p.direct && !gathered; !used {
-		p.gathered, p.direct = p.gathered || gathered, p.direct || !gathered
-		p.SetLimit(e.settings.ExtraAttempts, p.share(e.shares))
+	return p
+}
+
+// BudgetUses returns what the pools with extra attempts have used of their budgets.
+func (e *Engine) BudgetUses() map[string]budget.Use {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	now, out := time.Now(), make(map[string]budget.Use)
+
+	for pool, p := range e.budgets {
+		if u := p.Use(now); slices.ContainsFunc(u.Extras, func(n uint32) bool { return n > 0 }) {
+			out[pool] = u
+		}
 	}
 
-	return p.Window
+	return out
+}
+
+// TakeOverBudgets counts what another instance has used as if a predecessor of this process had.
+func (e *Engine) TakeOverBudgets(uses map[string]budget.Use) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	now := time.Now()
+
+	for pool, u := range uses {
+		p := e.budgetOf(pool)
+		if !p.gathered && !p.direct {
+			// The window needs its length; no route has used it.
+			p.SetLimit(e.settings.ExtraAttempts, 0)
+		}
+
+		p.TakeOver(now, u)
+	}
 }
 
 // SetExtraAttempts replaces the limit on retries and hedges of each pool.
--- a/primrosed/internal/hosted/hosted.go
+++ b/primrosed/internal/hosted/hosted.go
@@ -247,6 +247,8 @@
 	p.Positions.Signs = leavingSigns{i}
 	p.Positions.InForce, p.Positions.CatchUp = configurationSink{i}.version, configurationSink{i}.catchUp
 	p.Positions.Suspects, p.Notifier.Suspects = suspects{i}, suspects{i}
+	p.Positions.Budgets = p.Engine
+
 	if s.Bounds.Evacuation > 0 {
 		p.Positions.Evacuations = evacuationKeeper{i}
 	}
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -84,6 +84,8 @@
 	Settlement *follower.Settlement
 	// Evacuations takes and tells the evacuations that the store may have lost; nil if there are none.
 	Evacuations EvacuationKeeper
+	// Budgets takes and tells what was used of the budgets of extra attempts; nil if nobody asks.
+	Budgets BudgetKeeper
 	// Others returns the peer addresses of other instances; nil if only the readers are known.
 	Others func() []string
 	// Quota asks the first reader that answers for permits; nil asks for none.
@@ -105,8 +107,8 @@
 	// ahead is the version in force at a reader that was later than this instance's in the last
 	// round; 0 if there was none.
 	ahead uint64
-	// witnesses counts the answers of other instances about what the store may have lost.
-	witnesses int
+	// evacuationAnswers and budgetAnswers count the answers of other instances about these.
+	evacuationAnswers, budgetAnswers int
 }
 
 // SetReaders replaces the instances to ask, in their order.
@@ -445,6 +447,11 @@
 	if q.GetRecoveryOnly() {
 		a := &pb.PositionAnswer{}
 		p.addRecovery(a)
+
+		if q.GetBudgets() && p.Budgets != nil {
+			a.Budgets = encodeBudgets(p.Budgets.BudgetUses())
+		}
+
 		p.answer(peer, a, stream)
 
 		return
--- a/primrosed/internal/replica/recovery.go
+++ b/primrosed/internal/replica/recovery.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"primrosespring.example/internal/budget"
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	pb "primrosespring.example/internal/gen/primrosespring/v1"
@@ -17,8 +18,18 @@
 	otherWitnesses = 2
 	// evacuationWitnesses is how many answers an instance that has started gets about evacuations.
 	evacuationWitnesses = 3
+	// budgetWitnesses is how many answers it gets about budgets.
+	budgetWitnesses = 2
 )
 
+// BudgetKeeper counts the extra attempts at each pool.
+type BudgetKeeper interface {
+	// BudgetUses returns what this instance has used, by pool.
+	BudgetUses() map[string]budget.Use
+	// TakeOverBudgets counts what another instance has used as if a predecessor of this process had.
+	TakeOverBudgets(uses map[string]budget.Use)
+}
+
 // EvacuationKeeper keeps evacuations in force after the store's return from an older copy.
 type EvacuationKeeper interface {
 	// InForce returns the evacuations in force, and the store's era in which they were read.
@@ -42,28 +53,39 @@
 // recover asks other instances what they know that the store may have lost, while this one can't tell:
 // it may have started after a return of the store from an older copy.
 func (p *Positions) recover(ctx context.Context, readers []domain.Instance) {
-	needsEvacuations := p.Evacuations != nil && p.witnesses < evacuationWitnesses
-
-	if !p.unsettled() && !needsEvacuations {
+	if !p.needsWitness() {
 		return
 	}
 
 	for _, address := range p.chooseWitnesses(readers) {
 		asked := time.Now()
 
-		answer, err := p.ask(ctx, address, &pb.PositionRequest{RecoveryOnly: true})
+		answer, err := p.ask(ctx, address, &pb.PositionRequest{RecoveryOnly: true, Budgets: p.needsBudgets()})
 		if err != nil {
 			continue
 		}
 
 		p.learnRecovery(ctx, address, answer, asked)
 
-		if !p.unsettled() && p.witnesses >= evacuationWitnesses {
+		if p.needsBudgets() {
+			p.budgetAnswers++
+			p.Budgets.TakeOverBudgets(decodeBudgets(answer.GetBudgets()))
+		}
+
+		if !p.needsWitness() {
 			return
 		}
 	}
 }
 
+// needsWitness reports whether another instance is to be asked.
+func (p *Positions) needsWitness() bool {
+	return p.unsettled() || p.needsBudgets() || p.Evacuations != nil && p.evacuationAnswers < evacuationWitnesses
+}
+
+// needsBudgets reports whether it isn't known what a predecessor of this process has used of the budgets.
+func (p *Positions) needsBudgets() bool { return p.Budgets != nil && p.budgetAnswers < budgetWitnesses }
+
 // chooseWitnesses returns the peer addresses of the other readers and of a few other instances.
 func (p *Positions) chooseWitnesses(readers []domain.Instance) []string {
 	var out []string
@@ -88,7 +110,7 @@
 // settled. That counts here only once this instance has in force what the other one has.
 func (p *Positions) learnRecovery(ctx context.Context, address string, a *pb.PositionAnswer, asked time.Time) {
 	if p.Evacuations != nil && p.Evacuations.Learn(decodeEvacuations(a.GetEvacuations(), asked), a.GetEvacuationsEra()) {
-		p.witnesses++
+		p.evacuationAnswers++
 	}
 
 	if !p.unsettled() {
@@ -124,6 +146,27 @@
 	}
 }
 
+func encodeBudgets(uses map[string]budget.Use) []*pb.BudgetUse {
+	out := make([]*pb.BudgetUse, 0, len(uses))
+	for pool, u := range uses {
+		out = append(out, &pb.BudgetUse{Pool: pool, Requests: u.Requests, Extras: u.Extras})
+	}
+
+	return out
+}
+
+func decodeBudgets(list []*pb.BudgetUse) map[string]budget.Use {
+	out := make(map[string]budget.Use, len(list))
+
+	for _, u := range list {
+		if u.GetPool() != "" {
+			out[u.GetPool()] = budget.Use{Requests: u.GetRequests(), Extras: u.GetExtras()}
+		}
+	}
+
+	return out
+}
+
 func encodeEvacuations(list []directory.EvacuationInForce) []*pb.EvacuationInForce {
 	out := make([]*pb.EvacuationInForce, 0, len(list))
 
--- a/primrosed/internal/replica/recovery_test.go
+++ b/primrosed/internal/replica/recovery_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"primrosespring.example/internal/budget"
 	"primrosespring.example/internal/directory"
 	"primrosespring.example/internal/domain"
 	"primrosespring.example/internal/follower"
@@ -49,6 +50,23 @@
 	k.unread = false
 }
 
+// keptBudgets is what an instance has used of its budgets.
+type keptBudgets struct {
+	mu    sync.Mutex // Guards what follows.
+	uses  map[string]budget.Use
+	taken int
+}
+
+func (k *keptBudgets) BudgetUses() map[string]budget.Use { return k.uses }
+
+func (k *keptBudgets) TakeOverBudgets(uses map[string]budget.Use) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	k.uses = uses
+	k.taken++
+}
+
 // Guards against an instance that starts after the store's return from an older copy and learns neither of
 // a later version nor of an evacuation that the store has lost, since it is itself the first to read for
 // others and its list of instances lacks them; and against taking the word that nothing is lost before that
@@ -74,6 +92,7 @@
 		}
 		running := &Positions{
 			Log: zerolog.Nop(), Self: peers[1].ID, InForce: func() uint64 { return 4 }, Settlement: knows,
+			Budgets:     &keptBudgets{uses: map[string]budget.Use{"p": {Requests: []uint32{7, 8}, Extras: []uint32{0, 3}}}},
 			Evacuations: &keptEvacuations{list: []directory.EvacuationInForce{evacuated}, era: era},
 		}
 		n.serve(peers[1].PeerAddress, func(_ context.Context, peer string, f *pb.PeerFrame, stream *yamux.Stream) {
@@ -82,10 +101,10 @@
 			running.Handle(peer, f.GetPositionRequest(), stream)
 		})
 
-		kept := &keptEvacuations{unread: true}
+		kept, budgets := &keptEvacuations{unread: true}, &keptBudgets{}
 		started := &Positions{
 			Log: zerolog.Nop(), Self: peers[0].ID, Dial: n.dial, Interval: follower.AskInterval(testBound),
-			InForce: version.Load, Settlement: &follower.Settlement{Log: zerolog.Nop()}, Evacuations: kept,
+			InForce: version.Load, Settlement: &follower.Settlement{Log: zerolog.Nop()}, Evacuations: kept, Budgets: budgets,
 			Others: func() []string { return []string{peers[1].PeerAddress} },
 		}
 		started.CatchUp = func(_ context.Context, address string) {
@@ -126,6 +145,9 @@
 		kept.read()
 		time.Sleep(2 * testBound)
 
+		require.Equal(t, budgetWitnesses, budgets.taken)
+		require.Equal(t, running.Budgets.BudgetUses(), budgets.BudgetUses())
+
 		before = requests.Load()
 
 		time.Sleep(10 * testBound)
