scatter, budget: extra attempts count when they are written

What searchers may see: more extra attempts in a window than allowed, as some were paid for in the window before and waited for a connection.

Cause: an attempt was counted when it was decided on, and arrives when it gets a connection.

Change: all but the first attempt of a shard that is written to a searcher count from when they are written. The second one to arrive is the extra one, whichever was paid for.

Evidence: TestAttemptsCountWhenTheyAreWritten and TestMovedAttemptsCountLater, which need the new calls.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -2,7 +2,10 @@
 // searchers of a service.
 package budget
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Kind is what an extra attempt is for.
 type Kind uint8
@@ -131,6 +134,9 @@
 // Return refunds the tokens of an attempt that wasn't sent.
 func (s Shared) Return(uint32) { s.Budget.Return() }
 
+// Move implements scatter.Budget: a token bucket doesn't know when its tokens are used.
+func (s Shared) Move(_ uint32, _, _ time.Time) {}
+
 // Level implements scatter.Budget: a token bucket doesn't delay hedges.
 func (s Shared) Level(uint32) float64 { return 1 }
 
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// Move counts an attempt that was taken at one time at another, later one.
+func (w *Window) Move(from, to time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.limit.Window <= 0 {
+		return
+	}
+
+	w.roll(to)
+
+	taken := int64(from.Sub(w.origin) / (w.limit.Window / buckets))
+	if taken >= w.current {
+		return
+	}
+
+	// One that has left the window counts again.
+	if e := &w.extras[max(taken, 0)%(buckets+1)]; taken >= w.current-buckets && *e > 0 {
+		*e--
+	}
+
+	w.extras[w.current%(buckets+1)]++
+}
+
 // Observe records the outcome of an attempt at the pool: an answer, or else a
 // failure or refusal.
 func (w *Window) Observe(now time.Time, answered bool) {
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -199,3 +199,19 @@
 
 	require.Greater(t, float64(within(extras, 27*time.Second)), 0.8*limit.Ratio*float64(within(requests, 27*time.Second)), "it is used again")
 }
+
+// Guards against an attempt that counts in the window in which it was taken, though it arrives in another one.
+func TestMovedAttemptsCountLater(t *testing.T) {
+	var w Window
+
+	now := time.Unix(1000, 0)
+	w.SetLimit(Limit{Ratio: 0.2, Slack: 2, Window: 10 * time.Second}, 1) // slackShare of 2, rounded down, is 1.
+	require.True(t, w.Take(now))
+	w.Move(now, now.Add(3*time.Second))
+	w.Move(now.Add(3*time.Second), now.Add(3*time.Second))
+	require.False(t, w.Take(now.Add(11*time.Second)))
+	require.True(t, w.Take(now.Add(14*time.Second)))
+
+	w.Move(now.Add(14*time.Second), now.Add(40*time.Second))
+	require.False(t, w.Take(now.Add(40*time.Second)), "one that has left the window counts again")
+}
--- a/internal/scatter/canary.go
+++ b/internal/scatter/canary.go
@@ -77,7 +77,7 @@
 			if q.sendFirst(now, shard, s) != nil || sh.ticket != 0 {
 				return true
 			}
-		case sh.held && q.mayAttempt(sh) && q.pay(shard, budget.Retry):
+		case sh.held && q.mayAttempt(sh) && q.pay(now, shard, budget.Retry):
 			if a, _ := q.send(now, shard, Retry, overrunFactor*q.timeLeft(now), s); a != nil {
 				sh.held = false
 
--- a/internal/scatter/extra.go
+++ b/internal/scatter/extra.go
@@ -105,7 +105,7 @@
 		kind = budget.LateHedge
 	}
 
-	if maxLatency > 0 && q.pay(shard, kind) {
+	if maxLatency > 0 && q.pay(now, shard, kind) {
 		if a, _ := q.send(now, shard, Hedge, maxLatency, s); a != nil {
 			q.cancelAtSearcher(now, shard, a.Searcher.ID, s)
 
@@ -167,7 +167,7 @@
 		return
 	}
 
-	if !q.pay(shard, budget.Retry) {
+	if !q.pay(now, shard, budget.Retry) {
 		if o := q.params.Objective; !o.IsZero() && !now.Before(o) {
 			// Past the objective, the caller learns at once that the searchers are
 			// overloaded, rather than at the deadline.
@@ -239,10 +239,39 @@
 // those that the shard's budget pays for. It must be called before Failed. Many searchers that
 // stop at the same time and refuse connections would otherwise use up the budget.
 func (q *Query) MarkUnsent(id uint32) {
-	if int(id) < len(q.attempts) && !q.attempts[id].ended {
-		q.attempts[id].unsent = true
-		q.refund(q.attempts[id].shard)
+	if int(id) >= len(q.attempts) || q.attempts[id].ended {
+		return
+	}
+
+	a := &q.attempts[id]
+	a.unsent = true
+
+	if a.written {
+		a.written = false
+		q.shards[a.shard].written--
 	}
+
+	q.refund(a.shard)
+}
+
+// Written records that an attempt is about to be written to its searcher. It may have waited for a connection since
+// it was paid for: all but the first one of a shard that arrives count from now on. Which one that is isn't known
+// before.
+func (q *Query) Written(now time.Time, id uint32) {
+	if int(id) >= len(q.attempts) || q.attempts[id].ended || q.attempts[id].written {
+		return
+	}
+
+	a := &q.attempts[id]
+	a.written = true
+
+	sh := &q.shards[a.shard]
+	if n := sh.written - 1; n >= 0 && n < sh.paid {
+		q.budget.Move(a.shard, sh.paidAt[n], now)
+		sh.paidAt[n] = now
+	}
+
+	sh.written++
 }
 
 // arrivals counts the attempts of a shard that have reached a searcher or may reach one. All but
@@ -261,7 +290,7 @@
 
 // pay takes one more attempt from the shard's budget, and reports whether it may be sent. It
 // costs nothing if none before it has reached a searcher.
-func (q *Query) pay(shard uint32, k budget.Kind) bool {
+func (q *Query) pay(now time.Time, shard uint32, k budget.Kind) bool {
 	sh := &q.shards[shard]
 	if sh.paid >= q.arrivals(sh) {
 		return true
@@ -271,6 +300,7 @@
 		return false
 	}
 
+	sh.paidAt[sh.paid] = now
 	sh.paid++
 
 	return true
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -44,6 +44,8 @@
 	Fill(n int, permille uint32)
 	Take(shard uint32, k budget.Kind) bool
 	Return(shard uint32)
+	// Move counts an attempt that was taken at one time at a later one.
+	Move(shard uint32, from, to time.Time)
 	// Level returns the unspent part of the budget, 0 to 1.
 	Level(shard uint32) float64
 	// Observe records the outcome of an attempt.
@@ -179,8 +181,11 @@
 	attemptIDs  [domain.MaxAttempts]uint32
 	sent        int
 	outstanding int
-	// paid counts the attempts that the budget has paid for.
-	paid int
+	// paid counts the attempts that the budget has paid for, at the times paidAt.
+	paid   int
+	paidAt [domain.MaxAttempts]time.Time
+	// written counts the attempts that have been written to their searchers.
+	written int
 	// shed counts the attempts that a searcher refused without running them, or that never
 	// reached it, if Params.RetryShed is set.
 	shed int
@@ -203,8 +208,9 @@
 	estimate hedging.Estimate
 	first    bool
 	ended    bool
-	// unsent says that nothing of the attempt reached the searcher.
-	unsent bool
+	// unsent says that nothing of the attempt reached the searcher, written that it was about to be
+	// written to it.
+	unsent, written bool
 }
 
 // New returns a query that hasn't started.
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -283,6 +283,9 @@
 // Return implements Budget.
 func (*firstShardBudget) Return(uint32) {}
 
+// Move implements Budget.
+func (*firstShardBudget) Move(uint32, time.Time, time.Time) {}
+
 // Level implements Budget.
 func (*firstShardBudget) Level(uint32) float64 { return 1 }
 
@@ -586,3 +589,53 @@
 	require.True(t, s.Done)
 	require.ElementsMatch(t, []uint32{0, 1, 3}, s.Cancel)
 }
+
+// movedBudget records the attempts that are counted later than they were taken.
+type movedBudget struct {
+	drawnBudget
+
+	moved [][2]time.Duration
+}
+
+// Move implements Budget.
+func (b *movedBudget) Move(_ uint32, from, to time.Time) {
+	b.moved = append(b.moved, [2]time.Duration{from.Sub(start), to.Sub(start)})
+}
+
+// Guards against more attempts in a window than are allowed, since those that waited for a connection count when they
+// were paid for and not when they arrive: the second to be written is the extra one, whichever was paid for.
+func TestAttemptsCountWhenTheyAreWritten(t *testing.T) {
+	b := &movedBudget{drawnBudget: drawnBudget{pays: true}}
+	q := New(Params{
+		Service:  testService(1, 3, domain.Rules{TimeoutMS: 3000, MaxAttempts: 3, Hedging: true, MinCoveragePermille: 1000}),
+		Deadline: start.Add(3 * time.Second), Eligible: func(uint32, string) bool { return true }, RetryShed: true,
+	}, &routing.Table{}, &hedging.Delayer{}, b)
+
+	first := q.Start(start)
+	hedge := q.Advance(first.Wake)
+	require.Len(t, hedge.Send, 1)
+
+	paid := first.Wake.Sub(start)
+
+	q.Written(start.Add(time.Second), hedge.Send[0].ID)
+	require.Empty(t, b.moved, "it is the first to arrive")
+
+	q.Written(start.Add(2*time.Second), first.Send[0].ID)
+	require.Equal(t, [][2]time.Duration{{paid, 2 * time.Second}}, b.moved)
+
+	q.Written(start.Add(2100*time.Millisecond), first.Send[0].ID)
+	require.Len(t, b.moved, 1, "an attempt is written once")
+
+	// Nothing of it arrived: the next one to be written is the second again.
+	q.MarkUnsent(first.Send[0].ID)
+
+	retry := q.Failed(start.Add(2200*time.Millisecond), first.Send[0].ID, routing.Unreachable, domain.CodeSearcherUnavailable)
+	if len(retry.Send) == 0 {
+		retry = q.Advance(retry.Wake)
+	}
+
+	require.Len(t, retry.Send, 1)
+	q.Written(start.Add(2500*time.Millisecond), retry.Send[0].ID)
+	require.Len(t, b.moved, 2)
+	require.Equal(t, 2500*time.Millisecond, b.moved[1][1])
+}
--- a/internal/serving/execution.go
+++ b/internal/serving/execution.go
@@ -341,6 +341,7 @@
 	err := contain.Call(x.engine.log, "send attempt", a.Searcher.ID, func() (err error) {
 		reply, load, err = x.engine.client.Do(ctx, Call{
 			Searcher: a.Searcher, Request: x.req, Deadline: x.deadline, SendBy: a.SendBy, Allowed: x.allowed,
+			Written: func() { x.attemptWritten(a.ID) },
 		})
 
 		return err
@@ -355,6 +356,14 @@
 	x.step(func() scatter.Step { return x.handleResult(a, reply, load, err, ended) }) //nolint:contextcheck // Further attempts end with x.ctx.
 }
 
+// attemptWritten tells the query that an attempt is about to be written.
+func (x *execution) attemptWritten(id uint32) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	x.query.Written(time.Now(), id)
+}
+
 // handleResult passes the result of an attempt to the query and to routing; the caller
 // holds mu. ended says that the searcher has ended.
 func (x *execution) handleResult(a scatter.Attempt, reply *Reply, load *routing.Load, err error, ended bool) scatter.Step {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -92,6 +92,8 @@
 	// SendBy is until when the attempt may be sent if its searcher has a limit; zero if it
 	// had none when the attempt was placed.
 	SendBy time.Time
+	// Written is called right before the attempt is written to the searcher; nil if nobody wants to know.
+	Written func()
 	// Allowed is asked right before the attempt is sent; nothing is sent if it returns an
 	// error. Nil allows it.
 	Allowed func() error
@@ -569,6 +571,9 @@
 // Return refunds an attempt that didn't reach its searcher.
 func (b shardBudgets) Return(shard uint32) { b[shard].Return(time.Now()) }
 
+// Move counts an attempt that was taken at one time at a later one.
+func (b shardBudgets) Move(shard uint32, from, to time.Time) { b[shard].Move(from, to) }
+
 // Level returns the unspent part of the shard's budget, 0 to 1.
 func (b shardBudgets) Level(shard uint32) float64 { return b[shard].Level(time.Now()) }
 
