--- a/internal/follower/era.go
+++ b/internal/follower/era.go
@@ -9,8 +9,10 @@
 	// known before; nil if nobody wants to know. It must be set before Learn is called.
 	OnRestore func(era, before uint64)
 
-	mu      sync.Mutex // Guards current.
+	mu      sync.Mutex // Guards the fields below.
 	current uint64
+	// known says that an era has been stated, which may be 0.
+	known bool
 }
 
 // Current returns the newest era known, or 0 if none is.
@@ -24,11 +26,11 @@
 // Learn takes an era that the store or another instance states, and returns the newest one.
 func (e *Era) Learn(era uint64) uint64 {
 	e.mu.Lock()
-	before := e.current
-	e.current = max(before, era)
+	before, known := e.current, e.known
+	e.current, e.known = max(before, era), true
 	e.mu.Unlock()
 
-	if before > 0 && era > before && e.OnRestore != nil {
+	if known && era > before && e.OnRestore != nil {
 		e.OnRestore(era, before)
 	}
 
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -110,3 +110,17 @@
 	require.True(t, f.Confirm(Position{Changed: Revision{2, 5}}, time.Now()))
 	require.True(t, f.Proven())
 }
+
+// Guards against a first return of the store that isn't noticed, since its eras begin at 0.
+func TestErasBeginAtAnyNumber(t *testing.T) {
+	for _, first := range []uint64{0, 7} {
+		var restores []uint64
+
+		e := &Era{OnRestore: func(era, _ uint64) { restores = append(restores, era) }}
+		require.Equal(t, first, e.Learn(first))
+		require.Empty(t, restores)
+		require.Equal(t, first+1, e.Learn(first+1))
+		require.Equal(t, first+1, e.Learn(first))
+		require.Equal(t, []uint64{first + 1}, restores)
+	}
+}
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -102,6 +102,9 @@
 	// The fields below belong to Run.
 	sessions map[string]*yamux.Session
 	avoided  map[string]time.Time
+	// silent holds the peer addresses that didn't answer recover, with the time until which they aren't
+	// asked again.
+	silent map[string]time.Time
 	// reader is the id of the reader that answered last; empty if none did.
 	reader string
 	// ahead is the version in force at a reader that was later than this instance's in the last
@@ -120,7 +123,7 @@
 		return
 	}
 
-	p.sessions, p.avoided = make(map[string]*yamux.Session), make(map[string]time.Time)
+	p.sessions, p.avoided, p.silent = make(map[string]*yamux.Session), make(map[string]time.Time), make(map[string]time.Time)
 
 	defer func() {
 		for _, s := range p.sessions {
@@ -388,7 +391,9 @@
 	}
 
 	for _, c := range list {
-		p.Era.Learn(max(c.GetEra(), c.GetChangedEra()))
+		if era := max(c.GetEra(), c.GetChangedEra()); era > 0 {
+			p.Era.Learn(era)
+		}
 	}
 }
 
--- a/primrosed/internal/replica/recovery.go
+++ b/primrosed/internal/replica/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,6 +63,8 @@
 
 		answer, err := p.ask(ctx, address, &pb.PositionRequest{RecoveryOnly: true, Budgets: p.needsBudgets()})
 		if err != nil {
+			p.silent[address] = asked.Add(avoidTime)
+
 			continue
 		}
 
@@ -86,12 +89,16 @@
 // needsBudgets reports whether it isn't known what a predecessor of this process has used of the budgets.
 func (p *Positions) needsBudgets() bool { return p.Budgets != nil && p.budgetAnswers < budgetWitnesses }
 
-// chooseWitnesses returns the peer addresses of the other readers and of a few other instances.
+// chooseWitnesses returns the peer addresses of the other readers and of a few other instances, without those that
+// didn't answer lately.
 func (p *Positions) chooseWitnesses(readers []domain.Instance) []string {
+	now := time.Now()
+	maps.DeleteFunc(p.silent, func(_ string, until time.Time) bool { return now.After(until) })
+
 	var out []string
 
 	for _, r := range readers {
-		if r.ID != p.Self && !time.Now().Before(p.avoided[r.ID]) {
+		if _, silent := p.silent[r.PeerAddress]; r.ID != p.Self && !silent && !now.Before(p.avoided[r.ID]) {
 			out = append(out, r.PeerAddress)
 		}
 	}
@@ -100,7 +107,11 @@
 		return out
 	}
 
-	others := slices.DeleteFunc(p.Others(), func(a string) bool { return slices.Contains(out, a) })
+	others := slices.DeleteFunc(p.Others(), func(a string) bool {
+		_, silent := p.silent[a]
+
+		return silent || slices.Contains(out, a)
+	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 
 	return append(out, others[:min(len(others), otherWitnesses)]...)
--- a/primrosed/internal/replica/recovery_test.go
+++ b/primrosed/internal/replica/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -154,3 +155,32 @@
 		require.Equal(t, before, requests.Load(), "nothing more is asked then")
 	})
 }
+
+// Guards against rounds that wait for instances that don't answer again and again, while others confirm nothing.
+func TestSilentWitnessesAreLeftOutForAWhile(t *testing.T) {
+	inBubble(t, func(t *testing.T) { //nolint:thelper // It is the body of a test.
+		peers := testPeers(4)
+
+		var dialed []string
+
+		p := &Positions{
+			Log: zerolog.Nop(), Self: peers[0].ID, Settlement: &follower.Settlement{Log: zerolog.Nop()},
+			Dial: func(_ context.Context, address string) (net.Conn, error) {
+				dialed = append(dialed, address)
+
+				return nil, net.ErrClosed
+			},
+			Others: func() []string { return []string{peers[2].PeerAddress, peers[3].PeerAddress} },
+			silent: make(map[string]time.Time),
+		}
+
+		for range 3 {
+			p.recover(t.Context(), peers[:2])
+		}
+
+		require.Len(t, dialed, 3, "each once")
+		time.Sleep(avoidTime + time.Millisecond)
+		p.recover(t.Context(), peers[:2])
+		require.Len(t, dialed, 6)
+	})
+}
