--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -304,8 +304,8 @@
 }
 
 // LearnEvacuations keeps evacuations in force until the times that they state: other instances keep them, and
-// this one may have started after the store had lost them. It reports whether that changes the searchers in use; the caller then
-// calls ExpireEvacuations at their ends.
+// this one may have started after the store had lost them. It reports whether that changes the evacuations in
+// force; the caller then calls ExpireEvacuations at their ends.
 func (d *Directory) LearnEvacuations(list []EvacuationInForce) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/follower/settlement.go
+++ b/internal/follower/settlement.go
@@ -226,8 +226,8 @@
 	return !at.Before(s.newFleetAt)
 }
 
-// consultIn returns how long it takes until this instance has to consult the record whether it reads the
-// store for others or not: it may be the first of a new fleet. It reports false if it hasn't.
+// consultIn returns how long it takes until this instance has to consult the record, whether or not it reads
+// the store for others: it may be the first of a new fleet to find that out. It reports false if it needn't.
 func (s *Settlement) consultIn() (time.Duration, bool) {
 	if s == nil {
 		return 0, false
