--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -33,6 +33,7 @@
 	closing bool
 	// listeners are those of Listen that accept connections.
 	listeners map[*keptListener]bool
+	accepted  int // Connections accepted by listeners.
 	// changed is closed when a connection or a listener ends; nil while nobody waits.
 	changed chan struct{}
 }
@@ -41,6 +42,13 @@
 // a request has been read, so that one that is whole isn't cut off.
 const headGrace = time.Second
 
+const (
+	// backlogQuiet is for how long no connection is accepted before a listener closes, and
+	// maxBacklogWait how long that is waited for.
+	backlogQuiet   = 10 * time.Millisecond
+	maxBacklogWait = 250 * time.Millisecond
+)
+
 // idleConn is one connection of an IdleTimer.
 type idleConn struct {
 	timer *time.Timer // Nil before the first wait with a timeout.
@@ -74,6 +82,7 @@
 // It stands in for http.Server.Shutdown, which doesn't serve a request that it reads after its
 // start, though the connection was accepted before.
 func (t *IdleTimer) Shutdown(ctx context.Context) error {
+	t.awaitBacklog(ctx)
 	t.closeListeners()
 	t.CloseIdle()
 
@@ -94,6 +103,27 @@
 	}
 }
 
+// awaitBacklog waits until the listeners have accepted what the kernel holds for them: a
+// process that gets little CPU time accepts late, and closing a listener resets the rest.
+func (t *IdleTimer) awaitBacklog(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxBacklogWait)
+	defer cancel()
+
+	for before := -1; ctx.Err() == nil; {
+		t.mu.Lock()
+		accepted, listening := t.accepted, len(t.listeners) > 0
+		t.mu.Unlock()
+
+		if !listening || accepted == before {
+			return
+		}
+
+		before = accepted
+
+		time.Sleep(backlogQuiet)
+	}
+}
+
 func (t *IdleTimer) closeListeners() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -269,6 +299,10 @@
 		return nil, err
 	}
 
+	l.timer.mu.Lock()
+	l.timer.accepted++
+	l.timer.mu.Unlock()
+
 	return &keptConn{Conn: c, heads: l.timer.Heads}, nil
 }
 
