--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -13,7 +13,8 @@
 
 // IdleTimer closes server connections on which no request arrives in time. The
 // timeouts of http.Server are fixed; that of an IdleTimer may change while
-// connections are open. Timeout must be set.
+// connections are open. Timeout must be set. Shutdown ends the server without losing a
+// request.
 //
 // A connection of Listen is closed only if nothing of its next request has been read:
 // http.Server itself, in Shutdown and SetKeepAlivesEnabled, takes a connection for idle until
@@ -86,8 +87,8 @@
 	t.closeListeners()
 	t.CloseIdle()
 
-	unread := time.AfterFunc(headGrace, t.closeUnread)
-	defer unread.Stop()
+	waiting := time.AfterFunc(headGrace, t.closeWaiting)
+	defer waiting.Stop()
 
 	for {
 		changed := t.awaitChange()
@@ -133,8 +134,8 @@
 	}
 }
 
-// closeUnread closes the connections that wait for the begin of a request.
-func (t *IdleTimer) closeUnread() {
+// closeWaiting closes the connections on which no request has begun.
+func (t *IdleTimer) closeWaiting() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -102,7 +102,7 @@
 	// The fields below belong to Run.
 	sessions map[string]*yamux.Session
 	avoided  map[string]time.Time
-	// silent holds the peer addresses that didn't answer recover, with the time until which they aren't
+	// silent holds the peer addresses that didn't answer askWitnesses, with the time until which they aren't
 	// asked again.
 	silent map[string]time.Time
 	// reader is the id of the reader that answered last; empty if none did.
@@ -179,7 +179,7 @@
 	}
 
 	p.dropOthers(*readers)
-	p.recover(ctx, *readers)
+	p.askWitnesses(ctx, *readers)
 
 	// allocated says that a reader has answered a question for permits.
 	allocated := p.Quota == nil
--- a/primrosed/internal/replica/recovery.go
+++ b/primrosed/internal/replica/recovery.go
@@ -51,9 +51,9 @@
 	return !settled
 }
 
-// recover asks other instances what they know that the store may have lost, while this one can't tell:
+// askWitnesses asks other instances what they know that the store may have lost, while this one can't tell:
 // it may have started after a return of the store from an older copy.
-func (p *Positions) recover(ctx context.Context, readers []domain.Instance) {
+func (p *Positions) askWitnesses(ctx context.Context, readers []domain.Instance) {
 	if !p.needsWitness() {
 		return
 	}
--- a/primrosed/internal/replica/recovery_test.go
+++ b/primrosed/internal/replica/recovery_test.go
@@ -175,12 +175,12 @@
 		}
 
 		for range 3 {
-			p.recover(t.Context(), peers[:2])
+			p.askWitnesses(t.Context(), peers[:2])
 		}
 
 		require.Len(t, dialed, 3, "each once")
 		time.Sleep(avoidTime + time.Millisecond)
-		p.recover(t.Context(), peers[:2])
+		p.askWitnesses(t.Context(), peers[:2])
 		require.Len(t, dialed, 6)
 	})
 }
