--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -142,12 +142,14 @@
 // Registrations returns the current registrations for instances that ask for a copy. It
 // reports false before the first list, and for RegistrationGrace after the store
 // recovered: a missing searcher may be about to register again then, which an instance
-// with the copy couldn't tell from a removal.
+// with the copy couldn't tell from a removal. It also does while a registration that the
+// store has again, since it came back from an older copy, may be one that nobody renews:
+// no change of the store would bring it to an instance whose copy lacks it.
 func (d *Directory) Registrations() ([]domain.Registration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if !d.listed || time.Now().Before(d.registry.recoveredAt.Add(RegistrationGrace)) {
+	if !d.listed || time.Now().Before(d.registry.recoveredAt.Add(RegistrationGrace)) || d.registry.unsettled() {
 		return nil, false
 	}
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -232,6 +232,34 @@
 	})
 }
 
+// Guards against a copy that lacks registrations which the store has again after two returns from older
+// copies: an instance that takes the copy hears of them no more. Found by the soak, seed 56001.
+func TestCopiesLackNoRestoredRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := configured()
+		both := []domain.Registration{registration("a", nil), registration("b", nil)}
+		d.ReplaceSearchers(both)
+
+		d.StoreRestored()
+		d.ReplaceSearchers(both[:1])
+		time.Sleep(3 * time.Second)
+
+		d.StoreRestored()
+		d.ReplaceSearchers(both)
+		time.Sleep(RegistrationGrace)
+
+		_, ok := d.Registrations()
+		require.False(t, ok, "searcher b counts as gone")
+
+		time.Sleep(RestoreTime - RegistrationGrace)
+		d.Expire()
+
+		list, ok := d.Registrations()
+		require.True(t, ok)
+		require.Equal(t, both, list)
+	})
+}
+
 // Guards against a pool whose searchers are removed for good just after the store
 // recovered, and are still used after RegistrationGrace. Found by the check DRAIN
 // in deployment adunni-search-grown, test day trouble-1, seed 66505997931.
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -138,6 +138,17 @@
 	return !r.restoredAt.IsZero() && now.Before(r.restoredAt.Add(RestoreTime))
 }
 
+// unsettled reports whether settle has yet to decide about a searcher.
+func (r *registry) unsettled() bool {
+	for _, rec := range r.records {
+		if rec.restored {
+			return true
+		}
+	}
+
+	return false
+}
+
 // settle brings back the searchers whose restored registrations the store still has RestoreTime after its
 // return from an older copy: they renew them.
 func (r *registry) settle(now time.Time) {
