unary: cancel the unread response before its client reads on

Cause: a race of the test. The client began to read the response as soon as its context had ended, while the transport's goroutine for the stream had yet to see that end. Beside load the client then read the whole of the response, window by window, so that nothing was left to cancel.

Change: the client reads on once the server has received the reset of the stream, which the transport sends after it has failed the response's body. The test now asks for context.Canceled instead of any error, and waits for the reset, which it didn't check before; nothing is asked less.

--- a/primrosefake/internal/unary/server_test.go
+++ b/primrosefake/internal/unary/server_test.go
@@ -17,10 +17,15 @@
 	"golang.org/x/net/http2"
 )
 
-// pauseKey is the context key of a channel that the client closes when it has
-// the headers; it reads no body until the context ends.
+// pauseKey is the context key of a pause.
 type pauseKey struct{}
 
+// pause holds a client between the headers of a response, when it closes headers,
+// and the body, which it reads once resume is closed.
+type pause struct {
+	headers, resume chan struct{}
+}
+
 // serve starts a server that runs h. It returns a function that sends a request
 // to it, and the number of its connections.
 func serve(t *testing.T, h http.HandlerFunc, c *http.HTTP2Config) (func(context.Context, string) (string, error), *atomic.Int32) {
@@ -64,9 +69,9 @@
 		}
 		defer resp.Body.Close()
 
-		if pause, ok := ctx.Value(pauseKey{}).(chan struct{}); ok {
-			close(pause)
-			<-ctx.Done()
+		if p, ok := ctx.Value(pauseKey{}).(pause); ok {
+			close(p.headers)
+			<-p.resume
 		}
 
 		b, err := io.ReadAll(resp.Body)
@@ -139,25 +144,27 @@
 // Guards against an unread response that blocks the others, and against ended
 // streams that still count towards maxStreams.
 func TestStreamsAreIndependent(t *testing.T) {
+	// The client reads on only when the server has its reset: it could read the
+	// whole response between the cancellation and the reset.
+	unread := pause{headers: make(chan struct{}), resume: make(chan struct{})}
 	call, conns := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		if string(b) == "large" {
 			b = make([]byte, 1<<20)
+
+			context.AfterFunc(r.Context(), func() { close(unread.resume) })
 		}
 
 		_, _ = w.Write(b)
 	}, &http.HTTP2Config{MaxReceiveBufferPerStream: 32 << 10, MaxReceiveBufferPerConnection: 64 << 10})
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.WithValue(t.Context(), pauseKey{}, unread))
 	large := make(chan error, 1)
 
-	pause := make(chan struct{})
-	ctx = context.WithValue(ctx, pauseKey{}, pause)
-
 	go func() {
 		_, err := call(ctx, "large")
 		large <- err
 	}()
-	<-pause
+	<-unread.headers
 
 	for range maxStreams + 1 {
 		got, err := call(t.Context(), "small")
@@ -166,7 +173,7 @@
 	}
 
 	cancel()
-	require.Error(t, <-large)
+	require.ErrorIs(t, <-large, context.Canceled)
 	require.EqualValues(t, 1, conns.Load())
 }
 
