quarantine: tell other instances which strikes an answer has cleared

Cause: instances told strikes, and not answers. An answer cleared a content only at the instance that got it; one that holds a content back sends none of its requests, and so never gets an answer. On related paths, a strike of before an instance's own answer counted when it was learned of after it, and cleared strikes were forgotten after a minute, so that an instance that had been away could bring them back.

Change: notices and the exchange of positions carry the cleared strikes: of each instance the last one, by its sequence, since a time would shift with each message. They are kept as long as the strikes may count anywhere, and go first when the table is full. A message with an odd one is refused as before. An operator's release spreads in the same way. Look-ups no longer go through all contents.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,7 +5,8 @@
 // the caller's id. It proves little: other requests that ran beside it lose their answers too.
 // Therefore a content with a strike is a suspect, which is tried at one searcher at a time, and
 // is held back only after MaxStrikes such ends, one after another, without any answer between.
-// An answer clears it. Instances tell one another what they know.
+// An answer clears it. Instances tell one another what they know: strikes, and which of them
+// an answer has cleared.
 package quarantine
 
 import (
@@ -29,7 +30,7 @@
 	MaxSuspects = 512
 	// maxAnswers bounds the contents of which it is remembered that a searcher answered them.
 	maxAnswers = 512
-	// maxKept bounds the strikes that are kept of a content.
+	// maxKept bounds the strikes that are kept of a content, and the cleared ones.
 	maxKept = 2 * MaxStrikes
 	// suspicion is how long a strike counts that hasn't led to a quarantine.
 	suspicion = time.Minute
@@ -58,7 +59,8 @@
 	Age      time.Duration
 }
 
-// Suspect is a content under which searchers have ended, without an answer since.
+// Suspect is a content under which searchers have ended. Its strikes are those without an answer
+// since or, among the cleared, the last one of each instance before an answer.
 type Suspect struct {
 	Content Digest
 	Route   string
@@ -106,13 +108,15 @@
 	// be told of them.
 	started uint64
 
-	// known says that there are entries, so that nothing has to be looked up without.
+	// known says that there are strikes or alerts, so that nothing has to be looked up without.
 	known atomic.Bool
 
 	mu       sync.Mutex // Guards the fields below.
 	sequence uint64
 	entries  map[Digest]*entry
 	alerts   map[string]time.Time // The ends of alerts, by route.
+	// expireAt is when something becomes too old next; zero if that isn't known.
+	expireAt time.Time
 	// answers holds when contents were answered last; recent are its keys, of which the one at
 	// oldest is replaced next.
 	answers map[Digest]time.Time
@@ -126,6 +130,10 @@
 	strikes []strike // In the order of their times.
 	// clearedAt is when an answer came last; earlier strikes don't count.
 	clearedAt time.Time
+	// cleared has the last strike of each instance that is known to have come before an answer;
+	// it and the earlier ones of that instance don't count. Unlike a time, which would shift
+	// with each message, this is the same at all instances.
+	cleared []strike
 	// trialUntil is when the trial in progress ends at the latest.
 	trialUntil time.Time
 }
@@ -136,12 +144,36 @@
 	at       time.Time
 }
 
+// last returns the time of the last strike or, without one that counts, of the last news.
 func (e *entry) last() time.Time {
 	if n := len(e.strikes); n > 0 {
 		return e.strikes[n-1].at
 	}
 
-	return e.clearedAt
+	at := e.clearedAt
+	if n := len(e.cleared); n > 0 && e.cleared[n-1].at.After(at) {
+		at = e.cleared[n-1].at
+	}
+
+	return at
+}
+
+// clear records that an answer came after a strike.
+func (e *entry) clear(k strike) {
+	if e.isCleared(k) {
+		return
+	}
+
+	e.cleared = slices.DeleteFunc(e.cleared, func(c strike) bool { return c.instance == k.instance })
+	e.cleared = append(e.cleared, k)
+	slices.SortStableFunc(e.cleared, func(a, b strike) int { return a.at.Compare(b.at) })
+	e.cleared = e.cleared[max(len(e.cleared)-maxKept, 0):]
+	e.strikes = slices.DeleteFunc(e.strikes, e.isCleared)
+}
+
+// isCleared reports whether a strike is known to have come before an answer.
+func (e *entry) isCleared(k strike) bool {
+	return slices.ContainsFunc(e.cleared, func(c strike) bool { return c.instance == k.instance && c.sequence >= k.sequence })
 }
 
 // New returns an empty table of the instance self, which holds a content back for so long after
@@ -250,6 +282,7 @@
 	e := t.entry(d, route)
 	e.trialUntil = time.Time{}
 	t.add(e, strike{t.self, t.sequence, now})
+	t.changed()
 
 	return len(e.strikes)
 }
@@ -267,10 +300,20 @@
 		return false
 	}
 
-	cleared := len(e.strikes) > 0
+	strikes := e.strikes
 	e.strikes, e.clearedAt, e.trialUntil = nil, now, time.Time{}
 
-	return cleared
+	if len(strikes) == 0 {
+		return false
+	}
+
+	for _, k := range strikes {
+		e.clear(k)
+	}
+
+	t.changed()
+
+	return true
 }
 
 // remember records that a content was answered; the caller holds mu.
@@ -318,10 +361,52 @@
 		}
 
 		if learned {
-			out = append(out, describe(now, s.Content, e))
+			out = append(out, describe(now, s.Content, e.route, e.strikes))
 		}
 	}
 
+	t.changed()
+
+	return out
+}
+
+// LearnCleared takes which strikes another instance knows to be cleared, which must be valid, and
+// returns the contents of which fewer strikes count now.
+func (t *Table) LearnCleared(now time.Time, cleared []Suspect) []Digest {
+	if !t.Enabled() {
+		return nil
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var out []Digest
+
+	for i := range cleared {
+		s := &cleared[i]
+
+		if !slices.ContainsFunc(s.Strikes, func(k Strike) bool { return k.Age < t.memory(MaxStrikes) }) {
+			continue
+		}
+
+		e := t.entry(s.Content, s.Route)
+		before := len(e.strikes)
+
+		for _, k := range s.Strikes {
+			if k.Instance == t.self && k.Sequence > t.sequence {
+				continue // This instance hasn't seen it yet.
+			}
+
+			e.clear(strike{k.Instance, k.Sequence, now.Add(-k.Age)})
+		}
+
+		if len(e.strikes) < before {
+			out = append(out, s.Content)
+		}
+	}
+
+	t.changed()
+
 	return out
 }
 
@@ -340,17 +425,44 @@
 
 	for d, e := range t.entries {
 		if len(e.strikes) > 0 {
-			out = append(out, describe(now, d, e))
+			out = append(out, describe(now, d, e.route, e.strikes))
 		}
 	}
 
-	slices.SortFunc(out, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(a.Strikes[len(a.Strikes)-1].Age, b.Strikes[len(b.Strikes)-1].Age), slices.Compare(a.Content[:], b.Content[:]))
-	})
+	slices.SortFunc(out, compareLast)
 
 	return out
 }
 
+// Cleared returns the cleared strikes to tell others, those struck last first.
+func (t *Table) Cleared(now time.Time) []Suspect {
+	if !t.Enabled() {
+		return nil
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.expire(now)
+
+	var out []Suspect
+
+	for d, e := range t.entries {
+		if len(e.cleared) > 0 {
+			out = append(out, describe(now, d, e.route, e.cleared))
+		}
+	}
+
+	slices.SortFunc(out, compareLast)
+
+	return out
+}
+
+// compareLast orders suspects by their last strikes, the latest first.
+func compareLast(a, b Suspect) int {
+	return cmp.Or(cmp.Compare(a.Strikes[len(a.Strikes)-1].Age, b.Strikes[len(b.Strikes)-1].Age), slices.Compare(a.Content[:], b.Content[:]))
+}
+
 // Held returns how many contents are held back.
 func (t *Table) Held(now time.Time) int {
 	t.mu.Lock()
@@ -369,9 +481,9 @@
 	return n
 }
 
-func describe(now time.Time, d Digest, e *entry) Suspect {
-	s := Suspect{Content: d, Route: e.route, Strikes: make([]Strike, len(e.strikes))}
-	for i, k := range e.strikes {
+func describe(now time.Time, d Digest, route string, strikes []strike) Suspect {
+	s := Suspect{Content: d, Route: route, Strikes: make([]Strike, len(strikes))}
+	for i, k := range strikes {
 		s.Strikes[i] = Strike{k.instance, k.sequence, max(now.Sub(k.at), 0)}
 	}
 
@@ -386,23 +498,30 @@
 	}
 
 	if len(t.entries) >= MaxSuspects {
+		// Those without strikes go first: they hold nothing back.
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(t.entries)), func(a, b Digest) int {
-			return t.entries[a].last().Compare(t.entries[b].last())
+			ea, eb := t.entries[a], t.entries[b]
+
+			return cmp.Or(cmp.Compare(min(len(ea.strikes), 1), min(len(eb.strikes), 1)), ea.last().Compare(eb.last()))
 		})
 		delete(t.entries, oldest)
 	}
 
-	e = &entry{route: route}
+	e = &entry{route: route, clearedAt: t.answers[d]}
 	t.entries[d] = e
-	t.known.Store(true)
 
 	return e
 }
 
 // add adds a strike and reports whether it counts and is new. The caller holds mu.
 func (t *Table) add(e *entry, k strike) bool {
-	if !k.at.After(e.clearedAt) && !e.clearedAt.IsZero() ||
-		slices.ContainsFunc(e.strikes, func(o strike) bool { return o.instance == k.instance && o.sequence == k.sequence }) {
+	if !k.at.After(e.clearedAt) && !e.clearedAt.IsZero() {
+		e.clear(k)
+
+		return false
+	}
+
+	if e.isCleared(k) || slices.ContainsFunc(e.strikes, func(o strike) bool { return o.instance == k.instance && o.sequence == k.sequence }) {
 		return false
 	}
 
@@ -437,9 +556,51 @@
 	return suspicion
 }
 
-// expire drops what has become too old; the caller holds mu.
+// expire drops what has become too old; the caller holds mu. Cleared strikes are kept as long as
+// other instances may hold them against a content.
 func (t *Table) expire(now time.Time) {
-	maps.DeleteFunc(t.entries, func(_ Digest, e *entry) bool { return now.Sub(e.last()) >= t.memory(len(e.strikes)) })
-	maps.DeleteFunc(t.alerts, func(_ string, until time.Time) bool { return !now.Before(until) })
-	t.known.Store(len(t.entries) > 0 || len(t.alerts) > 0)
+	if now.Before(t.expireAt) {
+		return
+	}
+
+	t.expireAt = now.Add(suspicion)
+
+	expired := func(until time.Time) bool {
+		if !now.Before(until) {
+			return true
+		}
+
+		if until.Before(t.expireAt) {
+			t.expireAt = until
+		}
+
+		return false
+	}
+
+	maps.DeleteFunc(t.entries, func(_ Digest, e *entry) bool {
+		strikes := len(e.strikes)
+		if strikes == 0 && len(e.cleared) > 0 {
+			strikes = MaxStrikes
+		}
+
+		return expired(e.last().Add(t.memory(strikes)))
+	})
+	maps.DeleteFunc(t.alerts, func(_ string, until time.Time) bool { return expired(until) })
+	t.updateKnown()
+}
+
+// changed follows a change of the entries; the caller holds mu.
+func (t *Table) changed() {
+	t.expireAt = time.Time{}
+	t.updateKnown()
+}
+
+// updateKnown sets known; the caller holds mu.
+func (t *Table) updateKnown() {
+	known := len(t.alerts) > 0
+	for _, e := range t.entries {
+		known = known || len(e.strikes) > 0
+	}
+
+	t.known.Store(known)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -159,6 +159,133 @@
 	})
 }
 
+// Guards against a content that is held back where no answer to it came, though another instance
+// has one; against strikes that an instance which was away brings back; and against an answer
+// that clears later strikes.
+func TestAnswersClearAtOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, away := New("a", testHold, 0), New("b", testHold, 0), New("away", testHold, 0)
+		d := content(1)
+		tell := func(from, to *Table) []Digest {
+			cleared := to.LearnCleared(time.Now(), from.Cleared(time.Now()))
+			to.Learn(time.Now(), from.All(time.Now()))
+
+			return cleared
+		}
+		check := func(q *Table, want Verdict) {
+			t.Helper()
+
+			v, _ := q.Check(time.Now(), d, "r")
+			require.Equal(t, want, v)
+		}
+
+		for range MaxStrikes {
+			a.Strike(time.Now(), d, "r")
+			time.Sleep(time.Second)
+		}
+
+		tell(a, b)
+		tell(a, away)
+		check(b, Held)
+		require.True(t, b.Answered(time.Now(), d), "a request under way")
+		require.Equal(t, []Digest{d}, tell(b, a))
+		require.Empty(t, tell(b, a), "told again")
+		check(a, Free)
+		require.False(t, a.Known(), "nothing is looked up")
+
+		time.Sleep(testHold / 2)
+		tell(away, a)
+		tell(away, b)
+		check(a, Free)
+		check(b, Free)
+
+		require.Equal(t, 1, a.Strike(time.Now(), d, "r"), "a later strike counts")
+		require.Empty(t, tell(b, a))
+		check(a, Trial)
+
+		time.Sleep(time.Second)
+		require.False(t, b.Answered(time.Now(), d), "it doesn't know the strike")
+		time.Sleep(time.Second)
+		tell(a, b)
+		check(b, Free)
+		require.Equal(t, []Digest{d}, tell(b, a))
+		check(a, Free)
+
+		time.Sleep(testHold + suspicion)
+		require.Empty(t, a.Cleared(time.Now()), "it is forgotten")
+
+		require.Empty(t, New("a", 0, 0).LearnCleared(time.Now(), b.Cleared(time.Now())))
+
+		odd := []Suspect{{Content: d, Route: "r", Strikes: []Strike{{Instance: "a", Sequence: 1 << 63}}}}
+		require.Empty(t, a.LearnCleared(time.Now(), odd))
+		require.Equal(t, 1, a.Strike(time.Now(), d, "r"), "its own strikes to come count")
+	})
+}
+
+// Guards against instances that don't agree on which strikes an answer has cleared, in whatever
+// order they learn of strikes and answers.
+func TestInstancesAgreeOnAnswers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			tables := make([]*Table, rapid.IntRange(2, 5).Draw(rt, "instances"))
+			for i := range tables {
+				tables[i] = New(fmt.Sprint("e-", i), testHold, 0)
+			}
+
+			tell := func(i, j int) {
+				tables[j].LearnCleared(time.Now(), tables[i].Cleared(time.Now()))
+				tables[j].Learn(time.Now(), tables[i].All(time.Now()))
+			}
+			answered := make(map[Strike]bool)
+
+			for range rapid.IntRange(1, 40).Draw(rt, "events") {
+				i, j := rapid.IntRange(0, len(tables)-1).Draw(rt, "a"), rapid.IntRange(0, len(tables)-1).Draw(rt, "b")
+
+				switch rapid.IntRange(0, 4).Draw(rt, "event") {
+				case 0, 1:
+					tables[i].Strike(time.Now(), content(1), "r")
+				case 2:
+					for _, s := range tables[i].All(time.Now()) {
+						for _, k := range s.Strikes {
+							answered[Strike{Instance: k.Instance, Sequence: k.Sequence}] = true
+						}
+					}
+
+					tables[i].Answered(time.Now(), content(1))
+				default:
+					tell(i, j)
+				}
+
+				time.Sleep(time.Duration(rapid.IntRange(1, 100).Draw(rt, "ms")) * time.Millisecond)
+			}
+
+			for range 2 {
+				for i := range tables {
+					for j := range tables {
+						tell(i, j)
+					}
+				}
+			}
+
+			for _, q := range tables {
+				all := q.All(time.Now())
+				require.Equal(t, tables[0].All(time.Now()), all)
+				require.Equal(t, tables[0].Cleared(time.Now()), q.Cleared(time.Now()))
+
+				for _, s := range append(all, q.Cleared(time.Now())...) {
+					require.NoError(t, s.Validate())
+				}
+
+				for _, s := range all {
+					for _, k := range s.Strikes {
+						require.False(t, answered[Strike{Instance: k.Instance, Sequence: k.Sequence}])
+					}
+				}
+			}
+		})
+	})
+}
+
 // Guards against a restarted instance that forgets what it saw, and against one that must be
 // told twice: what is learned in any order, any number of times, is the same, and is bounded.
 func TestInstancesAgree(t *testing.T) {
@@ -235,6 +362,21 @@
 		require.Error(t, s.Validate())
 	}
 
+	for n := range 2 * MaxSuspects {
+		require.Equal(t, n >= MaxSuspects, q.Answered(now, content(n)))
+	}
+
+	require.Len(t, q.Cleared(now), MaxSuspects)
+	q.Strike(now, content(0), "r")
+	now = now.Add(time.Second)
+
+	for n := range 2 * MaxSuspects {
+		q.Strike(now, content(n+1), "r")
+		q.Answered(now.Add(time.Millisecond), content(n+1))
+	}
+
+	require.Len(t, q.All(now), 1, "a suspect isn't dropped for contents that were answered")
+
 	off := New("a", 0, 0)
 	require.Empty(t, off.Learn(now, q.All(now)))
 
--- a/internal/serving/suspects.go
+++ b/internal/serving/suspects.go
@@ -43,8 +43,8 @@
 	Table *quarantine.Table
 	// Ended reports whether the process of a searcher has ended.
 	Ended func(ctx context.Context, sr *domain.Searcher) bool
-	// Tell tells other instances of a new strike; the channel is closed once they know or
-	// can't be told. It must not block.
+	// Tell tells other instances of a new strike, or of an answer after strikes; the channel is
+	// closed once they know or can't be told. It must not block.
 	Tell func() <-chan struct{}
 }
 
@@ -209,6 +209,10 @@
 
 	suspectsCleared.Inc()
 	x.engine.log.Info().Str("event", "suspect_cleared").Str("request_id", x.req.ID).Stringer("content", x.req.digest()).Send()
+
+	if tell := x.engine.settings.Suspects.Tell; tell != nil {
+		tell()
+	}
 }
 
 // awaitTold waits until other instances know that a failed request ended a searcher.
@@ -245,3 +249,16 @@
 
 	return len(learned) > 0
 }
+
+// SuspectsCleared takes strikes that came before an answer at another instance, and reports
+// whether any of them counted here.
+func (e *Engine) SuspectsCleared(from string, cleared []quarantine.Suspect) bool {
+	contents := e.settings.Suspects.Table.LearnCleared(time.Now(), cleared)
+
+	for _, d := range contents {
+		suspectsCleared.Inc()
+		e.log.Info().Str("event", "suspect_cleared").Stringer("content", d).Str("source", from).Send()
+	}
+
+	return len(contents) > 0
+}
--- a/internal/serving/suspects_test.go
+++ b/internal/serving/suspects_test.go
@@ -46,8 +46,10 @@
 				told := make(chan struct{})
 
 				time.AfterFunc(20*time.Millisecond, func() {
-					for _, other := range d.engines {
+					for j, other := range d.engines {
+						other.SuspectsCleared("entry", tables[i].Cleared(time.Now()))
 						other.SuspectsLearned("entry", tables[i].All(time.Now()))
+						e.SuspectsCleared("other", tables[j].Cleared(time.Now()))
 					}
 
 					close(told)
@@ -99,6 +101,54 @@
 	return fail(domain.FateUnknown)
 }
 
+// Guards against a content that many callers send and that is held back for its whole time at the
+// instance under whose requests searchers ended by chance, though another instance has an answer.
+func TestAnswersElsewhereEndQuarantines(t *testing.T) {
+	for name, start := range map[string]time.Duration{
+		"before that one knows the strikes": 0,
+		"after it has learned of them":      17 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeadlySystem(t, 1, 2, 2, 10*time.Minute, domain.Route{
+					Name: "q", Host: "h", PathPrefix: "/q/", Repeatable: true, Timeout: 2 * time.Second, MaxAttempts: 2,
+					Split: []domain.WeightedPool{{Pool: poolName(0), Weight: 1}},
+				})
+				serve := func(engine int) error {
+					r := request("q", fmt.Sprint("id-", engine), 10*time.Millisecond, time.Second)
+					r.Target = "/q/popular"
+
+					_, err := d.engines[engine].Serve(t.Context(), r)
+
+					return err
+				}
+
+				var work sync.WaitGroup
+
+				work.Go(func() {
+					time.Sleep(start)
+					require.NoError(t, serve(1))
+				})
+				time.Sleep(2 * time.Millisecond)
+
+				r := request("q", "id", 10*time.Millisecond, time.Second)
+				r.Target = "/q/popular"
+				s := &d.engines[0].settings.Suspects
+
+				for range quarantine.MaxStrikes {
+					s.Table.Strike(time.Now(), r.digest(), "q")
+				}
+
+				<-s.Tell()
+				work.Wait()
+				time.Sleep(100 * time.Millisecond)
+				require.NoError(t, serve(0))
+				require.NoError(t, serve(1))
+			})
+		})
+	}
+}
+
 // Guards against a request that ends a searcher in each shard, and again with each attempt of
 // its caller at another instance; against refusals that claim that it didn't run; and against
 // other requests that are condemned with it.
--- a/primrosectl/internal/command/quarantine.go
+++ b/primrosectl/internal/command/quarantine.go
@@ -30,7 +30,7 @@
 	cmd := &cobra.Command{
 		Use: "quarantine", Short: "Show and release requests that hosted instances hold back since they end searchers",
 	}
-	cmd.PersistentFlags().StringSliceVar(&instances, "metrics", nil, "metrics addresses of hosted instances; a release concerns each of them only")
+	cmd.PersistentFlags().StringSliceVar(&instances, "metrics", nil, "metrics addresses of hosted instances; a release reaches the other instances within seconds")
 	_ = cmd.MarkPersistentFlagRequired("metrics")
 	cmd.AddCommand(
 		&cobra.Command{
--- a/primrosed/internal/hosted/peers.go
+++ b/primrosed/internal/hosted/peers.go
@@ -62,6 +62,14 @@
 	return s.parts.Engine.SuspectsLearned(from, list)
 }
 
+// Cleared implements replica.Suspects.
+func (s suspects) Cleared(now time.Time) []quarantine.Suspect { return s.parts.Quarantine.Cleared(now) }
+
+// LearnCleared implements replica.Suspects.
+func (s suspects) LearnCleared(from string, list []quarantine.Suspect) bool {
+	return s.parts.Engine.SuspectsCleared(from, list)
+}
+
 // newNotifier returns a notifier without suspects; newInstance sets them.
 func newNotifier(log zerolog.Logger, s hosting.Settings, c *replica.Client, b *budgets) *replica.Notifier {
 	return &replica.Notifier{Log: log, Self: s.Instance.ID, Address: s.Instance.PeerAddress, Peers: c.Instances, Send: replica.SendNotice(http1.DialTCP, b.frames)}
--- a/primrosed/internal/hosted/quarantine.go
+++ b/primrosed/internal/hosted/quarantine.go
@@ -10,7 +10,7 @@
 )
 
 // quarantineRoutes adds an operator's view of the requests that are held back: GET lists them,
-// DELETE releases one at this instance.
+// DELETE releases one, of which the other instances hear as of an answer.
 func (i *Instance) quarantineRoutes(r chi.Router) {
 	r.Get("/quarantine", i.listSuspects)
 	r.Delete("/quarantine/{content}", i.releaseSuspect)
--- a/primrosed/internal/replica/positions.go
+++ b/primrosed/internal/replica/positions.go
@@ -209,7 +209,8 @@
 		}
 
 		asked := time.Now()
-		request := &pb.PositionRequest{Leaving: p.leavingSigns(), Known: p.known(), Suspects: p.suspects()}
+		request := &pb.PositionRequest{Leaving: p.leavingSigns(), Known: p.known()}
+		request.Suspects, request.Cleared = p.suspects()
 
 		if !allocated {
 			question := p.Quota.Ask(asked, r.ID)
@@ -234,7 +235,7 @@
 		}
 
 		p.learnLeaving(r.PeerAddress, r.ID, answer.GetLeaving())
-		p.learnSuspects(r.PeerAddress, r.ID, answer.GetSuspects())
+		p.learnSuspects(r.PeerAddress, r.ID, answer.GetSuspects(), answer.GetCleared())
 
 		p.learnRecovery(ctx, r.PeerAddress, answer, asked)
 
@@ -446,7 +447,7 @@
 // Handle answers one question.
 func (p *Positions) Handle(peer string, q *pb.PositionRequest, stream io.Writer) {
 	p.learnLeaving(peer, peer, q.GetLeaving())
-	p.learnSuspects(peer, peer, q.GetSuspects())
+	p.learnSuspects(peer, peer, q.GetSuspects(), q.GetCleared())
 	p.learnEras(q.GetKnown())
 
 	if q.GetRecoveryOnly() {
@@ -462,7 +463,8 @@
 		return
 	}
 
-	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns(), Suspects: p.suspects()}
+	a := &pb.PositionAnswer{Permits: p.grant(peer, q.GetPermits()), Leaving: p.leavingSigns()}
+	a.Suspects, a.Cleared = p.suspects()
 	p.addRecovery(a)
 
 	for name, f := range p.Followed {
--- a/primrosed/internal/replica/suspects.go
+++ b/primrosed/internal/replica/suspects.go
@@ -46,6 +46,11 @@
 	All(now time.Time) []quarantine.Suspect
 	// Learn takes suspects that another instance told, and reports whether they were new.
 	Learn(from string, suspects []quarantine.Suspect) bool
+	// Cleared returns the strikes that came before an answer, to tell others.
+	Cleared(now time.Time) []quarantine.Suspect
+	// LearnCleared takes such strikes from another instance, and reports whether any of them
+	// counted here.
+	LearnCleared(from string, cleared []quarantine.Suspect) bool
 }
 
 // Notifier tells other instances at once what this one has learned of suspects. It is safe for
@@ -75,7 +80,7 @@
 func (n *Notifier) Ask() {
 	n.work.Go(func() {
 		peers := n.targets(true)
-		n.exchange(peers[:min(len(peers), maxFetches)], nil)
+		n.exchange(peers[:min(len(peers), maxFetches)], &pb.SuspectNotice{InstanceId: n.Self})
 	})
 }
 
@@ -162,15 +167,22 @@
 
 // round tells instances.
 func (n *Notifier) round(targets []string) {
-	if suspects := n.Suspects.All(time.Now()); len(suspects) > 0 {
-		n.exchange(targets, suspects)
+	if notice := n.notice(); len(notice.GetSuspects())+len(notice.GetCleared()) > 0 {
+		n.exchange(targets, notice)
 	}
 }
 
-// exchange tells instances of suspects and learns what they know.
-func (n *Notifier) exchange(targets []string, suspects []quarantine.Suspect) {
-	notice := &pb.SuspectNotice{InstanceId: n.Self, Suspects: encodeSuspects(suspects)}
+// notice returns what this instance knows.
+func (n *Notifier) notice() *pb.SuspectNotice {
+	now := time.Now()
 
+	return &pb.SuspectNotice{
+		InstanceId: n.Self, Suspects: encodeSuspects(n.Suspects.All(now)), Cleared: encodeSuspects(n.Suspects.Cleared(now)),
+	}
+}
+
+// exchange sends instances a notice and learns what they know.
+func (n *Notifier) exchange(targets []string, notice *pb.SuspectNotice) {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 
@@ -202,19 +214,12 @@
 		n.notify(false)
 	}
 
-	return &pb.SuspectNotice{InstanceId: n.Self, Suspects: encodeSuspects(n.Suspects.All(time.Now()))}
+	return n.notice()
 }
 
-// learn takes the suspects of another instance's message and reports whether they were new.
+// learn takes another instance's notice and reports whether it was news.
 func (n *Notifier) learn(peer string, notice *pb.SuspectNotice) bool {
-	suspects, err := decodeSuspects(notice.GetSuspects())
-	if err != nil {
-		n.Log.Warn().Str("event", "suspects_refused").Str("peer", peer).Err(err).Send()
-
-		return false
-	}
-
-	return n.Suspects.Learn(notice.GetInstanceId(), suspects)
+	return learnSuspects(n.Log, n.Suspects, peer, notice.GetInstanceId(), notice.GetSuspects(), notice.GetCleared())
 }
 
 // SendNotice returns a function that delivers a notice over a session of its own. frames bounds
@@ -308,26 +313,41 @@
 	return out, nil
 }
 
-// learnSuspects takes what another instance told in an exchange of positions.
-func (p *Positions) learnSuspects(address, from string, list []*pb.Suspect) {
-	if p.Suspects == nil || len(list) == 0 {
-		return
+// learnSuspects takes what the instance from, at an address, has told, and reports whether it was
+// news. It takes nothing of a message that is invalid.
+func learnSuspects(log zerolog.Logger, known Suspects, address, from string, list, clearedList []*pb.Suspect) bool {
+	suspects, err := decodeSuspects(list)
+
+	var cleared []quarantine.Suspect
+	if err == nil {
+		cleared, err = decodeSuspects(clearedList)
 	}
 
-	suspects, err := decodeSuspects(list)
 	if err != nil {
-		p.Log.Warn().Str("event", "suspects_refused").Str("peer", address).Err(err).Send()
+		log.Warn().Str("event", "suspects_refused").Str("peer", address).Err(err).Send()
 
-		return
+		return false
 	}
 
-	p.Suspects.Learn(from, suspects)
+	news := known.LearnCleared(from, cleared)
+
+	return known.Learn(from, suspects) || news
 }
 
-func (p *Positions) suspects() []*pb.Suspect {
+// learnSuspects takes what another instance told in an exchange of positions.
+func (p *Positions) learnSuspects(address, from string, list, cleared []*pb.Suspect) {
+	if p.Suspects != nil {
+		learnSuspects(p.Log, p.Suspects, address, from, list, cleared)
+	}
+}
+
+// suspects returns the suspects, and the strikes that came before an answer.
+func (p *Positions) suspects() (list, cleared []*pb.Suspect) {
 	if p.Suspects == nil {
-		return nil
+		return nil, nil
 	}
 
-	return encodeSuspects(p.Suspects.All(time.Now()))
+	now := time.Now()
+
+	return encodeSuspects(p.Suspects.All(now)), encodeSuspects(p.Suspects.Cleared(now))
 }
--- a/primrosed/internal/replica/suspects_test.go
+++ b/primrosed/internal/replica/suspects_test.go
@@ -23,6 +23,10 @@
 	return len(s.Table.Learn(time.Now(), suspects)) > 0
 }
 
+func (s tableSuspects) LearnCleared(_ string, cleared []quarantine.Suspect) bool {
+	return len(s.Table.LearnCleared(time.Now(), cleared)) > 0
+}
+
 // Guards against a caller's next attempt that finds an instance which knows nothing: in fleets
 // of the users' sizes, with one instance in ten dead, all others know of a strike, and that a
 // content is held back, within 300 ms; and the instances of a small fleet before the caller of
@@ -37,15 +41,17 @@
 	}
 }
 
-func testSpread(t *testing.T, size int, seed uint64) {
-	t.Helper()
-
-	const delay = 30 * time.Millisecond // Three round trips between failure domains.
+// noticeDelay is the time of a notice between two instances: three round trips between failure
+// domains.
+const noticeDelay = 30 * time.Millisecond
 
+// newFleet returns the notifiers and tables of a fleet in which one instance in ten, other than
+// the first, is dead.
+func newFleet(size int, seed uint64) (fleet map[string]*Notifier, tables []*quarantine.Table, dead map[string]bool) {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	fleet := make(map[string]*Notifier, size)
-	tables := make([]*quarantine.Table, size)
-	dead := make(map[string]bool)
+	fleet = make(map[string]*Notifier, size)
+	tables = make([]*quarantine.Table, size)
+	dead = make(map[string]bool)
 
 	for i := range size {
 		address := strconv.Itoa(i)
@@ -71,13 +77,31 @@
 					return nil, ctx.Err()
 				}
 
-				time.Sleep(delay)
+				time.Sleep(noticeDelay)
 
 				return fleet[to].Handle(address, n), nil
 			},
 		}
 	}
 
+	return fleet, tables, dead
+}
+
+// awaitNotice waits until all of a fleet must know the news of one instance.
+func awaitNotice(size int) {
+	if size <= maxNotified {
+		time.Sleep(noticeDelay)
+	} else {
+		time.Sleep(300 * time.Millisecond)
+	}
+
+	synctest.Wait()
+}
+
+func testSpread(t *testing.T, size int, seed uint64) {
+	t.Helper()
+
+	fleet, tables, dead := newFleet(size, seed)
 	d := quarantine.DigestOf("", "GET", "h", "/deadly", nil)
 
 	for want := 1; want <= quarantine.MaxStrikes; want++ {
@@ -85,13 +109,7 @@
 
 		told := fleet["0"].Notify()
 
-		if size <= maxNotified {
-			time.Sleep(delay)
-		} else {
-			time.Sleep(300 * time.Millisecond)
-		}
-
-		synctest.Wait()
+		awaitNotice(size)
 
 		for i, q := range tables {
 			if all := q.All(time.Now()); !dead[strconv.Itoa(i)] {
@@ -121,6 +139,74 @@
 	}
 }
 
+// Guards against a content that is held back where no answer to it came: in fleets of the users'
+// sizes, with one instance in ten dead, all others know of the answer within 300 ms, and an
+// instance that still holds the content takes nothing back.
+func TestInstancesKnowAnswersInTime(t *testing.T) {
+	for _, size := range []int{8, 72, 295} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(size, "/", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testAnswerSpread(t, size, seed) })
+			})
+		}
+	}
+}
+
+func testAnswerSpread(t *testing.T, size int, seed uint64) {
+	t.Helper()
+
+	fleet, tables, dead := newFleet(size, seed)
+	d := quarantine.DigestOf("", "GET", "h", "/innocent", nil)
+
+	for range quarantine.MaxStrikes {
+		tables[0].Strike(time.Now(), d, "r")
+	}
+
+	<-fleet["0"].Notify()
+	time.Sleep(time.Second)
+
+	answered := 1
+	for dead[strconv.Itoa(answered)] {
+		answered++
+	}
+
+	require.Equal(t, 1, tables[answered].Held(time.Now()))
+	require.True(t, tables[answered].Answered(time.Now(), d), "a request under way")
+	fleet[strconv.Itoa(answered)].Notify()
+	awaitNotice(size)
+
+	requireFree := func() {
+		for i, q := range tables {
+			if v, _ := q.Check(time.Now(), d, "r"); !dead[strconv.Itoa(i)] {
+				require.Equal(t, quarantine.Free, v, "instance %d", i)
+			}
+		}
+	}
+
+	requireFree()
+
+	stale := quarantine.New("stale", time.Minute, 0)
+	stale.Learn(time.Now(), []quarantine.Suspect{{Content: d, Route: "r", Strikes: []quarantine.Strike{
+		{Instance: "0", Sequence: 1}, {Instance: "0", Sequence: 2}, {Instance: "0", Sequence: 3},
+	}}})
+	require.Equal(t, 1, stale.Held(time.Now()))
+
+	n := &Notifier{
+		Log: zerolog.Nop(), Self: "stale", Suspects: tableSuspects{stale}, Send: fleet["0"].Send,
+		Peers: func() []string { return fleet["0"].Peers() },
+	}
+	<-n.Notify()
+	require.Zero(t, stale.Held(time.Now()), "the answers to its notices clear it")
+	time.Sleep(time.Second)
+	requireFree()
+
+	n.Close()
+
+	for _, n := range fleet {
+		n.Close()
+	}
+}
+
 // Guards against an odd notice that is taken in part, and against one that an instance loses.
 func TestNoticesAreChecked(t *testing.T) {
 	d := quarantine.DigestOf("", "GET", "h", "/deadly", nil)
@@ -137,6 +223,12 @@
 	} {
 		n.Handle("b", &pb.SuspectNotice{Suspects: []*pb.Suspect{good, bad}})
 		require.False(t, q.Known())
+
+		n.Handle("b", &pb.SuspectNotice{Suspects: []*pb.Suspect{good}, Cleared: []*pb.Suspect{bad}})
+		require.False(t, q.Known())
+
+		n.Handle("b", &pb.SuspectNotice{Suspects: []*pb.Suspect{bad}, Cleared: []*pb.Suspect{good}})
+		require.Empty(t, q.Cleared(time.Now()))
 	}
 
 	list := make([]*pb.Suspect, maxTold+1)
