quarantine: keep cleared strikes when a later one is forgotten

Found by reading. A content whose strikes were cleared and that then got another one was forgotten with that one, after a minute, and with it which strikes were cleared. An instance that had been away could then bring the old ones back, and the content was held back for ten minutes. And a full table dropped a suspect for a content that another instance had cleared.

Change: strikes and the record of cleared ones expire each in their own time; a full table takes no cleared strikes of contents that it doesn't know.

TestAnswersClearAtOtherInstances and TestSuspectsAreBoundedAndChecked failed with their new parts before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -389,6 +389,11 @@
 			continue
 		}
 
+		// A suspect isn't dropped for a content that holds nothing back here.
+		if t.entries[s.Content] == nil && len(t.entries) >= MaxSuspects {
+			continue
+		}
+
 		e := t.entry(s.Content, s.Route)
 		before := len(e.strikes)
 
@@ -578,12 +583,20 @@
 	}
 
 	maps.DeleteFunc(t.entries, func(_ Digest, e *entry) bool {
-		strikes := len(e.strikes)
-		if strikes == 0 && len(e.cleared) > 0 {
-			strikes = MaxStrikes
+		if n := len(e.strikes); n > 0 {
+			if !expired(e.last().Add(t.memory(n))) {
+				return false
+			}
+
+			e.strikes = nil
+		}
+
+		kept := suspicion
+		if len(e.cleared) > 0 {
+			kept = t.memory(MaxStrikes)
 		}
 
-		return expired(e.last().Add(t.memory(strikes)))
+		return expired(e.last().Add(kept))
 	})
 	maps.DeleteFunc(t.alerts, func(_ string, until time.Time) bool { return expired(until) })
 	t.updateKnown()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -199,6 +199,14 @@
 		check(a, Free)
 		check(b, Free)
 
+		c := New("c", testHold, 0)
+		tell(b, c)
+		c.Strike(time.Now(), d, "r")
+		time.Sleep(suspicion)
+		check(c, Free)
+		tell(away, c)
+		check(c, Free) // The cleared ones aren't forgotten with the later strike.
+
 		require.Equal(t, 1, a.Strike(time.Now(), d, "r"), "a later strike counts")
 		require.Empty(t, tell(b, a))
 		check(a, Trial)
@@ -366,6 +374,14 @@
 		require.Equal(t, n >= MaxSuspects, q.Answered(now, content(n)))
 	}
 
+	other := New("b", testHold, 0)
+	for n := range MaxSuspects {
+		other.Strike(now, content(n), "r")
+	}
+
+	other.LearnCleared(now, q.Cleared(now))
+	require.Len(t, other.All(now), MaxSuspects, "a suspect isn't dropped for what holds nothing back")
+
 	require.Len(t, q.Cleared(now), MaxSuspects)
 	q.Strike(now, content(0), "r")
 	now = now.Add(time.Second)
